--- /dev/null
+++ b/crates/bramley-try/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/bramley-wire/tests/json_border.rs
@@ -0,0 +1,11 @@
+//! Checks of the JSON form of the generated types.
+
+use bramley_wire::caller::JobRequest;
+
+#[test]
+fn absent_fields_take_their_defaults_and_unknown_fields_are_refused() {
+    let request: JobRequest = serde_json::from_str(r#"{"team":"booking"}"#).expect("valid");
+    assert_eq!(request.team, "booking");
+    assert!(request.tasks.is_empty());
+    assert!(serde_json::from_str::<JobRequest>(r#"{"taem":"booking"}"#).is_err());
+}
