Dispatch kernel: jobs, tasks, slots, loans, queue orders, admission and health

Cause: every decision about tasks belongs in one place without input or output, so that it can be driven by randomised runs. A refused submission closes its ticket for good (one bit each), so that a delayed copy of it cannot start after "not run" was said.

--- a/crates/bramley-core/src/errors.rs
+++ b/crates/bramley-core/src/errors.rs
@@ -40,6 +40,8 @@
     NeverRunnable,
     /// no worker is known yet
     NoWorkers,
+    /// no configuration is known yet
+    NoConfiguration,
     /// the job was cancelled
     Cancelled,
     /// a task ran and failed
@@ -56,6 +58,8 @@
     StoreUnavailable,
     /// the host keeps as many outcomes as it may
     OutcomesFull,
+    /// an earlier submission under this ticket was refused before any task started
+    RefusedEarlier,
     /// the process met a fault of its own
     Internal,
 }
@@ -117,7 +121,7 @@
     pub status: u16,
     /// Machine-readable code.
     pub code: &'static str,
-    /// What the caller may do.
+    /// What the caller may do, unless some task may have run, when no retry is advised.
     pub retry: RetryAdvice,
     /// What is known when the refusal comes before any task was accepted.
     pub execution: ExecutionClaim,
@@ -140,7 +144,7 @@
 }
 
 /// The table from error kind to answer, one row for each kind.
-pub const ANSWER_TABLE: [AnswerRow; 24] = {
+pub const ANSWER_TABLE: [AnswerRow; 26] = {
     use ErrorKind as Kind;
     use ExecutionClaim::{MayHaveRun, NotRun, Undetermined};
     use RetryAdvice::{Never, NewTicket, SameTicket};
@@ -179,7 +183,7 @@
             SameTicket,
             NotRun,
         ),
-        row(Kind::QueueFull, 503, "queue_full", SameTicket, NotRun),
+        row(Kind::QueueFull, 503, "queue_full", NewTicket, NotRun),
         row(
             Kind::DeadlineUnreachable,
             503,
@@ -195,7 +199,14 @@
             MayHaveRun,
         ),
         row(Kind::NeverRunnable, 422, "never_runnable", Never, NotRun),
-        row(Kind::NoWorkers, 503, "no_workers", SameTicket, NotRun),
+        row(Kind::NoWorkers, 503, "no_workers", NewTicket, NotRun),
+        row(
+            Kind::NoConfiguration,
+            503,
+            "no_configuration",
+            NewTicket,
+            NotRun,
+        ),
         row(Kind::Cancelled, 409, "cancelled", Never, MayHaveRun),
         row(Kind::TaskFailed, 502, "task_failed", NewTicket, MayHaveRun),
         row(
@@ -221,7 +232,14 @@
             SameTicket,
             NotRun,
         ),
-        row(Kind::OutcomesFull, 503, "outcomes_full", SameTicket, NotRun),
+        row(Kind::OutcomesFull, 503, "outcomes_full", NewTicket, NotRun),
+        row(
+            Kind::RefusedEarlier,
+            409,
+            "refused_earlier",
+            NewTicket,
+            NotRun,
+        ),
         row(Kind::Internal, 500, "internal", SameTicket, Undetermined),
     ]
 };
--- /dev/null
+++ b/crates/bramley-core/src/kernel/answers.rs
@@ -0,0 +1,235 @@
+//! Ends of attempts.
+
+use std::time::Duration;
+
+use crate::errors::{DispatchError, ErrorKind};
+use crate::health::{HealthSign, HealthVerdict};
+use crate::invariants::InvariantKind;
+use crate::names::TeamName;
+use crate::task::{Finished, NotStartedProof, Queued, RetryPermit, Sent, TaskPhase, TaskRecord};
+use crate::units::{AttemptId, TaskKey, UnixTime};
+
+use super::DispatchKernel;
+use super::action::KernelAction;
+use super::attempts::AttemptRecord;
+use super::event::AttemptEnd;
+use super::quota::QuotaChange;
+
+impl DispatchKernel {
+    /// Settles an attempt that ended; one that is no longer waited for changes nothing.
+    pub(super) fn on_attempt_ended(
+        &mut self,
+        attempt: AttemptId,
+        end: AttemptEnd,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let Some(record) = self.attempts.remove(attempt) else {
+            self.counters.late_answers += 1;
+            return;
+        };
+        self.free_slots(attempt, &record, &end, now);
+        self.judge_worker(&record, &end, now);
+        if let AttemptEnd::NotStarted { leaving: true, .. } = end {
+            let name = self.workers.get(record.worker).name.clone();
+            self.on_worker_leaving(&name);
+        }
+        self.end_quota_use(&record.team);
+        self.settle_task(record.task, end, now.since(record.sent_at), actions);
+    }
+
+    /// Stops waiting for attempts whose deadlines have passed.
+    pub(super) fn abandon_overdue_attempts(
+        &mut self,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        while let Some(attempt) = self.attempts.first_overdue(now) {
+            self.counters.abandoned_attempts += 1;
+            actions.push(KernelAction::Abandon(attempt));
+            self.on_attempt_ended(attempt, AttemptEnd::Unknown, now, actions);
+        }
+    }
+
+    fn free_slots(
+        &mut self,
+        attempt: AttemptId,
+        record: &AttemptRecord,
+        end: &AttemptEnd,
+        now: UnixTime,
+    ) {
+        let rest_until = match end {
+            AttemptEnd::Finished(_) | AttemptEnd::Failed => None,
+            AttemptEnd::NotStarted { .. } | AttemptEnd::Unknown => {
+                Some(now.after(self.settings.slot_rest))
+            }
+        };
+        self.slots
+            .release(record.worker, &record.slots, attempt, rest_until, now);
+    }
+
+    fn judge_worker(&mut self, record: &AttemptRecord, end: &AttemptEnd, now: UnixTime) {
+        let sign = match end {
+            AttemptEnd::Finished(_) => HealthSign::Good,
+            AttemptEnd::Failed | AttemptEnd::Unknown => HealthSign::Bad,
+            AttemptEnd::NotStarted {
+                proof: NotStartedProof::ConnectFailed,
+                ..
+            } => HealthSign::Unreachable,
+            AttemptEnd::NotStarted {
+                proof: NotStartedProof::HandedBack | NotStartedProof::RefusedByWorker,
+                ..
+            } => return,
+        };
+        let listed = self.workers.iter().count();
+        match self
+            .health
+            .record(record.worker, record.task.serial, sign, listed, now)
+        {
+            HealthVerdict::Unchanged => {}
+            HealthVerdict::Eject(until) => {
+                self.counters.ejections += 1;
+                self.fleet.probe_at(record.worker, until);
+                self.refresh_usable(record.worker);
+            }
+            HealthVerdict::Restore => {
+                self.fleet.end_probe(record.worker);
+                self.refresh_usable(record.worker);
+            }
+        }
+    }
+
+    /// Moves the task of an attempt on, unless its job was answered meanwhile.
+    fn settle_task(
+        &mut self,
+        task: TaskKey,
+        end: AttemptEnd,
+        run: Duration,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let Some(sent) = self.take_sent(task) else {
+            return;
+        };
+        match end {
+            AttemptEnd::Finished(output) => {
+                self.learn_run_time(task, run);
+                self.finish_task(task, sent.finish(output), actions);
+            }
+            AttemptEnd::NotStarted { proof, .. } => {
+                self.count_not_started(proof);
+                self.requeue(task, sent.requeue(proof));
+            }
+            AttemptEnd::Failed => {
+                self.counters.failed_tasks += 1;
+                match self.retry_permit(task) {
+                    Some(permit) => self.requeue(task, sent.retry(permit)),
+                    None => {
+                        let phase = TaskPhase::Failed(sent.fail());
+                        self.fail_task(task, phase, ErrorKind::TaskFailed, actions);
+                    }
+                }
+            }
+            AttemptEnd::Unknown => {
+                self.counters.unknown_tasks += 1;
+                match self.retry_permit(task) {
+                    Some(permit) => self.requeue(task, sent.retry(permit)),
+                    None => {
+                        let phase = TaskPhase::Unknown(sent.lose());
+                        self.fail_task(task, phase, ErrorKind::UnknownOutcome, actions);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a sent task out of its job; the caller puts its next phase back.
+    fn take_sent(&mut self, task: TaskKey) -> Option<TaskRecord<Sent>> {
+        let job = self.active_job(task.serial)?;
+        job.under_way -= 1;
+        let phase = &mut job.phases[task.index as usize];
+        match std::mem::replace(phase, TaskPhase::Queued(TaskRecord::new())) {
+            TaskPhase::Sent(sent) => Some(sent),
+            other => {
+                *phase = other;
+                self.monitor
+                    .check(InvariantKind::StartedAtMostOnce, false, || {
+                        format!("{task:?}")
+                    });
+                None
+            }
+        }
+    }
+
+    /// Takes a permit to run a task again if its job is one idempotent request.
+    fn retry_permit(&mut self, task: TaskKey) -> Option<RetryPermit> {
+        if !self.active_job(task.serial)?.idempotent {
+            return None;
+        }
+        let permit = self.budget.take()?;
+        self.counters.retries += 1;
+        Some(permit)
+    }
+
+    fn learn_run_time(&mut self, task: TaskKey, run: Duration) {
+        self.counters.finished_tasks += 1;
+        if let Some(job) = self.active_job(task.serial) {
+            let (team, class) = (job.team.clone(), job.class.clone());
+            self.estimates.observe(&team, &class, run);
+        }
+    }
+
+    fn end_quota_use(&mut self, team: &TeamName) {
+        if self.quotas.end(team) == QuotaChange::Cleared {
+            self.waiting.set_blocked(team, false);
+        }
+    }
+
+    fn finish_task(
+        &mut self,
+        task: TaskKey,
+        record: TaskRecord<Finished>,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let Some(job) = self.active_job(task.serial) else {
+            return;
+        };
+        job.phases[task.index as usize] = TaskPhase::Finished(record);
+        job.finished += 1;
+        if job.is_complete() {
+            self.complete_job(task.serial, actions);
+        }
+    }
+
+    fn fail_task(
+        &mut self,
+        task: TaskKey,
+        phase: TaskPhase,
+        kind: ErrorKind,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        if let Some(job) = self.active_job(task.serial) {
+            job.phases[task.index as usize] = phase;
+        }
+        let detail = format!("task {}", task.index);
+        self.fail_job(task.serial, DispatchError::new(kind, detail), actions);
+    }
+
+    /// Puts a task back at the head of its job's waiting tasks.
+    fn requeue(&mut self, task: TaskKey, record: TaskRecord<Queued>) {
+        let Some(job) = self.active_job(task.serial) else {
+            return;
+        };
+        job.phases[task.index as usize] = TaskPhase::Queued(record);
+        let needs = job.inputs[task.index as usize].needs();
+        let entry = job.queue_entry(1);
+        self.push_waiting(needs, &[task.index], entry);
+    }
+
+    fn count_not_started(&mut self, proof: NotStartedProof) {
+        match proof {
+            NotStartedProof::ConnectFailed => self.counters.connect_failures += 1,
+            NotStartedProof::HandedBack => self.counters.handed_back += 1,
+            NotStartedProof::RefusedByWorker => self.counters.refused_starts += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramley-core/src/kernel/dispatch.rs
@@ -0,0 +1,156 @@
+//! Sends waiting tasks to idle slots.
+
+use smallvec::SmallVec;
+
+use crate::invariants::InvariantKind;
+use crate::slots::SlotNumber;
+use crate::task::TaskPhase;
+use crate::units::{AttemptId, TaskKey, TicketSerial, UnixTime};
+use crate::worker::{TaskNeeds, WorkerIndex, WorkerState};
+
+use super::DispatchKernel;
+use super::action::{KernelAction, TaskStart};
+use super::attempts::AttemptRecord;
+use super::quota::QuotaChange;
+
+/// Multiple of the expected run time for which a borrowed slot must stay ours.
+const LOAN_RUN_FACTOR: u32 = 2;
+
+/// Where a task is going to run.
+struct SlotChoice {
+    worker: WorkerIndex,
+    slots: SmallVec<[SlotNumber; 1]>,
+}
+
+impl DispatchKernel {
+    /// Sends waiting tasks while slots are idle.
+    pub(super) fn dispatch(&mut self, now: UnixTime, actions: &mut Vec<KernelAction>) {
+        if self.waiting.len() == 0 {
+            return;
+        }
+        for needs in self.waiting.needs() {
+            while let Some(serial) = self.waiting.next(needs) {
+                if !self.send_next(needs, serial, now, actions) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Sends the next task of a job; returns `false` if no slot fits.
+    fn send_next(
+        &mut self,
+        needs: TaskNeeds,
+        serial: TicketSerial,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) -> bool {
+        let Some(job) = self.active_job(serial) else {
+            self.monitor.check(InvariantKind::AnsweredOnce, false, || {
+                format!("answered ticket {} still waits", serial.0)
+            });
+            self.waiting.remove_job(serial);
+            return true;
+        };
+        let expected = job.expected_run;
+        let attempt = self.attempts.next_id();
+        let needed_until = now.after(expected.saturating_mul(LOAN_RUN_FACTOR));
+        let Some(choice) = self.choose_slots(needs, attempt, needed_until) else {
+            return false;
+        };
+        let Some(index) = self.waiting.take(needs, serial, expected) else {
+            self.slots
+                .release(choice.worker, &choice.slots, attempt, None, now);
+            return false;
+        };
+        self.send(TaskKey { serial, index }, attempt, choice, now, actions);
+        true
+    }
+
+    /// Occupies slots on the least busy worker that fits.
+    fn choose_slots(
+        &mut self,
+        needs: TaskNeeds,
+        attempt: AttemptId,
+        needed_until: UnixTime,
+    ) -> Option<SlotChoice> {
+        let accelerated = needs.accelerators > 0;
+        let count = needs.accelerators.max(1);
+        let fitting: SmallVec<[WorkerIndex; 4]> = self
+            .slots
+            .candidates(accelerated)
+            .filter(|worker| self.workers.get(*worker).fits(needs))
+            .filter(|worker| self.slots.idle_on(*worker, accelerated) >= count)
+            .take(4)
+            .collect();
+        for worker in fitting {
+            if let Some(slots) =
+                self.slots
+                    .occupy(worker, accelerated, count, attempt, needed_until)
+            {
+                return Some(SlotChoice { worker, slots });
+            }
+        }
+        None
+    }
+
+    fn send(
+        &mut self,
+        task: TaskKey,
+        attempt: AttemptId,
+        choice: SlotChoice,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let Some(job) = self.active_job(task.serial) else {
+            return;
+        };
+        // The typestate lets only a queued task be sent.
+        let phase = &mut job.phases[task.index as usize];
+        let TaskPhase::Queued(record) =
+            std::mem::replace(phase, TaskPhase::Queued(Default::default()))
+        else {
+            self.monitor
+                .check(InvariantKind::StartedAtMostOnce, false, || {
+                    format!("{task:?}")
+                });
+            return;
+        };
+        *phase = TaskPhase::Sent(record.send(attempt));
+        job.under_way += 1;
+        let input = job.inputs[task.index as usize].clone();
+        let (team, class, deadline) = (job.team.clone(), job.class.clone(), job.deadline);
+
+        let profile = self.workers.get(choice.worker);
+        let live = profile.state == WorkerState::Live;
+        self.monitor
+            .check(InvariantKind::NoStartOnLeavingWorker, live, || {
+                format!("worker {}", profile.name)
+            });
+        actions.push(KernelAction::Start(Box::new(TaskStart {
+            attempt,
+            task,
+            worker: profile.name.clone(),
+            address: profile.address,
+            team: team.clone(),
+            class,
+            payload: input.payload,
+            accelerators: input.accelerators,
+            start_before: deadline,
+        })));
+        let record = AttemptRecord {
+            task,
+            team: team.clone(),
+            worker: choice.worker,
+            slots: choice.slots,
+            sent_at: now,
+            answer_by: deadline,
+        };
+        self.attempts.insert(attempt, record);
+        self.counters.starts += 1;
+        self.budget.earn();
+        if self.quotas.start(&team) == QuotaChange::Reached {
+            self.waiting.set_blocked(&team, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/bramley-core/src/kernel/loans.rs
@@ -0,0 +1,234 @@
+//! Lending and borrowing of idle slots between hosts.
+//!
+//! Starts are always made by the owner of the ticket: a busy host borrows slots, it does not hand
+//! its tasks on. Borrowing across failure domains is the overflow between them.
+
+use std::cmp::Reverse;
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use crate::names::HostName;
+use crate::slots::{LoanedSlot, SlotNumber};
+use crate::units::UnixTime;
+
+use super::DispatchKernel;
+use super::action::KernelAction;
+use super::event::{LoanReply, LoanRequest, NamedSlot};
+
+/// Loan requests that may be under way at once.
+const MAX_PENDING_REQUESTS: usize = 2;
+
+/// Slots asked for in one request at most.
+const MAX_SLOTS_PER_REQUEST: u32 = 64;
+
+/// Wait before a host that lent nothing is asked again.
+const EMPTY_REPLY_WAIT: Duration = Duration::from_millis(100);
+
+/// Wait for an answer to a loan request.
+const ANSWER_WAIT: Duration = Duration::from_secs(1);
+
+/// Loan requests under way and waits between them.
+#[derive(Debug, Default)]
+pub struct LoanDesk {
+    pending: FxHashMap<HostName, UnixTime>,
+    ask_again: FxHashMap<HostName, UnixTime>,
+}
+
+impl LoanDesk {
+    fn may_ask(&self, host: &HostName, now: UnixTime) -> bool {
+        let waiting = self
+            .pending
+            .get(host)
+            .is_some_and(|answer_by| *answer_by > now);
+        let resting = self.ask_again.get(host).is_some_and(|time| *time > now);
+        !waiting && !resting
+    }
+
+    fn pending_requests(&self, now: UnixTime) -> usize {
+        self.pending
+            .values()
+            .filter(|answer_by| **answer_by > now)
+            .count()
+    }
+
+    /// Returns the time at which another request may be worthwhile.
+    pub fn next_wakeup(&self) -> Option<UnixTime> {
+        self.ask_again.values().min().copied()
+    }
+}
+
+impl DispatchKernel {
+    /// Asks other hosts for slots while tasks wait and no slot is idle.
+    pub(super) fn ask_for_loans(&mut self, now: UnixTime, actions: &mut Vec<KernelAction>) {
+        self.loans.ask_again.retain(|_, time| *time > now);
+        let counts = self.slots.counts();
+        let mut demand = self.waiting.demand();
+        if counts.idle_plain > 0 {
+            demand.plain = 0;
+        }
+        if counts.idle_accelerated > 0 {
+            demand.accelerated = 0;
+        }
+        while demand.plain + demand.accelerated > 0
+            && self.loans.pending_requests(now) < MAX_PENDING_REQUESTS
+        {
+            let Some(lender) = self.best_lender(demand.plain > 0, demand.accelerated > 0, now)
+            else {
+                break;
+            };
+            let peer = &mut self.fleet.peers_mut()[lender];
+            let plain = demand.plain.min(peer.idle_slots).min(MAX_SLOTS_PER_REQUEST);
+            let accelerated = demand
+                .accelerated
+                .min(peer.idle_accelerator_slots)
+                .min(MAX_SLOTS_PER_REQUEST);
+            // What was asked for is no longer counted as idle until the next heartbeat.
+            peer.idle_slots -= plain;
+            peer.idle_accelerator_slots -= accelerated;
+            let host = peer.host.clone();
+            demand.plain -= plain;
+            demand.accelerated -= accelerated;
+            self.loans
+                .pending
+                .insert(host.clone(), now.after(ANSWER_WAIT));
+            self.counters.loan_requests += 1;
+            actions.push(KernelAction::AskLoan {
+                lender: host,
+                plain,
+                accelerated,
+            });
+        }
+    }
+
+    /// Picks the reachable peer with most idle slots, in the own failure domain if possible.
+    fn best_lender(&self, plain: bool, accelerated: bool, now: UnixTime) -> Option<usize> {
+        let usable_idle = |position: usize| {
+            let peer = &self.fleet.peers()[position];
+            let plain_idle = if plain { peer.idle_slots } else { 0 };
+            let accelerated_idle = if accelerated {
+                peer.idle_accelerator_slots
+            } else {
+                0
+            };
+            plain_idle + accelerated_idle
+        };
+        let mut best: Option<(usize, (bool, u32))> = None;
+        for (position, peer) in self.fleet.peers().iter().enumerate() {
+            let idle = usable_idle(position);
+            if !peer.reachable || idle == 0 || !self.loans.may_ask(&peer.host, now) {
+                continue;
+            }
+            let score = (peer.domain == self.identity.domain, idle);
+            if best.is_none_or(|(_, best_score)| score > best_score) {
+                best = Some((position, score));
+            }
+        }
+        best.map(|(position, _)| position)
+    }
+
+    /// Lends idle slots to another host, at most half of what is idle here.
+    pub(super) fn on_loan_asked(
+        &mut self,
+        request: &LoanRequest,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let until = now.after(self.settings.loan_term);
+        let counts = self.slots.counts();
+        let demand = self.waiting.demand();
+        let mut lent = Vec::new();
+        if demand.plain == 0 && !self.draining {
+            let plain = request.plain.min(counts.idle_plain.div_ceil(2));
+            lent.extend(self.slots.lend(&request.borrower, false, plain, until));
+        }
+        if demand.accelerated == 0 && !self.draining {
+            let accelerated = request.accelerated.min(counts.idle_accelerated.div_ceil(2));
+            lent.extend(self.slots.lend(&request.borrower, true, accelerated, until));
+        }
+        self.counters.lent_slots += lent.len() as u64;
+        let slots = self.name_slots(&lent);
+        actions.push(KernelAction::GrantLoan {
+            token: request.token,
+            slots,
+            until,
+        });
+    }
+
+    /// Enters slots that another host lent.
+    pub(super) fn on_loan_answered(&mut self, reply: LoanReply, now: UnixTime) {
+        self.loans.pending.remove(&reply.lender);
+        let wait = if reply.slots.is_empty() {
+            EMPTY_REPLY_WAIT
+        } else {
+            self.settings.loan_request_interval
+        };
+        self.loans
+            .ask_again
+            .insert(reply.lender.clone(), now.after(wait));
+        if reply.until <= now {
+            return;
+        }
+        for slot in &reply.slots {
+            let Some(place) = self.find_slot(slot) else {
+                continue;
+            };
+            if self
+                .slots
+                .borrow_slot(place, reply.lender.clone(), reply.until, now)
+            {
+                self.counters.borrowed_slots += 1;
+            }
+        }
+    }
+
+    /// Takes back slots before the end of their loan.
+    pub(super) fn on_loan_returned(&mut self, borrower: &HostName, slots: &[NamedSlot]) {
+        for slot in slots {
+            if let Some(place) = self.find_slot(slot) {
+                self.slots.take_back(place, borrower);
+            }
+        }
+    }
+
+    /// Gives back borrowed slots that have been idle for a while.
+    pub(super) fn return_idle_loans(&mut self, now: UnixTime, actions: &mut Vec<KernelAction>) {
+        let idle_before = now.before(self.settings.loan_idle_limit);
+        for (lender, places) in self.slots.return_idle_loans(idle_before) {
+            let slots = self.name_slots(&places);
+            actions.push(KernelAction::ReturnLoan { lender, slots });
+        }
+    }
+
+    fn name_slots(&self, places: &[LoanedSlot]) -> Vec<NamedSlot> {
+        let mut slots = Vec::with_capacity(places.len());
+        for place in places {
+            let worker = self.workers.get(place.worker).name.clone();
+            slots.push(NamedSlot {
+                worker,
+                slot: place.slot.0,
+            });
+        }
+        slots
+    }
+
+    fn find_slot(&self, slot: &NamedSlot) -> Option<LoanedSlot> {
+        let worker = self.workers.find(slot.worker.as_str())?;
+        Some(LoanedSlot {
+            worker,
+            slot: SlotNumber(slot.slot),
+        })
+    }
+
+    /// Returns the hosts that could be asked for slots, the most idle last, for dumps.
+    pub(super) fn lenders(&self) -> Vec<(HostName, u32)> {
+        let mut lenders: Vec<(HostName, u32)> = self
+            .fleet
+            .peers()
+            .iter()
+            .map(|peer| (peer.host.clone(), peer.idle_slots))
+            .collect();
+        lenders.sort_by_key(|(host, idle)| (Reverse(*idle), host.clone()));
+        lenders
+    }
+}
--- /dev/null
+++ b/crates/bramley-core/src/kernel/settings.rs
@@ -0,0 +1,60 @@
+//! Limits of the kernel.
+
+use std::time::Duration;
+
+use crate::queue::{OrderRegistry, register_enabled};
+
+/// Limits of the kernel.
+#[derive(Clone, Debug)]
+pub struct KernelSettings {
+    /// Largest number of tasks in one job.
+    pub max_job_tasks: usize,
+    /// Largest number of tasks that wait to be sent.
+    pub max_waiting_tasks: usize,
+    /// Largest number of submissions in the books.
+    pub max_kept_outcomes: usize,
+    /// Largest memory that kept answers take, in bytes, as estimated.
+    pub max_kept_bytes: usize,
+    /// Name of the queue order.
+    pub queue_order: String,
+    /// Time after which a lent slot returns to its owner.
+    pub loan_term: Duration,
+    /// Time after which an unused borrowed slot is given back.
+    pub loan_idle_limit: Duration,
+    /// Least time between two loan requests to one host.
+    pub loan_request_interval: Duration,
+    /// Rest of a slot after a refused start or an unknown outcome.
+    pub slot_rest: Duration,
+    /// Additional starts that retries may cause, in percent of first starts.
+    pub retry_percent: u32,
+    /// Interval of the sweeps that forget expired outcomes and give idle loans back.
+    pub sweep_interval: Duration,
+}
+
+impl Default for KernelSettings {
+    fn default() -> Self {
+        Self {
+            max_job_tasks: 500,
+            max_waiting_tasks: 50_000,
+            max_kept_outcomes: 200_000,
+            max_kept_bytes: 256 << 20,
+            queue_order: "fair".to_owned(),
+            loan_term: Duration::from_secs(2),
+            loan_idle_limit: Duration::from_millis(100),
+            loan_request_interval: Duration::from_millis(20),
+            slot_rest: Duration::from_millis(50),
+            retry_percent: 10,
+            sweep_interval: Duration::from_millis(100),
+        }
+    }
+}
+
+impl KernelSettings {
+    /// Tells whether a queue order of this name is registered.
+    #[must_use]
+    pub fn is_known_order(name: &str) -> bool {
+        let mut registry = OrderRegistry::default();
+        register_enabled(&mut registry);
+        registry.create(name).is_some()
+    }
+}
--- /dev/null
+++ b/crates/bramley-core/src/kernel/submissions.rs
@@ -0,0 +1,365 @@
+//! Submissions, queries, cancellations and the answers to them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::digest::BodyDigest;
+use crate::errors::{DispatchError, ErrorKind, ExecutionClaim};
+use crate::invariants::InvariantKind;
+use crate::job::{
+    ActiveJob, JobAnswer, JobFailure, JobRecord, JobSpec, ReplyToken, refused_earlier,
+};
+use crate::outcomes::OutcomeEntry;
+use crate::queue::QueueEntry;
+use crate::task::TaskPhase;
+use crate::units::{AttemptId, TicketSerial, UnixTime};
+use crate::worker::TaskNeeds;
+
+use super::DispatchKernel;
+use super::action::KernelAction;
+use super::event::JobSubmission;
+
+impl DispatchKernel {
+    /// Accepts, joins or refuses a submission.
+    pub(super) fn on_submitted(
+        &mut self,
+        submission: JobSubmission,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let JobSubmission {
+            serial,
+            expiry,
+            mut spec,
+            digest,
+            token,
+        } = submission;
+        if let Some(entry) = self.book.get_mut(serial) {
+            self.counters.resubmissions += 1;
+            let reply = join(entry, digest == entry.digest, token);
+            actions.extend(reply);
+            return;
+        }
+        if let Err(error) = self.check_ticket(serial, expiry, now) {
+            actions.push(refuse(token, error));
+            return;
+        }
+        self.settle_deadline(&mut spec, expiry, now);
+        if let Err(error) = self.admit(&spec, now) {
+            self.counters.refused_jobs += 1;
+            self.book.close(serial, expiry);
+            actions.push(refuse(token, error));
+            return;
+        }
+        let mut job = Box::new(ActiveJob::new(serial, spec, now));
+        job.waiters.push(token);
+        self.accept(job, OutcomeEntryTerms { digest, expiry });
+    }
+
+    /// Checks that a ticket without a job can still be used.
+    fn check_ticket(
+        &self,
+        serial: TicketSerial,
+        expiry: UnixTime,
+        now: UnixTime,
+    ) -> Result<(), DispatchError> {
+        if self.book.is_closed(serial) {
+            return Err(DispatchError::new(ErrorKind::RefusedEarlier, ""));
+        }
+        if now > expiry {
+            return Err(DispatchError::new(ErrorKind::ExpiredTicket, ""));
+        }
+        Ok(())
+    }
+
+    /// Fills in the default deadline and keeps it within the life of the ticket.
+    fn settle_deadline(&self, spec: &mut JobSpec, expiry: UnixTime, now: UnixTime) {
+        if spec.deadline == UnixTime::NEVER {
+            let team = self.teams.team(spec.team.as_str());
+            let within = team.map_or(Duration::ZERO, |team| {
+                team.answer_within(spec.class.as_str())
+            });
+            spec.deadline = now.after(within);
+        }
+        spec.deadline = spec.deadline.min(expiry);
+    }
+
+    fn accept(&mut self, mut job: Box<ActiveJob>, terms: OutcomeEntryTerms) {
+        let serial = job.serial;
+        job.expected_run = self.expected_run(&job);
+        self.counters.accepted_jobs += 1;
+        self.counters.accepted_tasks += job.inputs.len() as u64;
+        self.active_jobs += 1;
+        self.deadlines.insert((job.deadline, serial));
+        self.enqueue_all(&job);
+        let record = JobRecord::Active(job);
+        self.book.insert(
+            serial,
+            OutcomeEntry {
+                digest: terms.digest,
+                expiry: terms.expiry,
+                record,
+            },
+        );
+        let within = self.book.len() <= self.settings.max_kept_outcomes;
+        self.monitor
+            .check(InvariantKind::OutcomesWithinBounds, within, || {
+                "too many outcomes are kept".to_owned()
+            });
+    }
+
+    fn expected_run(&self, job: &ActiveJob) -> Duration {
+        let team = self.teams.team(job.team.as_str());
+        let declared = team.map_or(Duration::ZERO, |team| team.declared_run(job.class.as_str()));
+        self.estimates.expect(&job.team, &job.class, declared)
+    }
+
+    fn enqueue_all(&mut self, job: &ActiveJob) {
+        let mut groups: BTreeMap<TaskNeeds, Vec<u32>> = BTreeMap::new();
+        for (index, input) in (0_u32..).zip(&job.inputs) {
+            groups.entry(input.needs()).or_default().push(index);
+        }
+        for (needs, indices) in groups {
+            let entry = job.queue_entry(indices.len());
+            self.push_waiting(needs, &indices, entry);
+        }
+    }
+
+    /// Enters waiting tasks of a job under the weight of its team.
+    pub(super) fn push_waiting(&mut self, needs: TaskNeeds, indices: &[u32], entry: QueueEntry) {
+        let weight = self
+            .teams
+            .team(entry.team.as_str())
+            .map_or(1, |team| team.weight);
+        self.waiting
+            .push(needs, indices, QueueEntry { weight, ..entry });
+    }
+
+    /// Reports the present state of a job.
+    pub(super) fn on_queried(
+        &mut self,
+        serial: TicketSerial,
+        expiry: UnixTime,
+        token: ReplyToken,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        if let Some(entry) = self.book.get(serial) {
+            actions.push(match &entry.record {
+                JobRecord::Active(_) => KernelAction::ReplyRunning(token),
+                JobRecord::Answered(answer) => reply(token, answer),
+            });
+            return;
+        }
+        let error = match self.check_ticket(serial, expiry, now) {
+            Ok(()) => DispatchError::new(ErrorKind::NotFound, "nothing was submitted yet"),
+            Err(error) => error,
+        };
+        actions.push(refuse(token, error));
+    }
+
+    /// Cancels a job; a ticket that was not used yet is closed.
+    pub(super) fn on_cancelled(
+        &mut self,
+        serial: TicketSerial,
+        expiry: UnixTime,
+        token: ReplyToken,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let cancelled = DispatchError::new(ErrorKind::Cancelled, "");
+        if let Some(entry) = self.book.get_mut(serial) {
+            match &mut entry.record {
+                JobRecord::Answered(answer) => actions.push(reply(token, answer)),
+                JobRecord::Active(job) => {
+                    job.waiters.push(token);
+                    self.counters.cancelled_jobs += 1;
+                    self.fail_job(serial, cancelled, actions);
+                }
+            }
+            return;
+        }
+        if let Err(error) = self.check_ticket(serial, expiry, now) {
+            actions.push(refuse(token, error));
+            return;
+        }
+        self.book.close(serial, expiry);
+        let mut failure = JobFailure::refusal(cancelled);
+        failure.execution = ExecutionClaim::NotRun;
+        actions.push(reply(token, &Arc::new(JobAnswer::Failed(failure))));
+    }
+
+    /// Answers a job as complete.
+    pub(super) fn complete_job(&mut self, serial: TicketSerial, actions: &mut Vec<KernelAction>) {
+        let Some(job) = self.active_job(serial) else {
+            return;
+        };
+        let outputs = job.outputs();
+        let whole = outputs
+            .as_ref()
+            .is_some_and(|outputs| outputs.len() == job.inputs.len());
+        self.monitor
+            .check(InvariantKind::CompleteAnswerIsWhole, whole, || {
+                format!("ticket {}", serial.0)
+            });
+        self.counters.completed_jobs += 1;
+        self.answer_job(
+            serial,
+            JobAnswer::Complete(outputs.unwrap_or_default()),
+            actions,
+        );
+    }
+
+    /// Gives a job up: answers it at once and asks workers to stop what they may be running.
+    pub(super) fn fail_job(
+        &mut self,
+        serial: TicketSerial,
+        error: DispatchError,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let Some(job) = self.active_job(serial) else {
+            return;
+        };
+        let failure = job.failure(error);
+        let sent = job.sent_attempts();
+        let consistent = sent.len() == job.under_way;
+        self.monitor
+            .check(InvariantKind::NotRunWasNeverSent, consistent, || {
+                format!("ticket {}", serial.0)
+            });
+        for attempt in sent {
+            if let Some(record) = self.attempts.get(attempt) {
+                let address = self.workers.get(record.worker).address;
+                actions.push(KernelAction::Stop {
+                    address,
+                    task: record.task,
+                });
+            }
+        }
+        self.waiting.remove_job(serial);
+        self.counters.failed_jobs += 1;
+        self.answer_job(serial, JobAnswer::Failed(failure), actions);
+    }
+
+    fn answer_job(
+        &mut self,
+        serial: TicketSerial,
+        answer: JobAnswer,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        let answer = Arc::new(answer);
+        let former = self.book.answer(serial, Arc::clone(&answer));
+        let Some(JobRecord::Active(job)) = former else {
+            self.monitor.check(InvariantKind::AnsweredOnce, false, || {
+                format!("ticket {}", serial.0)
+            });
+            return;
+        };
+        self.deadlines.remove(&(job.deadline, serial));
+        self.active_jobs -= 1;
+        for token in &job.waiters {
+            actions.push(reply(*token, &answer));
+        }
+    }
+
+    /// Gives up the jobs whose deadlines have passed.
+    pub(super) fn give_up_overdue_jobs(&mut self, now: UnixTime, actions: &mut Vec<KernelAction>) {
+        while let Some(&(deadline, serial)) = self.deadlines.first() {
+            if deadline > now {
+                break;
+            }
+            self.fail_job(
+                serial,
+                DispatchError::new(ErrorKind::DeadlinePassed, ""),
+                actions,
+            );
+            self.deadlines.remove(&(deadline, serial));
+        }
+    }
+
+    /// Answers all remaining jobs as they stand, at the end of a planned stop.
+    pub(super) fn give_up_everything(&mut self, now: UnixTime, actions: &mut Vec<KernelAction>) {
+        self.draining = true;
+        let wait = self.spread(Duration::ZERO);
+        for serial in self.book.active_serials() {
+            let error = DispatchError::retry(ErrorKind::Draining, "the stop deadline passed", wait);
+            self.fail_job(serial, error, actions);
+        }
+        self.expire(now, actions);
+    }
+
+    /// Returns the active job of a ticket.
+    pub(super) fn active_job(&mut self, serial: TicketSerial) -> Option<&mut ActiveJob> {
+        match &mut self.book.get_mut(serial)?.record {
+            JobRecord::Active(job) => Some(job),
+            JobRecord::Answered(_) => None,
+        }
+    }
+}
+
+/// What the books hold of a submission besides its job.
+struct OutcomeEntryTerms {
+    digest: BodyDigest,
+    expiry: UnixTime,
+}
+
+impl ActiveJob {
+    /// Describes the job with a number of waiting tasks to the queue order.
+    pub(super) fn queue_entry(&self, tasks: usize) -> QueueEntry {
+        let tasks = u32::try_from(tasks).unwrap_or(u32::MAX);
+        QueueEntry {
+            serial: self.serial,
+            team: self.team.clone(),
+            weight: 1,
+            submitted: self.submitted,
+            remaining: self.expected_run.saturating_mul(tasks),
+        }
+    }
+
+    fn sent_attempts(&self) -> Vec<AttemptId> {
+        let mut attempts = Vec::new();
+        for phase in &self.phases {
+            if let TaskPhase::Sent(task) = phase {
+                attempts.push(task.attempt());
+            }
+        }
+        attempts
+    }
+}
+
+/// Lets a caller wait for, or have, the answer of an earlier submission.
+fn join(entry: &mut OutcomeEntry, same_body: bool, token: ReplyToken) -> Option<KernelAction> {
+    if !same_body {
+        return Some(refuse(
+            token,
+            DispatchError::new(ErrorKind::ChangedBody, ""),
+        ));
+    }
+    match &mut entry.record {
+        JobRecord::Active(job) => {
+            job.waiters.push(token);
+            None
+        }
+        JobRecord::Answered(answer) => Some(reply(token, answer)),
+    }
+}
+
+fn reply(token: ReplyToken, answer: &Arc<JobAnswer>) -> KernelAction {
+    KernelAction::Reply {
+        token,
+        answer: Arc::clone(answer),
+    }
+}
+
+fn refuse(token: ReplyToken, error: DispatchError) -> KernelAction {
+    let answer = if error.kind == ErrorKind::RefusedEarlier {
+        refused_earlier()
+    } else {
+        JobAnswer::Failed(JobFailure::refusal(error))
+    };
+    KernelAction::Reply {
+        token,
+        answer: Arc::new(answer),
+    }
+}
--- a/crates/bramley-core/src/lib.rs
+++ b/crates/bramley-core/src/lib.rs
@@ -7,13 +7,35 @@
 //! - [`configuration`] holds the deployment's configuration document and its generation.
 //! - [`digest`] fingerprints submissions.
 //! - [`errors`] holds the closed list of error kinds and the table from kind to answer.
+//! - [`estimate`] learns run times.
+//! - [`health`] judges workers by their failures.
+//! - [`invariants`] counts violations of what must always hold.
+//! - [`job`] holds submissions and their answers.
+//! - [`kernel`] takes the decisions of one entry process.
 //! - [`names`] holds the shared immutable names.
+//! - [`outcomes`] keeps the books of submissions.
+//! - [`queue`] orders waiting jobs by plug-in policies.
+//! - [`slots`] divides, lends and books the slots of workers.
+//! - [`task`] holds the life cycle of a task.
+//! - [`teams`] looks up teams and classes.
 //! - [`ticket`] issues and checks tickets.
 //! - [`units`] holds time and identifiers.
+//! - [`worker`] holds the workers that are known.
 
 pub mod configuration;
 pub mod digest;
 pub mod errors;
+pub mod estimate;
+pub mod health;
+pub mod invariants;
+pub mod job;
+pub mod kernel;
 pub mod names;
+pub mod outcomes;
+pub mod queue;
+pub mod slots;
+pub mod task;
+pub mod teams;
 pub mod ticket;
 pub mod units;
+pub mod worker;
--- /dev/null
+++ b/crates/bramley-core/src/queue/fair.rs
@@ -0,0 +1,141 @@
+//! Fair between teams by weight; within a team, the job with the least remaining work first.
+//!
+//! Teams are served in the order of their virtual time, which advances by the work sent divided
+//! by the team's weight (start-time fair queueing). Within a team a job's rank is its acceptance
+//! time plus a multiple of its remaining work, so that small jobs pass large ones but no job is
+//! passed by one that came more than that multiple of its own work later.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rustc_hash::FxHashMap;
+
+use super::{JobOrder, OrderDescriptor, OrderRegistry, QueueEntry};
+use crate::names::TeamName;
+use crate::units::{TicketSerial, UnixTime};
+
+/// Multiple of its remaining work by which a job may be passed.
+const AGEING_FACTOR: u32 = 4;
+
+const DESCRIPTOR: OrderDescriptor = OrderDescriptor {
+    name: "fair",
+    summary: "Shares slots between teams by weight and serves the smallest remaining job first.",
+    create: || Box::new(FairOrder::default()),
+};
+
+/// Enters the order into a registry.
+pub(super) fn register(registry: &mut OrderRegistry) {
+    registry.register(DESCRIPTOR);
+}
+
+/// Virtual time of a team in microseconds of work for each unit of weight.
+type VirtualTime = u64;
+
+#[derive(Debug, Default)]
+struct TeamLane {
+    virtual_time: VirtualTime,
+    blocked: bool,
+    jobs: BTreeSet<(UnixTime, TicketSerial)>,
+}
+
+#[derive(Debug)]
+struct RankedEntry {
+    entry: QueueEntry,
+    rank: UnixTime,
+}
+
+/// Jobs by team and remaining work.
+#[derive(Debug, Default)]
+struct FairOrder {
+    lanes: BTreeMap<TeamName, TeamLane>,
+    ready: BTreeSet<(VirtualTime, TeamName)>,
+    entries: FxHashMap<TicketSerial, RankedEntry>,
+    clock: VirtualTime,
+}
+
+fn rank_of(entry: &QueueEntry) -> UnixTime {
+    entry
+        .submitted
+        .after(entry.remaining.saturating_mul(AGEING_FACTOR))
+}
+
+impl FairOrder {
+    fn unlist(&mut self, team: &TeamName) {
+        if let Some(lane) = self.lanes.get(team) {
+            self.ready.remove(&(lane.virtual_time, team.clone()));
+        }
+    }
+
+    fn relist(&mut self, team: &TeamName) {
+        let Some(lane) = self.lanes.get(team) else {
+            return;
+        };
+        if !lane.blocked && !lane.jobs.is_empty() {
+            self.ready.insert((lane.virtual_time, team.clone()));
+        }
+    }
+}
+
+impl JobOrder for FairOrder {
+    fn insert(&mut self, entry: QueueEntry) {
+        let team = entry.team.clone();
+        let rank = rank_of(&entry);
+        self.unlist(&team);
+        let lane = self.lanes.entry(team.clone()).or_default();
+        if lane.jobs.is_empty() {
+            // A team that was idle gets no credit for the time in which it asked for nothing.
+            lane.virtual_time = lane.virtual_time.max(self.clock);
+        }
+        lane.jobs.insert((rank, entry.serial));
+        self.entries
+            .insert(entry.serial, RankedEntry { entry, rank });
+        self.relist(&team);
+    }
+
+    fn remove(&mut self, serial: TicketSerial) {
+        let Some(ranked) = self.entries.remove(&serial) else {
+            return;
+        };
+        let team = ranked.entry.team;
+        self.unlist(&team);
+        if let Some(lane) = self.lanes.get_mut(&team) {
+            lane.jobs.remove(&(ranked.rank, serial));
+        }
+        self.relist(&team);
+    }
+
+    fn next(&self) -> Option<TicketSerial> {
+        let (_, team) = self.ready.first()?;
+        self.lanes[team].jobs.first().map(|(_, serial)| *serial)
+    }
+
+    fn charge(&mut self, serial: TicketSerial, work: Duration) {
+        let Some(mut ranked) = self.entries.remove(&serial) else {
+            return;
+        };
+        let team = ranked.entry.team.clone();
+        self.unlist(&team);
+        if let Some(lane) = self.lanes.get_mut(&team) {
+            self.clock = self.clock.max(lane.virtual_time);
+            let micros = u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
+            let step = micros / u64::from(ranked.entry.weight.max(1));
+            lane.virtual_time = lane.virtual_time.saturating_add(step.max(1));
+            lane.jobs.remove(&(ranked.rank, serial));
+            ranked.entry.remaining = ranked.entry.remaining.saturating_sub(work);
+            ranked.rank = rank_of(&ranked.entry);
+            lane.jobs.insert((ranked.rank, serial));
+        }
+        self.entries.insert(serial, ranked);
+        self.relist(&team);
+    }
+
+    fn set_blocked(&mut self, team: &TeamName, blocked: bool) {
+        self.unlist(team);
+        self.lanes.entry(team.clone()).or_default().blocked = blocked;
+        self.relist(team);
+    }
+
+    fn len(&self) -> usize {
+        self.entries.len()
+    }
+}
--- /dev/null
+++ b/crates/bramley-core/src/worker.rs
@@ -0,0 +1,125 @@
+//! Workers as this host knows them.
+
+use std::net::SocketAddr;
+
+use rustc_hash::FxHashMap;
+use serde::Serialize;
+
+use crate::names::{DomainName, RackName, WorkerName};
+
+/// Position of a worker in the [`WorkerTable`].
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct WorkerIndex(pub u32);
+
+/// Whether a worker takes new tasks.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WorkerState {
+    /// The worker takes tasks.
+    Live,
+    /// The worker is leaving and gets no new tasks.
+    Leaving,
+    /// The worker is no longer listed.
+    Removed,
+}
+
+/// One worker as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct WorkerProfile {
+    /// Name, unique in the deployment.
+    pub name: WorkerName,
+    /// Address of its task service.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Rack.
+    pub rack: RackName,
+    /// Number of tasks that it runs at once.
+    pub slots: u32,
+    /// Number of accelerators.
+    pub accelerators: u32,
+    /// Memory in mebibytes.
+    pub memory_mib: u32,
+    /// Whether it takes new tasks.
+    pub state: WorkerState,
+}
+
+/// Needs of a task that decide where it can run.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TaskNeeds {
+    /// Number of accelerators.
+    pub accelerators: u32,
+    /// Memory in mebibytes; 0 means unstated.
+    pub memory_mib: u32,
+}
+
+impl WorkerProfile {
+    /// Tells whether the worker is large enough for a task.
+    #[must_use]
+    pub const fn fits(&self, needs: TaskNeeds) -> bool {
+        let accelerators_fit = needs.accelerators <= self.accelerators
+            && (needs.accelerators <= self.slots || needs.accelerators == 0);
+        accelerators_fit && needs.memory_mib <= self.memory_mib
+    }
+}
+
+/// All workers that were ever listed to this incarnation.
+#[derive(Debug, Default)]
+pub struct WorkerTable {
+    profiles: Vec<WorkerProfile>,
+    positions: FxHashMap<WorkerName, WorkerIndex>,
+}
+
+impl WorkerTable {
+    /// Enters a worker or replaces what is known of it, and returns its position.
+    pub fn upsert(&mut self, profile: WorkerProfile) -> WorkerIndex {
+        if let Some(&index) = self.positions.get(&profile.name) {
+            self.profiles[index.0 as usize] = profile;
+            return index;
+        }
+        let index =
+            WorkerIndex(u32::try_from(self.profiles.len()).expect("fewer than 2^32 workers"));
+        self.positions.insert(profile.name.clone(), index);
+        self.profiles.push(profile);
+        index
+    }
+
+    /// Returns a worker.
+    #[must_use]
+    pub fn get(&self, index: WorkerIndex) -> &WorkerProfile {
+        &self.profiles[index.0 as usize]
+    }
+
+    /// Changes the state of a worker.
+    pub fn set_state(&mut self, index: WorkerIndex, state: WorkerState) {
+        self.profiles[index.0 as usize].state = state;
+    }
+
+    /// Returns the position of a worker.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<WorkerIndex> {
+        self.positions.get(name).copied()
+    }
+
+    /// Returns all workers with their positions.
+    pub fn iter(&self) -> impl Iterator<Item = (WorkerIndex, &WorkerProfile)> {
+        (0_u32..).map(WorkerIndex).zip(&self.profiles)
+    }
+
+    /// Tells whether any worker is listed.
+    #[must_use]
+    pub fn has_listed(&self) -> bool {
+        self.profiles
+            .iter()
+            .any(|profile| profile.state != WorkerState::Removed)
+    }
+
+    /// Tells whether any listed worker is large enough for a task.
+    #[must_use]
+    pub fn any_fits(&self, needs: TaskNeeds) -> bool {
+        self.profiles
+            .iter()
+            .any(|profile| profile.state != WorkerState::Removed && profile.fits(needs))
+    }
+}
