Add bramley-settings: checked settings files with placed faults

The entry daemon needs its settings before anything else runs, and a fault must name file, line, column, field and what would be right. serde stops at its first fault, so faulty values are taken out of the tree and the rest is read again; paths are mapped back to the file by the parser's tree. Ruled out: reporting only the first fault.

--- /dev/null
+++ b/crates/bramley-settings/src/entry.rs
@@ -0,0 +1,304 @@
+//! Settings of the entry daemon.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::fault::FaultList;
+use crate::load::CheckedSettings;
+
+/// Settings of one entry process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntrySettings {
+    /// Name of the host, unique in its failure domain. Required.
+    pub host: String,
+    /// Name of the failure domain that the host stands in. Required.
+    pub failure_domain: String,
+    /// Address at which callers and the balancer reach the process by HTTP. Required.
+    pub caller_address: SocketAddr,
+    /// Address at which other entry processes reach this one. Required, and never `0.0.0.0`,
+    /// because it is spread to the others.
+    pub peer_address: SocketAddr,
+    /// Address of the operators' control service.
+    pub control_address: SocketAddr,
+    /// Peer addresses of some other entry processes. Its own address may stand among them, so
+    /// that all hosts can share one list.
+    pub siblings: Vec<SocketAddr>,
+    /// Address of the platform's key-value service and worker list. Required.
+    pub platform_address: SocketAddr,
+    /// Key of the configuration in the key-value service.
+    pub configuration_key: String,
+    /// Threads that serve requests.
+    pub threads: u32,
+    /// Bounds on memory and on the size of requests.
+    pub limits: EntryLimits,
+    /// Periods and timeouts.
+    pub timing: EntryTiming,
+    /// Names of the policies.
+    pub policies: EntryPolicies,
+    /// Filter of the log, in the syntax of `env_logger`.
+    pub log: String,
+}
+
+/// Bounds on memory and on the size of requests.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntryLimits {
+    /// Largest body of a request in bytes.
+    pub max_body_bytes: u32,
+    /// Largest number of tasks in one job; a team's own limit may be lower.
+    pub max_job_tasks: u32,
+    /// Largest number of tasks that wait at the host.
+    pub max_queued_tasks: u32,
+    /// Largest number of outcomes that are kept until their tickets expire.
+    pub max_kept_outcomes: u32,
+    /// Largest memory of kept outcomes in bytes.
+    pub max_kept_bytes: u64,
+    /// Largest number of tickets in one block.
+    pub max_ticket_block: u32,
+    /// Time from the issue of a ticket to its expiry, in milliseconds.
+    pub ticket_lifetime_ms: u64,
+}
+
+/// Periods and timeouts.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntryTiming {
+    /// Time between heartbeats to a sibling, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Time between reads of the platform's worker list, in milliseconds.
+    pub worker_list_poll_ms: u64,
+    /// Longest time that a planned stop waits for requests in flight, in milliseconds.
+    pub stop_deadline_ms: u64,
+    /// Time for which slots are lent to a sibling, in milliseconds.
+    pub loan_term_ms: u64,
+    /// Longest time to open a connection, in milliseconds.
+    pub connect_timeout_ms: u64,
+}
+
+/// Names of the policies; an absent name takes the kernel's default.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EntryPolicies {
+    /// Order of the queue.
+    pub queue: Option<String>,
+    /// Choice of the worker.
+    pub placement: Option<String>,
+    /// Admission of new work.
+    pub admission: Option<String>,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        let loopback = |port| SocketAddr::from(([127, 0, 0, 1], port));
+        Self {
+            host: String::new(),
+            failure_domain: String::new(),
+            caller_address: loopback(7_401),
+            peer_address: loopback(7_402),
+            control_address: loopback(7_403),
+            siblings: Vec::new(),
+            platform_address: loopback(7_400),
+            configuration_key: String::from("bramley/configuration"),
+            threads: 2,
+            limits: EntryLimits::default(),
+            timing: EntryTiming::default(),
+            policies: EntryPolicies::default(),
+            log: String::from("info"),
+        }
+    }
+}
+
+impl Default for EntryLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 * 1024 * 1024,
+            max_job_tasks: 500,
+            max_queued_tasks: 50_000,
+            max_kept_outcomes: 200_000,
+            max_kept_bytes: 256 * 1024 * 1024,
+            max_ticket_block: 1_000,
+            ticket_lifetime_ms: 120_000,
+        }
+    }
+}
+
+impl Default for EntryTiming {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 500,
+            worker_list_poll_ms: 1_000,
+            stop_deadline_ms: 15_000,
+            loan_term_ms: 2_000,
+            connect_timeout_ms: 300,
+        }
+    }
+}
+
+impl CheckedSettings for EntrySettings {
+    const REQUIRED_FIELDS: &'static [&'static str] = &[
+        "host",
+        "failure_domain",
+        "caller_address",
+        "peer_address",
+        "platform_address",
+    ];
+
+    fn check(&self, faults: &mut FaultList) {
+        faults.check_name("host", &self.host);
+        faults.check_name("failure_domain", &self.failure_domain);
+        faults.check_range("threads", u64::from(self.threads), 1, 256);
+        self.check_addresses(faults);
+        check_key(&self.configuration_key, faults);
+        self.limits.check(faults);
+        self.timing.check(self.limits.ticket_lifetime_ms, faults);
+        self.policies.check(faults);
+    }
+}
+
+impl EntrySettings {
+    fn check_addresses(&self, faults: &mut FaultList) {
+        if self.peer_address.ip().is_unspecified() {
+            let problem = format!("{} names no host", self.peer_address);
+            let expected = "the address at which the other hosts reach this one";
+            faults.report("peer_address", problem, expected);
+        }
+        check_reachable("platform_address", self.platform_address, faults);
+        self.check_own_addresses(faults);
+        let mut seen = HashSet::new();
+        for (index, sibling) in self.siblings.iter().enumerate() {
+            let field = format!("siblings[{index}]");
+            check_reachable(&field, *sibling, faults);
+            if !seen.insert(sibling) {
+                faults.report(
+                    &field,
+                    format!("{sibling} stands twice"),
+                    "each sibling once",
+                );
+            }
+        }
+    }
+
+    fn check_own_addresses(&self, faults: &mut FaultList) {
+        let own = [
+            ("caller_address", self.caller_address),
+            ("peer_address", self.peer_address),
+            ("control_address", self.control_address),
+        ];
+        for (index, (field, address)) in own.iter().enumerate() {
+            // Port 0 lets the system choose, so it never clashes.
+            let is_taken = own[..index].iter().any(|(_, other)| other == address);
+            if address.port() != 0 && is_taken {
+                let problem = format!("{address} is used twice by this process");
+                faults.report(field, problem, "another port");
+            }
+        }
+    }
+}
+
+impl EntryLimits {
+    fn check(&self, faults: &mut FaultList) {
+        const MAX_BODY_BYTES: u64 = 64 * 1024 * 1024;
+        const MAX_KEPT_BYTES: u64 = 16 * 1024 * 1024 * 1024;
+        const MAX_LIFETIME_MS: u64 = 3_600_000;
+        let bounds = [
+            (
+                "max_body_bytes",
+                u64::from(self.max_body_bytes),
+                1_024,
+                MAX_BODY_BYTES,
+            ),
+            ("max_job_tasks", u64::from(self.max_job_tasks), 1, 10_000),
+            (
+                "max_queued_tasks",
+                u64::from(self.max_queued_tasks),
+                1,
+                10_000_000,
+            ),
+            (
+                "max_kept_outcomes",
+                u64::from(self.max_kept_outcomes),
+                1,
+                10_000_000,
+            ),
+            ("max_kept_bytes", self.max_kept_bytes, 1_024, MAX_KEPT_BYTES),
+            (
+                "max_ticket_block",
+                u64::from(self.max_ticket_block),
+                1,
+                100_000,
+            ),
+            (
+                "ticket_lifetime_ms",
+                self.ticket_lifetime_ms,
+                1_000,
+                MAX_LIFETIME_MS,
+            ),
+        ];
+        for (field, value, least, most) in bounds {
+            faults.check_range(&format!("limits.{field}"), value, least, most);
+        }
+        if self.max_queued_tasks < self.max_job_tasks {
+            let problem = format!("{} is less than one whole job", self.max_queued_tasks);
+            let expected = format!(
+                "at least limits.max_job_tasks, which is {}",
+                self.max_job_tasks
+            );
+            faults.report("limits.max_queued_tasks", problem, expected);
+        }
+    }
+}
+
+impl EntryTiming {
+    fn check(&self, ticket_lifetime_ms: u64, faults: &mut FaultList) {
+        let bounds = [
+            ("heartbeat_ms", self.heartbeat_ms, 50, 10_000),
+            ("worker_list_poll_ms", self.worker_list_poll_ms, 100, 60_000),
+            ("stop_deadline_ms", self.stop_deadline_ms, 100, 600_000),
+            ("loan_term_ms", self.loan_term_ms, 100, 60_000),
+            ("connect_timeout_ms", self.connect_timeout_ms, 10, 10_000),
+        ];
+        for (field, value, least, most) in bounds {
+            faults.check_range(&format!("timing.{field}"), value, least, most);
+        }
+        if self.loan_term_ms > ticket_lifetime_ms {
+            let problem = format!("{} outlasts every ticket", self.loan_term_ms);
+            let expected =
+                format!("at most limits.ticket_lifetime_ms, which is {ticket_lifetime_ms}");
+            faults.report("timing.loan_term_ms", problem, expected);
+        }
+    }
+}
+
+impl EntryPolicies {
+    fn check(&self, faults: &mut FaultList) {
+        let policies = [
+            ("policies.queue", &self.queue),
+            ("policies.placement", &self.placement),
+            ("policies.admission", &self.admission),
+        ];
+        for (field, name) in policies {
+            if let Some(name) = name {
+                faults.check_name(field, name);
+            }
+        }
+    }
+}
+
+fn check_reachable(field: &str, address: SocketAddr, faults: &mut FaultList) {
+    if address.port() == 0 || address.ip().is_unspecified() {
+        let problem = format!("{address} cannot be connected to");
+        faults.report(field, problem, "the IP address and port of another process");
+    }
+}
+
+fn check_key(key: &str, faults: &mut FaultList) {
+    let is_key_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"-_./".contains(&byte);
+    if key.is_empty() || !key.bytes().all(is_key_byte) {
+        let problem = format!("{key:?} is not a key");
+        let expected = "letters, digits, `-`, `_`, `.` and `/`, such as `bramley/configuration`";
+        faults.report("configuration_key", problem, expected);
+    }
+}
--- /dev/null
+++ b/crates/bramley-settings/src/load.rs
@@ -0,0 +1,234 @@
+//! Reads settings files.
+
+use std::path::Path;
+
+use jsonc_parser::ast::Value;
+use jsonc_parser::{CollectOptions, ParseOptions, parse_to_ast};
+use serde::de::DeserializeOwned;
+
+use crate::fault::{FaultList, FaultReport, SettingsError, SettingsFault};
+use crate::field_path::FieldPath;
+use crate::position::{
+    find_key_offset, find_offset, has_value, line_and_column, report_duplicates,
+};
+use crate::prune::PrunedTree;
+
+/// Exit code of a program whose settings cannot be used.
+pub const SETTINGS_FAULT_EXIT_CODE: i32 = 2;
+
+/// Largest number of faults that are reported of one file.
+const MAX_FAULTS: usize = 50;
+
+/// Settings whose values are checked beyond their types.
+pub trait CheckedSettings: DeserializeOwned {
+    /// Paths of the fields that a file must hold although the type has a default.
+    const REQUIRED_FIELDS: &'static [&'static str] = &[];
+
+    /// Reports every value that may not be used.
+    fn check(&self, faults: &mut FaultList);
+}
+
+/// What a program was asked to do with its settings.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SettingsMode {
+    /// Check the file alone, as the option `--check` asks for.
+    Check,
+    /// Check the file and run.
+    Run,
+}
+
+/// What a program does after its settings were found right.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StartOutcome<T> {
+    /// Print the text and exit with code 0; nothing is started.
+    Checked(String),
+    /// Run with the settings.
+    Run(T),
+}
+
+/// Loads and checks the settings of a program.
+///
+/// # Errors
+///
+/// Returns every fault of the file. The program prints them and exits with
+/// [`SETTINGS_FAULT_EXIT_CODE`] before it starts anything.
+pub fn prepare_start<T: CheckedSettings>(
+    path: impl AsRef<Path>,
+    mode: SettingsMode,
+) -> Result<StartOutcome<T>, SettingsError> {
+    let path = path.as_ref();
+    let settings = load_file(path)?;
+    Ok(match mode {
+        SettingsMode::Check => {
+            StartOutcome::Checked(format!("{}: settings are right", path.display()))
+        }
+        SettingsMode::Run => StartOutcome::Run(settings),
+    })
+}
+
+/// Loads a settings file.
+///
+/// # Errors
+///
+/// Returns every fault of the file.
+pub fn load_file<T: CheckedSettings>(path: impl AsRef<Path>) -> Result<T, SettingsError> {
+    let file = path.as_ref().display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => load_text(&file, &text),
+        Err(error) => Err(SettingsError::Unreadable {
+            file,
+            reason: error.to_string(),
+        }),
+    }
+}
+
+/// Loads settings from a text; `file` is the name shown with faults.
+///
+/// # Errors
+///
+/// Returns every fault of the text.
+pub fn load_text<T: CheckedSettings>(file: &str, text: &str) -> Result<T, SettingsError> {
+    let root = parse_root(file, text)?;
+    let mut faults = FaultList::default();
+    report_duplicates(&root, &FieldPath::default(), &mut faults);
+    report_missing(&root, T::REQUIRED_FIELDS, &mut faults);
+    let settings = read_settings(&root, &mut faults);
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => Err(place_faults(file, text, &root, faults)),
+    }
+}
+
+fn parse_root<'a>(file: &str, text: &'a str) -> Result<Value<'a>, SettingsError> {
+    let options = ParseOptions {
+        allow_comments: true,
+        allow_hexadecimal_numbers: false,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_trailing_commas: true,
+        allow_unary_plus_numbers: false,
+    };
+    let fault = match parse_to_ast(text, &CollectOptions::default(), &options) {
+        Ok(parsed) => match parsed.value {
+            Some(root @ Value::Object(_)) => return Ok(root),
+            _ => (0, String::from("the file holds no object")),
+        },
+        Err(error) => (error.range().start, error.kind().to_string()),
+    };
+    let (offset, problem) = fault;
+    let (line, column) = line_and_column(text, offset);
+    Err(SettingsError::Faulty(FaultReport(vec![SettingsFault {
+        file: String::from(file),
+        line,
+        column,
+        field: FieldPath::default(),
+        problem,
+        expected: String::from("one JSON object, with comments and trailing commas allowed"),
+    }])))
+}
+
+fn report_missing(root: &Value<'_>, required: &[&str], faults: &mut FaultList) {
+    for field in required {
+        if !has_value(root, &FieldPath::parse(field)) {
+            faults.report(
+                field,
+                "the field is missing",
+                "a value, as there is no default",
+            );
+        }
+    }
+}
+
+/// Reads the settings, taking faulty values out until the rest can be read and checked.
+fn read_settings<T: CheckedSettings>(root: &Value<'_>, faults: &mut FaultList) -> Option<T> {
+    let mut tree = PrunedTree::new(root.clone().into());
+    while faults.faults.len() < MAX_FAULTS {
+        let error = match serde_path_to_error::deserialize::<_, T>(&tree.value) {
+            Ok(settings) => {
+                check_rest(&settings, &tree, faults);
+                return Some(settings);
+            }
+            Err(error) => error,
+        };
+        let path = FieldPath::from(error.path());
+        let (problem, expected) = describe_type_error(&error.inner().to_string());
+        let field = tree.original_path(&path);
+        let key_offset = problem
+            .starts_with("unknown field")
+            .then(|| find_key_offset(root, &field));
+        faults.push(field, problem, expected);
+        if let Some(fault) = faults.faults.last_mut() {
+            fault.offset = key_offset;
+        }
+        if !tree.remove(&path) {
+            return None;
+        }
+    }
+    None
+}
+
+/// Checks the values that were read, passing over the defaults of those that were not.
+fn check_rest(settings: &impl CheckedSettings, tree: &PrunedTree, faults: &mut FaultList) {
+    let mut found = FaultList::default();
+    settings.check(&mut found);
+    for mut fault in found.faults {
+        fault.field = tree.original_path(&fault.field);
+        let is_reported = faults
+            .faults
+            .iter()
+            .any(|earlier| earlier.offset.is_none() && earlier.field == fault.field);
+        if !tree.is_removed(&fault.field) && !is_reported {
+            faults.faults.push(fault);
+        }
+    }
+}
+
+fn place_faults(file: &str, text: &str, root: &Value<'_>, list: FaultList) -> SettingsError {
+    let mut faults: Vec<SettingsFault> = Vec::new();
+    for fault in list.faults {
+        let offset = fault
+            .offset
+            .unwrap_or_else(|| find_offset(root, &fault.field));
+        let (line, column) = line_and_column(text, offset);
+        faults.push(SettingsFault {
+            file: String::from(file),
+            line,
+            column,
+            field: fault.field,
+            problem: fault.problem,
+            expected: fault.expected,
+        });
+    }
+    faults.sort_by_key(|fault| (fault.line, fault.column));
+    SettingsError::Faulty(FaultReport(faults))
+}
+
+/// Splits a message of the deserialiser into what is wrong and what would be right.
+fn describe_type_error(message: &str) -> (String, String) {
+    if message.contains("socket address") {
+        let problem = String::from("the address does not parse");
+        return (
+            problem,
+            String::from("an IP address and a port, such as `127.0.0.1:7400`"),
+        );
+    }
+    let Some((problem, expected)) = message.split_once(", expected ") else {
+        return (String::from(message), String::from("a valid value"));
+    };
+    (String::from(problem), describe_expected(expected))
+}
+
+fn describe_expected(expected: &str) -> String {
+    let most = match expected {
+        "u8" => u64::from(u8::MAX),
+        "u16" => u64::from(u16::MAX),
+        "u32" => u64::from(u32::MAX),
+        "u64" | "usize" => u64::MAX,
+        "struct" => return String::from("an object"),
+        other if other.starts_with("struct ") => return String::from("an object"),
+        "a sequence" => return String::from("a list"),
+        other => return String::from(other),
+    };
+    format!("a whole number from 0 to {most}")
+}
--- /dev/null
+++ b/crates/bramley-settings/src/position.rs
@@ -0,0 +1,119 @@
+//! Finds lines and columns in a settings file.
+
+use jsonc_parser::ast::{Object, ObjectProp, Value};
+use jsonc_parser::common::Ranged;
+
+use crate::fault::FaultList;
+use crate::field_path::{FieldPath, FieldStep};
+
+/// Returns the byte offset of the value at `path`, or of the nearest value around it.
+pub(crate) fn find_offset(root: &Value<'_>, path: &FieldPath) -> usize {
+    match find_property(root, path) {
+        Ok(property) => property_offset(property),
+        Err(value) => value.range().start,
+    }
+}
+
+/// Returns the byte offset of the key of the field at `path`.
+pub(crate) fn find_key_offset(root: &Value<'_>, path: &FieldPath) -> usize {
+    match find_property(root, path) {
+        Ok(property) => property.range.start,
+        Err(value) => value.range().start,
+    }
+}
+
+/// Returns the field at `path`, or the nearest value where the path leads to no field.
+fn find_property<'a, 'b>(
+    root: &'b Value<'a>,
+    path: &FieldPath,
+) -> Result<&'b ObjectProp<'a>, &'b Value<'a>> {
+    let mut value = root;
+    for (depth, step) in path.0.iter().enumerate() {
+        let is_last = depth + 1 == path.0.len();
+        value = match (value, step) {
+            (Value::Object(object), FieldStep::Field(name)) => match find_field(object, name) {
+                Some(property) if is_last => return Ok(property),
+                Some(property) => &property.value,
+                None => break,
+            },
+            (Value::Array(array), FieldStep::Index(index)) => match array.elements.get(*index) {
+                Some(element) => element,
+                None => break,
+            },
+            _ => break,
+        };
+    }
+    Err(value)
+}
+
+/// Tells whether the file holds a value at `path`.
+pub(crate) fn has_value(root: &Value<'_>, path: &FieldPath) -> bool {
+    let mut value = root;
+    for step in &path.0 {
+        let FieldStep::Field(name) = step else {
+            return false;
+        };
+        let Value::Object(object) = value else {
+            return false;
+        };
+        let Some(property) = find_field(object, name) else {
+            return false;
+        };
+        value = &property.value;
+    }
+    true
+}
+
+/// Reports every field that stands twice in one object.
+pub(crate) fn report_duplicates(value: &Value<'_>, path: &FieldPath, faults: &mut FaultList) {
+    match value {
+        Value::Object(object) => report_object(object, path, faults),
+        Value::Array(array) => {
+            for (index, element) in array.elements.iter().enumerate() {
+                report_duplicates(element, &path.index(index), faults);
+            }
+        }
+        Value::StringLit(_)
+        | Value::NumberLit(_)
+        | Value::BooleanLit(_)
+        | Value::NullKeyword(_) => {}
+    }
+}
+
+fn report_object(object: &Object<'_>, path: &FieldPath, faults: &mut FaultList) {
+    for (index, property) in object.properties.iter().enumerate() {
+        let name = property.name.as_str();
+        let field = path.field(name);
+        let earlier = &object.properties[..index];
+        if earlier.iter().any(|other| other.name.as_str() == name) {
+            let problem = String::from("the field stands twice");
+            faults.push(field.clone(), problem, String::from("each field once"));
+            if let Some(fault) = faults.faults.last_mut() {
+                fault.offset = Some(property.range.start);
+            }
+        }
+        report_duplicates(&property.value, &field, faults);
+    }
+}
+
+fn find_field<'a, 'b>(object: &'b Object<'a>, name: &str) -> Option<&'b ObjectProp<'a>> {
+    // The last of several equal fields is the one that takes effect.
+    let mut properties = object.properties.iter().rev();
+    properties.find(|property| property.name.as_str() == name)
+}
+
+fn property_offset(property: &ObjectProp<'_>) -> usize {
+    match &property.value {
+        Value::Object(_) | Value::Array(_) => property.range.start,
+        value => value.range().start,
+    }
+}
+
+/// Returns the line and the column in characters of a byte offset, both from 1.
+pub(crate) fn line_and_column(text: &str, offset: usize) -> (usize, usize) {
+    let before = text.get(..offset).unwrap_or(text);
+    let line = before.matches('\n').count() + 1;
+    let line_start = before.rfind('\n').map_or(0, |position| position + 1);
+    let column = before[line_start..].chars().count() + 1;
+    (line, column)
+}
--- /dev/null
+++ b/crates/bramley-settings/tests/entry_settings.rs
@@ -0,0 +1,99 @@
+//! Faults of settings files and their places.
+
+use bramley_settings::{
+    EntrySettings, SettingsError, SettingsMode, StartOutcome, load_file, load_text, prepare_start,
+};
+
+const RIGHT: &str = r#"{
+  // One entry host of the failure domain.
+  "host": "entry-1",
+  "failure_domain": "muenchen",
+  "caller_address": "0.0.0.0:8080",
+  "peer_address": "10.0.0.1:7402",
+  "platform_address": "10.0.9.1:7400",
+  "siblings": ["10.0.0.2:7402", "10.0.0.3:7402"],
+  "limits": { "max_job_tasks": 100, },
+}"#;
+
+/// Returns the faults of the right file after one replacement.
+fn faults_after(from: &str, to: &str) -> String {
+    assert!(RIGHT.contains(from));
+    let text = RIGHT.replace(from, to);
+    faults_of(&text)
+}
+
+fn faults_of(text: &str) -> String {
+    match load_text::<EntrySettings>("entry.jsonc", text) {
+        Ok(settings) => format!("no fault: {settings:?}"),
+        Err(error) => error.to_string(),
+    }
+}
+
+#[test]
+fn a_right_file_is_read_with_defaults() {
+    let settings: EntrySettings = load_text("entry.jsonc", RIGHT).expect("the file is right");
+    assert_eq!(settings.host, "entry-1");
+    assert_eq!(settings.limits.max_job_tasks, 100);
+    assert_eq!(settings.timing.heartbeat_ms, 500);
+    assert_eq!(settings.siblings.len(), 2);
+}
+
+#[test]
+fn each_fault_names_its_place_and_what_is_right() {
+    let cases = [
+        ("unknown field", "\"siblings\"", "\"sibling\""),
+        ("unknown nested field", "\"max_job_tasks\"", "\"max_tasks\""),
+        ("wrong type", "100", "\"many\""),
+        ("too large for the type", "100", "99999999999"),
+        ("negative", "100", "-1"),
+        ("out of range", "100", "0"),
+        ("address without port", "10.0.0.3:7402", "10.0.0.3"),
+        ("port 0", "10.0.0.3:7402", "10.0.0.3:0"),
+        ("duplicate sibling", "10.0.0.3:7402", "10.0.0.2:7402"),
+        ("unspecified peer address", "10.0.0.1:7402", "0.0.0.0:7402"),
+        ("not a name", "muenchen", "München"),
+        ("missing field", "\"host\": \"entry-1\",", ""),
+        (
+            "duplicate field",
+            "\"host\":",
+            "\"host\": \"entry-0\", \"host\":",
+        ),
+        ("two addresses alike", "0.0.0.0:8080", "10.0.0.1:7402"),
+        ("syntax", "\"siblings\": [", "\"siblings\": [,"),
+        ("no object", RIGHT, "// empty"),
+    ];
+    let mut report = String::new();
+    for (name, from, to) in cases {
+        report.push_str(&format!("{name}:\n{}\n", faults_after(from, to)));
+    }
+    insta::assert_snapshot!(report);
+}
+
+#[test]
+fn all_faults_of_a_file_are_reported_together() {
+    let text = r#"{
+  "host": 7,
+  "failure_domain": "Süd",
+  "caller_address": "localhost:80",
+  "platform_address": "10.0.9.1:7400",
+  "platform_address": "10.0.9.2:7400",
+  "siblings": ["10.0.0.2:7402", "nowhere", "10.0.0.3", "10.0.0.2:7402"],
+  "colour": "green",
+  "limits": { "max_job_tasks": 0, "max_body_bytes": true },
+  "timing": { "heartbeat_ms": 1 }
+}"#;
+    insta::assert_snapshot!(faults_of(text));
+}
+
+#[test]
+fn check_mode_starts_nothing_and_an_absent_file_is_named() {
+    let path = std::env::temp_dir().join(format!("bramley-settings-{}.jsonc", std::process::id()));
+    std::fs::write(&path, RIGHT).expect("the folder for temporary files can be written");
+    let checked = prepare_start::<EntrySettings>(&path, SettingsMode::Check);
+    let run = prepare_start::<EntrySettings>(&path, SettingsMode::Run);
+    std::fs::remove_file(&path).expect("the file exists");
+    assert!(matches!(checked, Ok(StartOutcome::Checked(_))));
+    assert!(matches!(run, Ok(StartOutcome::Run(_))));
+    let absent = load_file::<EntrySettings>(&path);
+    assert!(matches!(absent, Err(SettingsError::Unreadable { .. })));
+}
