Membership kernel: members, worker signs, generations

Each host keeps its own table of incarnations and exchanges bounded news with one host of its domain in each round and with another domain every fourth round; urgent news (leaving signs, a newer generation, own leaving) causes up to two early rounds within an allowance.

Ruled out: gone from silence (a cut-off host lives on), gone from another host name at the same address (addresses are reused while the first holder may still run elsewhere), two domain heartbeats in each round (a member record takes about 100 bytes on the wire, which does not fit 8 KB/s with 100 hosts), and clearing a worker's own sign by any newer list (it lags).

--- a/crates/bramley-core/src/lib.rs
+++ b/crates/bramley-core/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`configuration`] holds the deployment's configuration document and its generation.
 //! - [`digest`] fingerprints submissions.
 //! - [`errors`] holds the closed list of error kinds and the table from kind to answer.
+//! - [`membership`] holds entry hosts, leaving signs of workers and the spread of generations.
 //! - [`names`] holds the shared immutable names.
 //! - [`ticket`] issues and checks tickets.
 //! - [`units`] holds time and identifiers.
@@ -14,6 +15,7 @@
 pub mod configuration;
 pub mod digest;
 pub mod errors;
+pub mod membership;
 pub mod names;
 pub mod ticket;
 pub mod units;
