--- a/crates/bramley-core/src/lib.rs
+++ b/crates/bramley-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`invariants`] counts violations of what must always hold.
 //! - [`job`] holds submissions and their answers.
 //! - [`kernel`] takes the decisions of one entry process.
+//! - [`membership`] holds entry hosts, leaving signs of workers and the spread of generations.
 //! - [`names`] holds the shared immutable names.
 //! - [`outcomes`] keeps the books of submissions.
 //! - [`queue`] orders waiting jobs by plug-in policies.
@@ -30,6 +31,7 @@
 pub mod invariants;
 pub mod job;
 pub mod kernel;
+pub mod membership;
 pub mod names;
 pub mod outcomes;
 pub mod queue;
