--- /dev/null
+++ b/crates/bramley-store/tests/store_client.rs
@@ -0,0 +1,150 @@
+//! Failures of the platform as the client tells them apart.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bramley_store::{BackoffSettings, RetryBackoff, StoreClient, StoreError, StoreSettings};
+use bramley_wire::platform::PutRequest;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the test platform does with each connection after it has read the request.
+#[derive(Clone, Copy, Debug)]
+enum PlatformBehaviour {
+    /// Answers with a status line, headers and a body.
+    Answer(&'static str, &'static str),
+    /// Closes the connection without an answer.
+    Close,
+    /// Keeps the connection open without an answer.
+    Silent,
+}
+
+async fn start_platform(behaviour: PlatformBehaviour) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(serve(stream, behaviour));
+        }
+    });
+    address
+}
+
+async fn serve(mut stream: TcpStream, behaviour: PlatformBehaviour) {
+    let mut buffer = [0; 4096];
+    // The requests of these tests fit into one segment.
+    let count = stream.read(&mut buffer).await.unwrap_or(0);
+    if count == 0 {
+        return;
+    }
+    match behaviour {
+        PlatformBehaviour::Answer(head, body) => {
+            let length = body.len();
+            let text = format!(
+                "HTTP/1.1 {head}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+            );
+            stream.write_all(text.as_bytes()).await.unwrap_or_default();
+        }
+        PlatformBehaviour::Close => {}
+        PlatformBehaviour::Silent => std::future::pending().await,
+    }
+}
+
+fn connect(address: SocketAddr) -> StoreClient {
+    StoreClient::new(StoreSettings {
+        address,
+        answer_timeout_ms: 300,
+        ..StoreSettings::default()
+    })
+}
+
+async fn put_error(behaviour: PlatformBehaviour) -> StoreError {
+    let client = connect(start_platform(behaviour).await);
+    let result = client.put("a/b", &PutRequest::default()).await;
+    assert_eq!(client.counts().snapshot().writes, 1);
+    assert_eq!(client.counts().snapshot().failures, 1);
+    result.expect_err("the platform gives no usable answer")
+}
+
+#[tokio::test]
+async fn a_value_is_read() {
+    let answer = PlatformBehaviour::Answer("200 OK", r#"{"value":"x","revision":4}"#);
+    let client = connect(start_platform(answer).await);
+    let value = client.get("a/b").await.expect("the platform answers");
+    assert_eq!((value.value.as_str(), value.revision), ("x", 4));
+    let wait = Duration::from_millis(10);
+    let watched = client.watch("a/b", 3, wait).await.expect("an answer");
+    assert_eq!(watched.revision, 4);
+    let counts = client.counts().snapshot();
+    assert_eq!((counts.reads, counts.watches, counts.failures), (1, 1, 0));
+}
+
+#[tokio::test]
+async fn refusals_prove_that_nothing_was_changed() {
+    let answer = PlatformBehaviour::Answer("429 Too Many Requests\r\nretry-after: 2", "");
+    let expected = StoreError::Refused {
+        status: 429,
+        retry_after: Some(Duration::from_secs(2)),
+    };
+    assert_eq!(put_error(answer).await, expected);
+    let outage = put_error(PlatformBehaviour::Answer("503 Service Unavailable", "")).await;
+    assert!(!outage.is_effect_unknown() && outage.is_transient());
+    let rejected = put_error(PlatformBehaviour::Answer("400 Bad Request", "bad")).await;
+    assert!(!rejected.is_effect_unknown() && !rejected.is_transient());
+}
+
+#[tokio::test]
+async fn lost_answers_leave_the_effect_unknown() {
+    let behaviours = [
+        PlatformBehaviour::Close,
+        PlatformBehaviour::Silent,
+        PlatformBehaviour::Answer("200 OK", "{\"appl"),
+        PlatformBehaviour::Answer("500 Internal Server Error", ""),
+    ];
+    for behaviour in behaviours {
+        let error = put_error(behaviour).await;
+        assert!(error.is_effect_unknown(), "{behaviour:?}: {error}");
+    }
+}
+
+#[tokio::test]
+async fn an_unreached_platform_was_sent_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound address");
+    drop(listener);
+    let error = connect(address).get("a").await;
+    assert!(
+        matches!(error, Err(StoreError::Unreachable(_))),
+        "{error:?}"
+    );
+    let invalid = connect(address).get("a b").await;
+    assert!(matches!(invalid, Err(StoreError::InvalidKey(_))));
+}
+
+#[test]
+fn retries_of_many_hosts_are_spread() {
+    let settings = BackoffSettings {
+        first_delay_ms: 100,
+        max_delay_ms: 1_600,
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut slots = [0; 8];
+    for _ in 0..800 {
+        let mut backoff = RetryBackoff::new(settings);
+        let mut delay = Duration::ZERO;
+        for failures in 0..8_u32 {
+            let bound = Duration::from_millis((100 << failures.min(4)).min(1_600));
+            delay = backoff.next_delay(&mut rng);
+            assert!(delay <= bound && delay >= bound / 2);
+        }
+        let position = (delay.as_millis() - 800) * 8 / 801;
+        slots[usize::try_from(position).expect("a slot")] += 1;
+    }
+    // 800 draws over 8 equal parts: 100 are expected in each.
+    assert!(
+        slots.iter().all(|count| (60..=140).contains(count)),
+        "{slots:?}"
+    );
+}
