--- /dev/null
+++ b/crates/bramley-core/tests/configuration_state.rs
@@ -0,0 +1,181 @@
+//! Randomised run of the configuration in force on several hosts.
+
+use std::collections::BTreeMap;
+
+use bramley_core::configuration::{
+    ChangeRecord, ConfigurationEnvelope, ConfigurationState, DeploymentConfiguration, OfferOutcome,
+};
+use bramley_core::names::DomainName;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+const HOSTS: usize = 12;
+const STEPS: usize = 20_000;
+
+fn envelope(generation: u64, operation: &str) -> String {
+    let envelope = ConfigurationEnvelope {
+        change: ChangeRecord {
+            generation,
+            operation_id: String::from(operation),
+            author: String::from("test"),
+            applied_unix_ms: 1,
+        },
+        earlier: Vec::new(),
+        document: DeploymentConfiguration {
+            deployment: String::from("test"),
+            failure_domains: vec![DomainName::from("north")],
+            ..DeploymentConfiguration::default()
+        },
+    };
+    envelope.to_json()
+}
+
+/// Several hosts that learn from a store, which may be rolled back, and from each other.
+struct ConfigurationRun {
+    rng: ChaCha8Rng,
+    hosts: Vec<ConfigurationState>,
+    /// Envelopes that the store holds or held, latest last.
+    store: Vec<String>,
+    applied: u64,
+}
+
+impl ConfigurationRun {
+    fn step(&mut self) {
+        match self.rng.random_range(0..100) {
+            0..2 => self.apply_change(),
+            2 => self.roll_store_back(),
+            3..30 => self.read_store(),
+            30..35 => self.offer_damaged(),
+            35 => self.replace_host(),
+            _ => self.exchange(),
+        }
+    }
+
+    fn apply_change(&mut self) {
+        self.applied += 1;
+        let text = envelope(self.applied, &format!("operation-{}", self.applied));
+        self.store.push(text);
+    }
+
+    fn roll_store_back(&mut self) {
+        let keep = self.rng.random_range(1..=self.store.len());
+        self.store.truncate(keep);
+    }
+
+    fn read_store(&mut self) {
+        let text = self.store.last().expect("the store holds one").clone();
+        let host = self.rng.random_range(0..HOSTS);
+        self.offer(host, &text);
+    }
+
+    fn offer_damaged(&mut self) {
+        let text = envelope(self.applied + 1, "damaged");
+        let length = self.rng.random_range(0..text.len());
+        let host = self.rng.random_range(0..HOSTS);
+        let outcome = self.hosts[host].offer(&text[..length]);
+        assert!(matches!(outcome, OfferOutcome::Refused(_)));
+        let faulty = text.replace("north", "Not a name");
+        let outcome = self.hosts[host].offer(&faulty);
+        assert!(matches!(outcome, OfferOutcome::Refused(_)));
+    }
+
+    fn replace_host(&mut self) {
+        let host = self.rng.random_range(0..HOSTS);
+        self.hosts[host] = ConfigurationState::default();
+    }
+
+    fn exchange(&mut self) {
+        let from = self.rng.random_range(0..HOSTS);
+        let to = self.rng.random_range(0..HOSTS);
+        let text = self.hosts[from]
+            .in_force()
+            .map(|version| version.text.to_string());
+        if let Some(text) = text {
+            self.offer(to, &text);
+        }
+    }
+
+    fn offer(&mut self, host: usize, text: &str) {
+        let state = &mut self.hosts[host];
+        let before = state.generation();
+        state.offer(text);
+        assert!(state.generation() >= before, "a host went back");
+    }
+
+    /// Hosts of one generation must hold one and the same envelope.
+    fn check(&self) {
+        let mut digests = BTreeMap::new();
+        for version in self.hosts.iter().filter_map(ConfigurationState::in_force) {
+            let digest = *digests.entry(version.generation).or_insert(version.digest);
+            assert_eq!(digest, version.digest, "one generation has two contents");
+        }
+    }
+
+    fn newest(&self) -> u64 {
+        let generations = self.hosts.iter().map(ConfigurationState::generation);
+        generations.max().unwrap_or(0)
+    }
+}
+
+#[test]
+fn hosts_never_go_back_and_agree_by_generation() {
+    for seed in 1..=20 {
+        let mut run = ConfigurationRun {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            hosts: vec![ConfigurationState::default(); HOSTS],
+            store: Vec::new(),
+            applied: 0,
+        };
+        run.apply_change();
+        for _ in 0..STEPS {
+            run.step();
+            run.check();
+        }
+        let newest = run.newest();
+        for round in 0..HOSTS {
+            for host in 0..HOSTS {
+                let peer = (host + round) % HOSTS;
+                let text = run.hosts[peer]
+                    .in_force()
+                    .map(|version| version.text.to_string());
+                run.offer(host, &text.unwrap_or_default());
+            }
+        }
+        run.check();
+        let lagging = run.hosts.iter().filter(|host| host.generation() != newest);
+        assert_eq!(
+            lagging.count(),
+            0,
+            "seed {seed}: a host did not learn the newest"
+        );
+    }
+}
+
+#[test]
+fn older_and_conflicting_offers_are_counted_and_not_obeyed() {
+    let mut state = ConfigurationState::default();
+    assert!(matches!(
+        state.offer(&envelope(5, "a")),
+        OfferOutcome::Adopted(_)
+    ));
+    assert_eq!(state.offer(&envelope(5, "a")), OfferOutcome::AlreadyInForce);
+    let conflicting = OfferOutcome::Conflicting { generation: 5 };
+    assert_eq!(state.offer(&envelope(5, "b")), conflicting);
+    let older = OfferOutcome::Older {
+        offered: 4,
+        in_force: 5,
+    };
+    assert_eq!(state.offer(&envelope(4, "c")), older);
+    assert!(matches!(
+        state.offer(&envelope(u64::MAX, "d")),
+        OfferOutcome::Refused(_)
+    ));
+    let counts = state.counts();
+    assert_eq!((counts.adopted, counts.repeated, counts.refused), (1, 1, 1));
+    assert_eq!((counts.conflicting, counts.older), (1, 1));
+    assert_eq!(
+        state.in_force().map(|version| &*version.operation_id),
+        Some("a")
+    );
+}
