--- a/crates/bramley-core/src/kernel/event.rs
+++ b/crates/bramley-core/src/kernel/event.rs
@@ -44,6 +44,8 @@
     WorkersListed(Vec<WorkerProfile>),
     /// A sign arrived that a worker is leaving.
     WorkerLeaving(WorkerName),
+    /// A newer sign arrived that a worker is live again.
+    WorkerLive(WorkerName),
     /// The view of the other entry hosts changed, or their loads did.
     PeersChanged(Vec<PeerView>),
     /// A configuration came into force.
--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -127,6 +127,18 @@
         }
     }
 
+    /// Lets new starts happen on a worker that was leaving and is live again.
+    pub(super) fn on_worker_live(&mut self, name: &WorkerName) {
+        self.fleet.signed_leaving.remove(name);
+        let Some(index) = self.workers.find(name.as_str()) else {
+            return;
+        };
+        if self.workers.get(index).state == WorkerState::Leaving {
+            self.workers.set_state(index, WorkerState::Live);
+            self.refresh_usable(index);
+        }
+    }
+
     /// Takes a new view of the peers and divides the slots anew if their set changed.
     pub(super) fn on_peers_changed(&mut self, peers: Vec<PeerView>) {
         let former = self.sharing_hosts();
--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -150,6 +150,7 @@
             }
             KernelEvent::WorkersListed(profiles) => self.on_workers_listed(profiles),
             KernelEvent::WorkerLeaving(name) => self.on_worker_leaving(&name),
+            KernelEvent::WorkerLive(name) => self.on_worker_live(&name),
             KernelEvent::PeersChanged(peers) => self.on_peers_changed(peers),
             KernelEvent::Configured(configuration) => self.on_configured(&configuration),
             KernelEvent::LoanAsked(request) => self.on_loan_asked(&request, now, actions),
--- a/crates/bramley-core/src/lib.rs
+++ b/crates/bramley-core/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`membership`] holds entry hosts, leaving signs of workers and the spread of generations.
 //! - [`names`] holds the shared immutable names.
 //! - [`outcomes`] keeps the books of submissions.
+//! - [`ownership`] finds the incarnation that a ticket names.
 //! - [`queue`] orders waiting jobs by plug-in policies.
 //! - [`slots`] divides, lends and books the slots of workers.
 //! - [`task`] holds the life cycle of a task.
@@ -34,6 +35,7 @@
 pub mod membership;
 pub mod names;
 pub mod outcomes;
+pub mod ownership;
 pub mod queue;
 pub mod slots;
 pub mod task;
--- /dev/null
+++ b/crates/bramley-entry/src/caller/server.rs
@@ -0,0 +1,184 @@
+//! Accepts callers' connections.
+
+use std::convert::Infallible;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramley_core::errors::{DispatchError, ErrorKind};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use crate::caller::replies::{AnswerBody, EncodedAnswer};
+use crate::caller::routes::{self, TicketOperation};
+use crate::dump;
+use crate::shared::SharedState;
+
+/// Time within which a caller must send the head of a request.
+const HEAD_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time within which a caller must send the body of a request.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Wait after a failure to accept a connection, such as too many open files.
+const ACCEPT_WAIT: Duration = Duration::from_millis(50);
+
+/// Serves callers until `stop` is cancelled, then lets open requests finish.
+///
+/// Returns when every connection is closed.
+pub async fn serve(listener: TcpListener, state: Arc<SharedState>, stop: CancellationToken) {
+    let graceful = GracefulShutdown::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stop.cancelled() => break,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_connection(stream, &state, &graceful),
+            Err(error) => {
+                log::warn!("event=accept_failed error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_WAIT).await;
+            }
+        }
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+fn serve_connection(stream: TcpStream, state: &Arc<SharedState>, graceful: &GracefulShutdown) {
+    if let Err(error) = prepare(&stream) {
+        log::debug!("event=connection_setup_failed error=\"{error}\"");
+    }
+    let state = Arc::clone(state);
+    let service = service_fn(move |request| {
+        let state = Arc::clone(&state);
+        async move { Ok::<_, Infallible>(answer(&state, request).await) }
+    });
+    let connection = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .serve_connection(TokioIo::new(stream), service);
+    let connection = graceful.watch(connection);
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!("event=caller_connection_ended error=\"{error}\"");
+        }
+    });
+}
+
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)
+}
+
+async fn answer(state: &Arc<SharedState>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let begun = tokio::time::Instant::now();
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    if method == Method::GET {
+        return answer_get(state, &path).await;
+    }
+    if method != Method::POST {
+        return not_found();
+    }
+    let body = match read_body(state, request).await {
+        Ok(body) => body,
+        Err(error) => return EncodedAnswer::of_error("", error).into_response(),
+    };
+    let answer = match path.as_str() {
+        "/v1/tickets" => routes::issue_tickets(state, &body),
+        "/v1/jobs" => {
+            let answer = routes::submit(state, body, 0).await;
+            state.metrics.observe_job(begun.elapsed(), answer.status);
+            answer
+        }
+        "/v1/jobs/query" => routes::refer(state, TicketOperation::Query, body, 0).await,
+        "/v1/jobs/cancel" => routes::refer(state, TicketOperation::Cancel, body, 0).await,
+        _ => return not_found(),
+    };
+    answer.into_response()
+}
+
+async fn answer_get(state: &SharedState, path: &str) -> Response<AnswerBody> {
+    match path {
+        "/health" => answer_health(state),
+        "/metrics" => {
+            let text = match state.kernel.dump().await {
+                Ok(dump) => state.metrics.encode(&dump, state),
+                Err(_) => String::new(),
+            };
+            plain(
+                StatusCode::OK,
+                "application/openmetrics-text; version=1.0.0",
+                text,
+            )
+        }
+        "/state" => {
+            let text = dump::dump_state(state).await;
+            plain(StatusCode::OK, "application/json", text)
+        }
+        _ => not_found(),
+    }
+}
+
+fn answer_health(state: &SharedState) -> Response<AnswerBody> {
+    if state.is_draining() {
+        return plain(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "text/plain",
+            "draining\n".to_owned(),
+        );
+    }
+    if state.configuration.load().generation == 0 {
+        return plain(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "text/plain",
+            "no configuration\n".to_owned(),
+        );
+    }
+    plain(StatusCode::OK, "text/plain", "ok\n".to_owned())
+}
+
+async fn read_body(
+    state: &SharedState,
+    request: Request<Incoming>,
+) -> Result<Bytes, DispatchError> {
+    let limit = state.settings.limits.max_body_bytes as usize;
+    let body = Limited::new(request.into_body(), limit);
+    match tokio::time::timeout(BODY_LIMIT, body.collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let detail = format!("at most {limit} bytes");
+            Err(DispatchError::new(ErrorKind::BodyTooLarge, detail))
+        }
+        Ok(Err(error)) => Err(DispatchError::new(
+            ErrorKind::MalformedRequest,
+            error.to_string(),
+        )),
+        Err(_) => Err(DispatchError::new(
+            ErrorKind::MalformedRequest,
+            "the body came too slowly",
+        )),
+    }
+}
+
+fn not_found() -> Response<AnswerBody> {
+    let error = DispatchError::new(ErrorKind::NotFound, "no such resource");
+    EncodedAnswer::of_error("", error).into_response()
+}
+
+fn plain(status: StatusCode, content_type: &'static str, text: String) -> Response<AnswerBody> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/crates/bramley-entry/src/dump.rs
@@ -0,0 +1,52 @@
+//! State dump of a process.
+
+use bramley_core::kernel::snapshot::KernelDump;
+use bramley_core::membership::MemberSnapshot;
+use bramley_core::names::HostName;
+use bramley_core::units::IncarnationId;
+use serde::Serialize;
+
+use crate::shared::SharedState;
+
+/// State of an entry process for operators.
+#[derive(Debug, Serialize)]
+pub struct ProcessDump {
+    /// Host.
+    pub host: HostName,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// Incarnation.
+    pub incarnation: IncarnationId,
+    /// Whether a planned stop has begun.
+    pub draining: bool,
+    /// Generation of the configuration in force.
+    pub generation: u64,
+    /// Control messages sent and received.
+    pub control_messages: u64,
+    /// Bytes of control messages sent and received.
+    pub control_bytes: u64,
+    /// Known entry hosts.
+    pub members: Vec<MemberSnapshot>,
+    /// Dispatch kernel; absent if the process is ending.
+    pub kernel: Option<KernelDump>,
+}
+
+/// Returns the state of the process as a JSON document.
+pub async fn dump_state(state: &SharedState) -> String {
+    let kernel = state.kernel.dump().await.ok();
+    let (control_messages, control_bytes) = state.metrics.control_counts();
+    let mut members = state.members.load().members.clone();
+    members.sort_by(|left, right| left.record.host.cmp(&right.record.host));
+    let dump = ProcessDump {
+        host: state.host.clone(),
+        failure_domain: state.settings.failure_domain.clone(),
+        incarnation: state.issuer.incarnation(),
+        draining: state.is_draining(),
+        generation: state.configuration.load().generation,
+        control_messages,
+        control_bytes,
+        members,
+        kernel,
+    };
+    serde_json::to_string_pretty(&dump).unwrap_or_else(|error| format!("{{\"error\":\"{error}\"}}"))
+}
--- /dev/null
+++ b/crates/bramley-entry/src/metrics.rs
@@ -0,0 +1,237 @@
+//! Counts for operators, in the OpenMetrics format.
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use bramley_core::kernel::snapshot::KernelDump;
+use hyper::StatusCode;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use prost::Message;
+
+use crate::shared::SharedState;
+
+/// Prefix of all metrics.
+const PREFIX: &str = "bramley";
+
+/// Smallest bucket of response times in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+
+/// Number of buckets of response times, each twice as large as the one before.
+const BUCKETS: u16 = 16;
+
+/// Counts that the request path and the control loops make.
+#[derive(Debug)]
+pub struct EntryMetrics {
+    /// Requests handed to the owner of their ticket.
+    pub forwards: Counter,
+    control_messages: Counter,
+    control_bytes: Counter,
+    control_seconds: Counter<f64, AtomicU64>,
+    job_seconds: Histogram,
+    answered_ok: Counter,
+    answered_error: Counter,
+    encoding: Mutex<()>,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        Self {
+            forwards: Counter::default(),
+            control_messages: Counter::default(),
+            control_bytes: Counter::default(),
+            control_seconds: Counter::default(),
+            job_seconds: Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS)),
+            answered_ok: Counter::default(),
+            answered_error: Counter::default(),
+            encoding: Mutex::new(()),
+        }
+    }
+}
+
+impl EntryMetrics {
+    /// Counts a message that serves control and not a caller's request.
+    pub fn count_control_message(&self, message: &impl Message) {
+        self.control_messages.inc();
+        self.control_bytes.inc_by(message.encoded_len() as u64);
+    }
+
+    /// Adds processor time spent on control.
+    pub fn add_control_time(&self, time: Duration) {
+        self.control_seconds.inc_by(time.as_secs_f64());
+    }
+
+    /// Records the answer to a submission.
+    pub fn observe_job(&self, time: Duration, status: StatusCode) {
+        self.job_seconds.observe(time.as_secs_f64());
+        if status.is_success() {
+            self.answered_ok.inc();
+        } else {
+            self.answered_error.inc();
+        }
+    }
+
+    /// Returns control messages and bytes counted so far.
+    #[must_use]
+    pub fn control_counts(&self) -> (u64, u64) {
+        (self.control_messages.get(), self.control_bytes.get())
+    }
+
+    /// Encodes all metrics as text.
+    #[must_use]
+    pub fn encode(&self, dump: &KernelDump, state: &SharedState) -> String {
+        let _one_at_a_time = self.encoding.lock();
+        let mut registry = Registry::with_prefix(PREFIX);
+        self.register_own(&mut registry);
+        register_kernel(&mut registry, dump);
+        register_gauge(
+            &mut registry,
+            "configuration_generation",
+            "Generation of the configuration in force",
+            state.configuration.load().generation,
+        );
+        let store = state.store.counts().snapshot();
+        register_counter(
+            &mut registry,
+            "store_reads",
+            "Reads of the platform",
+            store.reads,
+        );
+        register_counter(
+            &mut registry,
+            "store_writes",
+            "Writes to the platform",
+            store.writes,
+        );
+        register_counter(
+            &mut registry,
+            "store_watches",
+            "Watches at the platform",
+            store.watches,
+        );
+        register_counter(
+            &mut registry,
+            "store_bytes",
+            "Bytes exchanged with the platform",
+            store.sent_bytes + store.received_bytes,
+        );
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &registry) {
+            log::error!("event=metrics_failed error=\"{error}\"");
+        }
+        text
+    }
+
+    fn register_own(&self, registry: &mut Registry) {
+        registry.register(
+            "forwards",
+            "Requests handed to owners",
+            self.forwards.clone(),
+        );
+        registry.register(
+            "control_messages",
+            "Messages of control, sent and received",
+            self.control_messages.clone(),
+        );
+        registry.register(
+            "control_bytes",
+            "Bytes of control messages, sent and received",
+            self.control_bytes.clone(),
+        );
+        registry.register(
+            "control_seconds",
+            "Time spent on membership and configuration",
+            self.control_seconds.clone(),
+        );
+        registry.register(
+            "job_seconds",
+            "Time from a submission to its answer",
+            self.job_seconds.clone(),
+        );
+        registry.register(
+            "jobs_answered_ok",
+            "Complete answers",
+            self.answered_ok.clone(),
+        );
+        registry.register(
+            "jobs_answered_error",
+            "Other answers",
+            self.answered_error.clone(),
+        );
+    }
+}
+
+fn register_kernel(registry: &mut Registry, dump: &KernelDump) {
+    register_gauge(
+        registry,
+        "active_jobs",
+        "Jobs not answered",
+        dump.active_jobs as u64,
+    );
+    register_gauge(
+        registry,
+        "waiting_tasks",
+        "Tasks not sent",
+        dump.waiting_tasks as u64,
+    );
+    register_gauge(
+        registry,
+        "kept_outcomes",
+        "Submissions in the books",
+        dump.kept_outcomes as u64,
+    );
+    register_gauge(
+        registry,
+        "kept_bytes",
+        "Memory of kept answers",
+        dump.kept_bytes as u64,
+    );
+    register_gauge(
+        registry,
+        "busy_slots",
+        "Slots in use",
+        u64::from(dump.rights.busy),
+    );
+    register_gauge(
+        registry,
+        "idle_slots",
+        "Slots at hand",
+        u64::from(dump.rights.idle_plain),
+    );
+    register_gauge(
+        registry,
+        "ejected_workers",
+        "Workers ejected",
+        dump.health.ejected as u64,
+    );
+    let violations = dump.invariants.violations();
+    register_gauge(
+        registry,
+        "invariant_violations",
+        "Violated invariants",
+        violations,
+    );
+    // The counters describe themselves by their field names.
+    if let Ok(serde_json::Value::Object(fields)) = serde_json::to_value(&dump.counters) {
+        for (name, value) in fields {
+            let count = value.as_u64().unwrap_or_default();
+            register_counter(registry, &name, "Count of the dispatch kernel", count);
+        }
+    }
+}
+
+fn register_counter(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let counter: Counter = Counter::default();
+    counter.inc_by(value);
+    registry.register(name, help, counter);
+}
+
+fn register_gauge(registry: &mut Registry, name: &str, help: &str, value: u64) {
+    let gauge: Gauge = Gauge::default();
+    gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+    registry.register(name, help, gauge);
+}
--- /dev/null
+++ b/crates/bramley-entry/src/platform_loop.rs
@@ -0,0 +1,149 @@
+//! Follows the platform's list of workers and the stored configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramley_core::kernel::event::KernelEvent;
+use bramley_core::names::{DomainName, RackName, WorkerName};
+use bramley_core::worker::{WorkerProfile, WorkerState};
+use bramley_wire::platform::{WorkerList, WorkerRecord};
+use rand::Rng;
+
+use crate::member_loop::{ListedWorkers, MemberHandle};
+use crate::shared::SharedState;
+
+/// Longest time that one watch of the configuration waits.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// First wait after a failed call.
+const FIRST_RETRY_WAIT: Duration = Duration::from_millis(200);
+
+/// Longest wait after failed calls.
+const LONGEST_RETRY_WAIT: Duration = Duration::from_secs(5);
+
+/// Word of the platform for a worker that takes no new work.
+const LEAVING: &str = "leaving";
+
+/// Exponential wait between failed calls, spread at random so that hosts do not come together.
+#[derive(Debug)]
+struct RetryWait {
+    next: Duration,
+}
+
+impl RetryWait {
+    const fn new() -> Self {
+        Self {
+            next: FIRST_RETRY_WAIT,
+        }
+    }
+
+    const fn reset(&mut self) {
+        self.next = FIRST_RETRY_WAIT;
+    }
+
+    async fn sleep(&mut self) {
+        let factor = rand::rng().random_range(0.5..1.5);
+        tokio::time::sleep(self.next.mul_f64(factor)).await;
+        self.next = (self.next * 2).min(LONGEST_RETRY_WAIT);
+    }
+}
+
+/// Watches the stored configuration and offers what it finds.
+pub async fn follow_configuration(state: Arc<SharedState>, members: MemberHandle) {
+    let key = state.settings.configuration_key.clone();
+    let mut wait = RetryWait::new();
+    let mut revision = 0;
+    loop {
+        match state.store.watch(&key, revision, WATCH_WAIT).await {
+            Ok(value) => {
+                wait.reset();
+                if value.revision != revision && !value.value.is_empty() {
+                    members
+                        .offer_configuration(value.value, "store".to_owned())
+                        .await;
+                }
+                revision = value.revision;
+            }
+            Err(error) => {
+                log::debug!("event=configuration_watch_failed error=\"{error}\"");
+                wait.sleep().await;
+            }
+        }
+    }
+}
+
+/// Polls the platform's list of workers.
+pub async fn follow_workers(state: Arc<SharedState>, members: MemberHandle) {
+    let interval = Duration::from_millis(state.settings.timing.worker_list_poll_ms);
+    let mut wait = RetryWait::new();
+    let mut newest = 0;
+    loop {
+        match state.store.workers().await {
+            Ok(list) => {
+                wait.reset();
+                // A list that comes back older is not obeyed.
+                if list.revision >= newest {
+                    newest = list.revision;
+                    report_workers(&state, &members, list).await;
+                }
+                tokio::time::sleep(spread(interval)).await;
+            }
+            Err(error) => {
+                log::debug!("event=worker_list_failed error=\"{error}\"");
+                wait.sleep().await;
+            }
+        }
+    }
+}
+
+/// Varies a polling interval a little, so that hosts do not poll together.
+fn spread(interval: Duration) -> Duration {
+    interval.mul_f64(rand::rng().random_range(0.9..1.1))
+}
+
+async fn report_workers(state: &SharedState, members: &MemberHandle, list: WorkerList) {
+    let mut listed = ListedWorkers {
+        revision: list.revision,
+        live: Vec::new(),
+        leaving: Vec::new(),
+    };
+    let mut profiles = Vec::with_capacity(list.workers.len());
+    for record in list.workers {
+        let Some(profile) = make_profile(&record) else {
+            log::warn!("event=worker_record_malformed worker={}", record.name);
+            continue;
+        };
+        if record.failure_domain == state.settings.failure_domain {
+            let names = if record.state == LEAVING {
+                &mut listed.leaving
+            } else {
+                &mut listed.live
+            };
+            names.push(profile.name.clone());
+        }
+        profiles.push(profile);
+    }
+    state
+        .kernel
+        .report(KernelEvent::WorkersListed(profiles))
+        .await;
+    members.workers_listed(listed).await;
+}
+
+fn make_profile(record: &WorkerRecord) -> Option<WorkerProfile> {
+    let state = if record.state == LEAVING {
+        WorkerState::Leaving
+    } else {
+        WorkerState::Live
+    };
+    Some(WorkerProfile {
+        name: WorkerName::from(record.name.as_str()),
+        address: record.address.parse().ok()?,
+        domain: DomainName::from(record.failure_domain.as_str()),
+        rack: RackName::from(record.rack.as_str()),
+        slots: record.slots,
+        accelerators: record.accelerators,
+        memory_mib: record.memory_mib,
+        state,
+    })
+}
