--- a/crates/bramley-settings/src/load.rs
+++ b/crates/bramley-settings/src/load.rs
@@ -140,6 +140,11 @@
     }
 }
 
+fn missing_field() -> (String, String) {
+    let problem = String::from("the field is missing");
+    (problem, String::from("a value, as there is no default"))
+}
+
 /// Reads the settings, taking faulty values out until the rest can be read and checked.
 fn read_settings<T: CheckedSettings>(root: &Value<'_>, faults: &mut FaultList) -> Option<T> {
     let mut tree = PrunedTree::new(root.clone().into());
@@ -152,8 +157,9 @@
             Err(error) => error,
         };
         let path = FieldPath::from(error.path());
-        let (problem, expected) = describe_type_error(&error.inner().to_string());
-        let field = tree.original_path(&path);
+        let message = error.inner().to_string();
+        let (problem, expected) = describe_type_error(&message);
+        let field = name_missing_field(tree.original_path(&path), &message);
         let key_offset = problem
             .starts_with("unknown field")
             .then(|| find_key_offset(root, &field));
@@ -178,7 +184,7 @@
             .faults
             .iter()
             .any(|earlier| earlier.offset.is_none() && earlier.field == fault.field);
-        if !tree.is_removed(&fault.field) && !is_reported {
+        if !tree.is_affected(&fault.field) && !is_reported {
             faults.faults.push(fault);
         }
     }
@@ -204,6 +210,15 @@
     SettingsError::Faulty(FaultReport(faults))
 }
 
+/// Returns the path of the missing field if the message names one, else `path`.
+fn name_missing_field(path: FieldPath, message: &str) -> FieldPath {
+    let name = message.strip_prefix("missing field `");
+    match name.and_then(|rest| rest.strip_suffix('`')) {
+        Some(name) => path.field(name),
+        None => path,
+    }
+}
+
 /// Splits a message of the deserialiser into what is wrong and what would be right.
 fn describe_type_error(message: &str) -> (String, String) {
     if message.contains("socket address") {
@@ -213,6 +228,9 @@
             String::from("an IP address and a port, such as `127.0.0.1:7400`"),
         );
     }
+    if message.starts_with("missing field") {
+        return missing_field();
+    }
     let Some((problem, expected)) = message.split_once(", expected ") else {
         return (String::from(message), String::from("a valid value"));
     };
--- a/crates/bramley-settings/src/prune.rs
+++ b/crates/bramley-settings/src/prune.rs
@@ -40,9 +40,11 @@
         original
     }
 
-    /// Tells whether the value at the original path was taken out.
-    pub(crate) fn is_removed(&self, original: &FieldPath) -> bool {
-        self.removed.iter().any(|outer| original.is_within(outer))
+    /// Tells whether the value at the original path, one around it or one inside it was taken out.
+    pub(crate) fn is_affected(&self, original: &FieldPath) -> bool {
+        self.removed
+            .iter()
+            .any(|removed| original.is_within(removed) || removed.is_within(original))
     }
 
     /// Takes the value at `path` out, and returns whether there was one.
