bramleyctl: check, diff, apply, show, history, dump, drain, questionnaire

A change is a compare-and-swap on the revision that was read, and says which generation it starts from, so that the loser of a race learns who changed what.

--- /dev/null
+++ b/crates/bramleyctl/src/cli.rs
@@ -0,0 +1,169 @@
+//! The command line.
+
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+
+/// Operates a bramleydock deployment.
+#[derive(Clone, Debug, FromArgs)]
+pub struct OperatorCommand {
+    /// what to do
+    #[argh(subcommand)]
+    pub action: OperatorAction,
+}
+
+/// What to do.
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum OperatorAction {
+    /// Puts a configuration into force.
+    Apply(ApplyArguments),
+    /// Checks a configuration file.
+    Check(CheckArguments),
+    /// Compares a file with the stored configuration.
+    Diff(DiffArguments),
+    /// Begins a planned stop of an entry process.
+    Drain(DrainArguments),
+    /// Prints the state of an entry process.
+    Dump(DumpArguments),
+    /// Lists the latest changes.
+    History(HistoryArguments),
+    /// Generates a configuration from answers.
+    Questionnaire(QuestionnaireArguments),
+    /// Shows the stored configuration.
+    Show(ShowArguments),
+}
+
+/// puts a configuration into force
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "apply")]
+pub struct ApplyArguments {
+    /// configuration file in JSON with comments
+    #[argh(positional)]
+    pub file: String,
+    /// address of the platform
+    #[argh(option)]
+    pub platform: SocketAddr,
+    /// key of the configuration
+    #[argh(option, default = "default_key()")]
+    pub key: String,
+    /// generation that the file was made from; needed once a configuration is stored
+    #[argh(option)]
+    pub base: Option<u64>,
+    /// name recorded as the author; default: the user's name
+    #[argh(option, default = "default_author()")]
+    pub author: String,
+    /// control address of an entry process; may be given several times
+    #[argh(option)]
+    pub host: Vec<SocketAddr>,
+    /// wait until the change is in force on every given host
+    #[argh(switch)]
+    pub wait: bool,
+    /// longest wait for the hosts, in milliseconds
+    #[argh(option, default = "10_000")]
+    pub wait_ms: u64,
+    /// longest time to try the store, in milliseconds
+    #[argh(option, default = "30_000")]
+    pub store_ms: u64,
+}
+
+/// checks a configuration file
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "check")]
+pub struct CheckArguments {
+    /// configuration file in JSON with comments
+    #[argh(positional)]
+    pub file: String,
+}
+
+/// compares a file with the stored configuration
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "diff")]
+pub struct DiffArguments {
+    /// configuration file in JSON with comments
+    #[argh(positional)]
+    pub file: String,
+    /// address of the platform
+    #[argh(option)]
+    pub platform: SocketAddr,
+    /// key of the configuration
+    #[argh(option, default = "default_key()")]
+    pub key: String,
+}
+
+/// begins a planned stop of an entry process
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub struct DrainArguments {
+    /// control address of the entry process
+    #[argh(positional)]
+    pub host: SocketAddr,
+}
+
+/// prints the state of an entry process as JSON
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "dump")]
+pub struct DumpArguments {
+    /// control address of the entry process
+    #[argh(positional)]
+    pub host: SocketAddr,
+}
+
+/// lists the latest changes of the configuration
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "history")]
+pub struct HistoryArguments {
+    /// address of the platform
+    #[argh(option)]
+    pub platform: SocketAddr,
+    /// key of the configuration
+    #[argh(option, default = "default_key()")]
+    pub key: String,
+    /// print the document of one of the latest generations instead
+    #[argh(option)]
+    pub generation: Option<u64>,
+}
+
+/// generates a configuration from answers
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "questionnaire")]
+pub struct QuestionnaireArguments {
+    /// answers file in JSON with comments; without it the questions are asked
+    #[argh(option)]
+    pub answers: Option<String>,
+    /// file to which the given answers are written
+    #[argh(option)]
+    pub save_answers: Option<String>,
+    /// file to which the configuration is written; default: the output
+    #[argh(option)]
+    pub output: Option<String>,
+    /// print from which answers each value was made
+    #[argh(switch)]
+    pub trace: bool,
+}
+
+/// shows the stored configuration
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowArguments {
+    /// address of the platform
+    #[argh(option)]
+    pub platform: SocketAddr,
+    /// key of the configuration
+    #[argh(option, default = "default_key()")]
+    pub key: String,
+    /// control address of an entry process; may be given several times
+    #[argh(option)]
+    pub host: Vec<SocketAddr>,
+    /// print the document alone, to be edited
+    #[argh(switch)]
+    pub document: bool,
+}
+
+fn default_key() -> String {
+    String::from("bramley/configuration")
+}
+
+fn default_author() -> String {
+    std::env::var("USER").unwrap_or_else(|_| String::from("unknown"))
+}
--- /dev/null
+++ b/crates/bramleyctl/src/control.rs
@@ -0,0 +1,121 @@
+//! Calls the control service of entry processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bramley_wire::control::ControlServiceClient;
+use futures::future::join_all;
+use tarpc::client::Config;
+use tarpc::context::Context;
+use tarpc::tokio_serde::formats::Json;
+use tokio::time::{Instant, timeout};
+
+use crate::error::CommandError;
+
+/// Longest time of one call, including the connection.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time between two questions to the same host.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Largest state dump in bytes.
+const MAX_DUMP_BYTES: usize = 64 * 1024 * 1024;
+
+/// What is known about the configuration in force on a host.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostGeneration {
+    /// Control address.
+    pub address: SocketAddr,
+    /// Generation in force, or why it is not known.
+    pub generation: Result<u64, String>,
+}
+
+/// Asks every host for the generation in force.
+pub async fn ask_generations(hosts: &[SocketAddr]) -> Vec<HostGeneration> {
+    join_all(hosts.iter().map(|address| ask_generation(*address))).await
+}
+
+async fn ask_generation(address: SocketAddr) -> HostGeneration {
+    let call = async {
+        let client = connect(address).await?;
+        let answer = client.configuration_generation(make_context()).await;
+        answer.map_err(|error| error.to_string())
+    };
+    HostGeneration {
+        address,
+        generation: limit_time(call).await,
+    }
+}
+
+/// Asks the hosts until the generation or a higher one is in force on each, or the deadline.
+pub async fn wait_for_generation(
+    hosts: &[SocketAddr],
+    generation: u64,
+    deadline: Instant,
+) -> Vec<HostGeneration> {
+    loop {
+        let answers = ask_generations(hosts).await;
+        let is_everywhere = answers.iter().all(|answer| {
+            answer
+                .generation
+                .as_ref()
+                .is_ok_and(|found| *found >= generation)
+        });
+        if is_everywhere || Instant::now() + POLL_INTERVAL >= deadline {
+            return answers;
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// Returns the state dump of a host.
+///
+/// # Errors
+///
+/// Returns [`CommandError::HostUnreachable`] if the host does not answer.
+pub async fn dump_host(address: SocketAddr) -> Result<String, CommandError> {
+    let call = async {
+        let client = connect(address).await?;
+        let answer = client.dump_state(make_context()).await;
+        answer.map_err(|error| error.to_string())
+    };
+    limit_time(call)
+        .await
+        .map_err(|reason| CommandError::HostUnreachable { address, reason })
+}
+
+/// Begins a planned stop of a host, and returns whether it had not begun before.
+///
+/// # Errors
+///
+/// Returns [`CommandError::HostUnreachable`] if the host does not answer.
+pub async fn drain_host(address: SocketAddr) -> Result<bool, CommandError> {
+    let call = async {
+        let client = connect(address).await?;
+        let answer = client.begin_drain(make_context()).await;
+        answer.map_err(|error| error.to_string())
+    };
+    limit_time(call)
+        .await
+        .map_err(|reason| CommandError::HostUnreachable { address, reason })
+}
+
+async fn connect(address: SocketAddr) -> Result<ControlServiceClient, String> {
+    let mut connecting = tarpc::serde_transport::tcp::connect(address, Json::default);
+    connecting.config_mut().max_frame_length(MAX_DUMP_BYTES);
+    let transport = connecting.await.map_err(|error| error.to_string())?;
+    Ok(ControlServiceClient::new(Config::default(), transport).spawn())
+}
+
+fn make_context() -> Context {
+    let mut context = tarpc::context::current();
+    context.deadline = std::time::Instant::now() + CALL_TIMEOUT;
+    context
+}
+
+async fn limit_time<T>(call: impl Future<Output = Result<T, String>>) -> Result<T, String> {
+    match timeout(CALL_TIMEOUT, call).await {
+        Ok(result) => result,
+        Err(_) => Err(String::from("no answer in time")),
+    }
+}
