Randomised runs of membership with faults two at a time

Twelve kinds of faults on 12 hosts in three domains, changes of workers and configurations all the time, invariants checked in every 50 ms of virtual time; spread of generations between 40 hosts, of leaving signs in a domain of 25 hosts, and the end of an hour's partition of 40 hosts.

A message carried 32 signs at most.

--- a/crates/bramley-core/src/membership/settings.rs
+++ b/crates/bramley-core/src/membership/settings.rs
@@ -86,7 +86,7 @@
             early_refill_ms: 1_000,
             early_burst: 5,
             max_member_rumours: 3,
-            max_worker_news: 32,
+            max_worker_news: 64,
             max_demands: 4,
             failed_sends_limit: 2,
             domain_silence_rounds: 3,
--- /dev/null
+++ b/crates/bramley-core/tests/membership_runs/main.rs
@@ -0,0 +1,98 @@
+//! Long randomised runs of membership in virtual time.
+//!
+//! `cargo test --release -p bramley-core --test membership_runs -- --ignored --nocapture` does
+//! the long run.
+
+mod exchange;
+mod platform;
+mod runner;
+mod spread;
+
+use bramley_core::membership::{MembershipFaults, MembershipSettings};
+
+use runner::{RunReport, Runner};
+
+fn run(seed: u64, cycles: u64, faults: MembershipFaults) -> RunReport {
+    let settings = MembershipSettings {
+        faults,
+        ..MembershipSettings::default()
+    };
+    Runner::new(seed, settings).run(cycles)
+}
+
+fn check_run(seed: u64, cycles: u64) {
+    let report = run(seed, cycles, MembershipFaults::default());
+    println!(
+        "seed={seed} steps={} sign_checks={} spread_checks={} views={} heal_percent={} injected={:?} violations={}",
+        report.steps,
+        report.sign_checks,
+        report.spread_checks,
+        report.views_checked,
+        report.worst_heal_percent,
+        report.injected,
+        report.violations.len(),
+    );
+    assert_eq!(
+        report.injected.len(),
+        12,
+        "some kind of fault was not injected"
+    );
+    assert!(report.sign_checks > 0 && report.spread_checks > 0 && report.views_checked > 0);
+    assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+}
+
+fn check_broken(faults: MembershipFaults, expected: &str) {
+    let report = run(1, 1, faults);
+    println!(
+        "{} violations, first: {:?}",
+        report.violations.len(),
+        report.violations.first()
+    );
+    let found = report
+        .violations
+        .iter()
+        .any(|violation| violation.contains(expected));
+    assert!(found, "the run did not notice the fault");
+}
+
+#[test]
+fn invariants_hold_under_faults_two_at_a_time() {
+    for seed in 1..=4 {
+        check_run(seed, 1);
+    }
+}
+
+#[test]
+#[ignore = "long run"]
+fn invariants_hold_in_the_long_run() {
+    for seed in 100..140 {
+        check_run(seed, 5);
+    }
+}
+
+#[test]
+fn run_notices_gone_from_silence() {
+    let faults = MembershipFaults {
+        gone_from_silence: true,
+        ..MembershipFaults::default()
+    };
+    check_broken(faults, "runs and is called gone");
+}
+
+#[test]
+fn run_notices_obeyed_older_generation() {
+    let faults = MembershipFaults {
+        obey_older_generation: true,
+        ..MembershipFaults::default()
+    };
+    check_broken(faults, "went from generation");
+}
+
+#[test]
+fn run_notices_obeyed_lagging_list() {
+    let faults = MembershipFaults {
+        obey_lagging_list: true,
+        ..MembershipFaults::default()
+    };
+    check_broken(faults, "does not know that");
+}
