Mend faults of outcomes in the dispatch kernel, with focused tests

Found by reading the kernel against the promises; each has a test: - An idempotent task that was retried went back to the queue as if it had never been sent, so that a cancellation or a deadline then reported it as "not run". The queued state now remembers that the task may have run. - Every sending earned retry credit, repeated ones included, so refused starts and retries themselves grew the retry budget. Only first starts do. - Refusals at admission close the ticket, yet "quota exceeded" and "deadline unreachable" advised the same ticket, and a refusal for a passed deadline said "may have run".

KernelFaults holds deliberate faults for the randomised runs; all are off by default, and no settings file reaches them.

--- a/crates/bramley-core/src/errors.rs
+++ b/crates/bramley-core/src/errors.rs
@@ -180,7 +180,7 @@
             Kind::QuotaExceeded,
             429,
             "quota_exceeded",
-            SameTicket,
+            NewTicket,
             NotRun,
         ),
         row(Kind::QueueFull, 503, "queue_full", NewTicket, NotRun),
@@ -188,7 +188,7 @@
             Kind::DeadlineUnreachable,
             503,
             "deadline_unreachable",
-            SameTicket,
+            NewTicket,
             NotRun,
         ),
         row(
@@ -230,7 +230,7 @@
             503,
             "store_unavailable",
             SameTicket,
-            NotRun,
+            Undetermined,
         ),
         row(Kind::OutcomesFull, 503, "outcomes_full", NewTicket, NotRun),
         row(
--- a/crates/bramley-core/src/job.rs
+++ b/crates/bramley-core/src/job.rs
@@ -179,6 +179,19 @@
         }
     }
 
+    /// Returns an estimate of the memory that the job took when it was accepted, in bytes.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        const FIXED_BYTES: usize = 256;
+        const TASK_BYTES: usize = 96;
+        let payloads: usize = self
+            .inputs
+            .iter()
+            .map(|input| input.payload.len() + TASK_BYTES)
+            .sum();
+        FIXED_BYTES + payloads
+    }
+
     /// Tells whether every task ran to its end.
     #[must_use]
     pub fn is_complete(&self) -> bool {
@@ -225,6 +238,17 @@
     Answered(Arc<JobAnswer>),
 }
 
+impl JobRecord {
+    /// Returns an estimate of the memory that the record takes, in bytes.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        match self {
+            Self::Active(job) => job.kept_bytes(),
+            Self::Answered(answer) => answer.kept_bytes(),
+        }
+    }
+}
+
 /// Makes the answer that a kept refusal gives to a resubmission.
 #[must_use]
 pub fn refused_earlier() -> JobAnswer {
--- a/crates/bramley-core/src/kernel/answers.rs
+++ b/crates/bramley-core/src/kernel/answers.rs
@@ -24,7 +24,7 @@
         now: UnixTime,
         actions: &mut Vec<KernelAction>,
     ) {
-        let Some(record) = self.attempts.remove(attempt) else {
+        let Some((attempt, record)) = self.take_attempt(attempt) else {
             self.counters.late_answers += 1;
             return;
         };
@@ -35,7 +35,24 @@
             self.on_worker_leaving(&name);
         }
         self.end_quota_use(&record.team);
-        self.settle_task(record.task, end, now.since(record.sent_at), actions);
+        let Some(sent) = self.take_sent(record.task, attempt) else {
+            return;
+        };
+        let run = now.since(record.sent_at);
+        self.settle_task(record.task, sent, end, run, actions);
+    }
+
+    /// Takes an attempt that is still waited for out of the table.
+    fn take_attempt(&mut self, attempt: AttemptId) -> Option<(AttemptId, AttemptRecord)> {
+        if let Some(record) = self.attempts.remove(attempt) {
+            return Some((attempt, record));
+        }
+        if !self.settings.faults.accept_crossed_answers {
+            return None;
+        }
+        let other = self.attempts.first_overdue(UnixTime::NEVER)?;
+        let record = self.attempts.remove(other)?;
+        Some((other, record))
     }
 
     /// Stops waiting for attempts whose deadlines have passed.
@@ -99,17 +116,15 @@
         }
     }
 
-    /// Moves the task of an attempt on, unless its job was answered meanwhile.
+    /// Moves a task on by the end of its attempt.
     fn settle_task(
         &mut self,
         task: TaskKey,
+        sent: TaskRecord<Sent>,
         end: AttemptEnd,
         run: Duration,
         actions: &mut Vec<KernelAction>,
     ) {
-        let Some(sent) = self.take_sent(task) else {
-            return;
-        };
         match end {
             AttemptEnd::Finished(output) => {
                 self.learn_run_time(task, run);
@@ -142,13 +157,17 @@
         }
     }
 
-    /// Takes a sent task out of its job; the caller puts its next phase back.
-    fn take_sent(&mut self, task: TaskKey) -> Option<TaskRecord<Sent>> {
+    /// Takes a task out of its job if the attempt carries it; the caller puts its next phase back.
+    ///
+    /// Returns `None` if the job was answered meanwhile.
+    fn take_sent(&mut self, task: TaskKey, attempt: AttemptId) -> Option<TaskRecord<Sent>> {
         let job = self.active_job(task.serial)?;
-        job.under_way -= 1;
         let phase = &mut job.phases[task.index as usize];
         match std::mem::replace(phase, TaskPhase::Queued(TaskRecord::new())) {
-            TaskPhase::Sent(sent) => Some(sent),
+            TaskPhase::Sent(sent) if sent.attempt() == attempt => {
+                job.under_way -= 1;
+                Some(sent)
+            }
             other => {
                 *phase = other;
                 self.monitor
@@ -162,6 +181,9 @@
 
     /// Takes a permit to run a task again if its job is one idempotent request.
     fn retry_permit(&mut self, task: TaskKey) -> Option<RetryPermit> {
+        if self.settings.faults.resend_unknown {
+            return Some(RetryPermit::grant());
+        }
         if !self.active_job(task.serial)?.idempotent {
             return None;
         }
--- a/crates/bramley-core/src/kernel/dispatch.rs
+++ b/crates/bramley-core/src/kernel/dispatch.rs
@@ -1,5 +1,7 @@
 //! Sends waiting tasks to idle slots.
 
+use std::collections::BTreeSet;
+
 use smallvec::SmallVec;
 
 use crate::invariants::InvariantKind;
@@ -49,7 +51,7 @@
             self.monitor.check(InvariantKind::AnsweredOnce, false, || {
                 format!("answered ticket {} still waits", serial.0)
             });
-            self.waiting.remove_job(serial);
+            self.waiting.remove_job(serial, &BTreeSet::from([needs]));
             return true;
         };
         let expected = job.expected_run;
@@ -107,20 +109,30 @@
         };
         // The typestate lets only a queued task be sent.
         let phase = &mut job.phases[task.index as usize];
-        let TaskPhase::Queued(record) =
-            std::mem::replace(phase, TaskPhase::Queued(Default::default()))
-        else {
-            self.monitor
-                .check(InvariantKind::StartedAtMostOnce, false, || {
-                    format!("{task:?}")
-                });
-            return;
+        let record = match std::mem::replace(phase, TaskPhase::Queued(Default::default())) {
+            TaskPhase::Queued(record) => record,
+            other => {
+                *phase = other;
+                self.monitor
+                    .check(InvariantKind::StartedAtMostOnce, false, || {
+                        format!("{task:?}")
+                    });
+                self.slots
+                    .release(choice.worker, &choice.slots, attempt, None, now);
+                return;
+            }
         };
+        let permitted = job.idempotent || !record.may_have_run();
+        let first = !record.was_sent_before();
         *phase = TaskPhase::Sent(record.send(attempt));
         job.under_way += 1;
         let input = job.inputs[task.index as usize].clone();
         let (team, class, deadline) = (job.team.clone(), job.class.clone(), job.deadline);
 
+        self.monitor
+            .check(InvariantKind::StartedAtMostOnce, permitted, || {
+                format!("{task:?} was sent again")
+            });
         let profile = self.workers.get(choice.worker);
         let live = profile.state == WorkerState::Live;
         self.monitor
@@ -148,7 +160,9 @@
         };
         self.attempts.insert(attempt, record);
         self.counters.starts += 1;
-        self.budget.earn();
+        if first {
+            self.budget.earn();
+        }
         if self.quotas.start(&team) == QuotaChange::Reached {
             self.waiting.set_blocked(&team, true);
         }
--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -17,6 +17,9 @@
 use super::event::PeerView;
 use super::quota::QuotaChange;
 
+/// Slots of one worker that are used at most, whatever the platform lists.
+const MAX_WORKER_SLOTS: u32 = 4_096;
+
 /// What is known of peers and of ejected workers.
 #[derive(Debug, Default)]
 pub struct FleetView {
@@ -82,6 +85,7 @@
         let mut listed = FxHashSet::default();
         for mut profile in profiles {
             self.apply_sign(&mut profile);
+            profile.slots = profile.slots.min(MAX_WORKER_SLOTS);
             let accepted_slots = profile.slots;
             let index = self.workers.upsert(profile);
             listed.insert(index);
--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -25,6 +25,7 @@
 mod waiting;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -175,11 +176,17 @@
             self.slots.next_timer(),
             self.fleet.next_probe(),
             self.loans.next_wakeup(),
-            self.book.next_expiry(),
+            self.book.next_expiry().map(|time| self.forget_time(time)),
         ];
         times.into_iter().flatten().min()
     }
 
+    /// Returns the time of the sweep that forgets an outcome with the given expiry.
+    fn forget_time(&self, expiry: UnixTime) -> UnixTime {
+        let expired = expiry.after(Duration::from_micros(1));
+        expired.max(self.next_sweep)
+    }
+
     /// Tells whether a drain was started and no accepted work is left.
     #[must_use]
     pub fn is_drained(&self) -> bool {
--- a/crates/bramley-core/src/kernel/settings.rs
+++ b/crates/bramley-core/src/kernel/settings.rs
@@ -4,6 +4,23 @@
 
 use crate::queue::{OrderRegistry, register_enabled};
 
+/// Deliberate faults with which randomised runs show that they would notice a broken kernel.
+///
+/// All are off by default, and no settings file reaches them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KernelFaults {
+    /// Applies the answer of an attempt that has ended to another attempt.
+    pub accept_crossed_answers: bool,
+    /// Forgets answers at once instead of when the ticket expires.
+    pub forget_answers: bool,
+    /// Leaves the tickets of refused submissions open.
+    pub forget_closed_tickets: bool,
+    /// Reports sent tasks of failed jobs as not run.
+    pub report_sent_as_not_run: bool,
+    /// Sends a task again after an unknown outcome although it is not idempotent.
+    pub resend_unknown: bool,
+}
+
 /// Limits of the kernel.
 #[derive(Clone, Debug)]
 pub struct KernelSettings {
@@ -29,6 +46,8 @@
     pub retry_percent: u32,
     /// Interval of the sweeps that forget expired outcomes and give idle loans back.
     pub sweep_interval: Duration,
+    /// Deliberate faults for tests.
+    pub faults: KernelFaults,
 }
 
 impl Default for KernelSettings {
@@ -45,6 +64,7 @@
             slot_rest: Duration::from_millis(50),
             retry_percent: 10,
             sweep_interval: Duration::from_millis(100),
+            faults: KernelFaults::default(),
         }
     }
 }
--- a/crates/bramley-core/src/kernel/snapshot.rs
+++ b/crates/bramley-core/src/kernel/snapshot.rs
@@ -29,6 +29,8 @@
     pub cancelled_jobs: u64,
     /// Tasks sent to workers, repeated ones included.
     pub starts: u64,
+    /// Lanes and tasks visited to remove the waiting tasks of failed jobs.
+    pub removal_steps: u64,
     /// Tasks that ran to their end.
     pub finished_tasks: u64,
     /// Tasks that ran and failed.
--- a/crates/bramley-core/src/kernel/submissions.rs
+++ b/crates/bramley-core/src/kernel/submissions.rs
@@ -1,6 +1,6 @@
 //! Submissions, queries, cancellations and the answers to them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 };
 use crate::outcomes::OutcomeEntry;
 use crate::queue::QueueEntry;
-use crate::task::TaskPhase;
+use crate::task::{TaskPhase, TaskReport};
 use crate::units::{AttemptId, TicketSerial, UnixTime};
 use crate::worker::TaskNeeds;
 
@@ -20,6 +20,9 @@
 use super::action::KernelAction;
 use super::event::JobSubmission;
 
+/// Callers that may wait for one job; further ones are told that it is running.
+const MAX_JOB_WAITERS: usize = 64;
+
 impl DispatchKernel {
     /// Accepts, joins or refuses a submission.
     pub(super) fn on_submitted(
@@ -35,6 +38,9 @@
             digest,
             token,
         } = submission;
+        if self.settings.faults.forget_answers {
+            self.book.forget_answer(serial);
+        }
         if let Some(entry) = self.book.get_mut(serial) {
             self.counters.resubmissions += 1;
             let reply = join(entry, digest == entry.digest, token);
@@ -48,8 +54,8 @@
         self.settle_deadline(&mut spec, expiry, now);
         if let Err(error) = self.admit(&spec, now) {
             self.counters.refused_jobs += 1;
-            self.book.close(serial, expiry);
-            actions.push(refuse(token, error));
+            self.close_ticket(serial, expiry);
+            actions.push(refuse_not_run(token, error));
             return;
         }
         let mut job = Box::new(ActiveJob::new(serial, spec, now));
@@ -57,6 +63,13 @@
         self.accept(job, OutcomeEntryTerms { digest, expiry });
     }
 
+    /// Closes a ticket without a job for good, so that nothing ever starts under it.
+    fn close_ticket(&mut self, serial: TicketSerial, expiry: UnixTime) {
+        if !self.settings.faults.forget_closed_tickets {
+            self.book.close(serial, expiry);
+        }
+    }
+
     /// Checks that a ticket without a job can still be used.
     fn check_ticket(
         &self,
@@ -184,10 +197,8 @@
             actions.push(refuse(token, error));
             return;
         }
-        self.book.close(serial, expiry);
-        let mut failure = JobFailure::refusal(cancelled);
-        failure.execution = ExecutionClaim::NotRun;
-        actions.push(reply(token, &Arc::new(JobAnswer::Failed(failure))));
+        self.close_ticket(serial, expiry);
+        actions.push(refuse_not_run(token, cancelled));
     }
 
     /// Answers a job as complete.
@@ -203,12 +214,13 @@
             .check(InvariantKind::CompleteAnswerIsWhole, whole, || {
                 format!("ticket {}", serial.0)
             });
+        let Some(outputs) = outputs else {
+            let error = DispatchError::new(ErrorKind::Internal, "an output is missing");
+            self.fail_job(serial, error, actions);
+            return;
+        };
         self.counters.completed_jobs += 1;
-        self.answer_job(
-            serial,
-            JobAnswer::Complete(outputs.unwrap_or_default()),
-            actions,
-        );
+        self.answer_job(serial, JobAnswer::Complete(outputs), actions);
     }
 
     /// Gives a job up: answers it at once and asks workers to stop what they may be running.
@@ -221,7 +233,8 @@
         let Some(job) = self.active_job(serial) else {
             return;
         };
-        let failure = job.failure(error);
+        let mut failure = job.failure(error);
+        let needs = job.waiting_needs();
         let sent = job.sent_attempts();
         let consistent = sent.len() == job.under_way;
         self.monitor
@@ -237,7 +250,11 @@
                 });
             }
         }
-        self.waiting.remove_job(serial);
+        if self.settings.faults.report_sent_as_not_run {
+            failure.execution = ExecutionClaim::NotRun;
+            failure.tasks.fill(TaskReport::NotRun);
+        }
+        self.counters.removal_steps += self.waiting.remove_job(serial, &needs);
         self.counters.failed_jobs += 1;
         self.answer_job(serial, JobAnswer::Failed(failure), actions);
     }
@@ -317,6 +334,17 @@
         }
     }
 
+    /// Returns the distinct needs of the tasks that wait.
+    pub(super) fn waiting_needs(&self) -> BTreeSet<TaskNeeds> {
+        let mut needs = BTreeSet::new();
+        for (phase, input) in self.phases.iter().zip(&self.inputs) {
+            if let TaskPhase::Queued(_) = phase {
+                needs.insert(input.needs());
+            }
+        }
+        needs
+    }
+
     fn sent_attempts(&self) -> Vec<AttemptId> {
         let mut attempts = Vec::new();
         for phase in &self.phases {
@@ -338,6 +366,9 @@
     }
     match &mut entry.record {
         JobRecord::Active(job) => {
+            if job.waiters.len() >= MAX_JOB_WAITERS {
+                return Some(KernelAction::ReplyRunning(token));
+            }
             job.waiters.push(token);
             None
         }
@@ -352,6 +383,13 @@
     }
 }
 
+/// Refuses a request under a ticket that was just closed, so that nothing ran or ever will.
+fn refuse_not_run(token: ReplyToken, error: DispatchError) -> KernelAction {
+    let mut failure = JobFailure::refusal(error);
+    failure.execution = ExecutionClaim::NotRun;
+    reply(token, &Arc::new(JobAnswer::Failed(failure)))
+}
+
 fn refuse(token: ReplyToken, error: DispatchError) -> KernelAction {
     let answer = if error.kind == ErrorKind::RefusedEarlier {
         refused_earlier()
--- a/crates/bramley-core/src/kernel/waiting.rs
+++ b/crates/bramley-core/src/kernel/waiting.rs
@@ -1,6 +1,6 @@
 //! Tasks that wait to be sent, by the kind of slot that they need.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
@@ -74,9 +74,10 @@
             }
             let tasks = u32::try_from(lane.tasks).unwrap_or(u32::MAX);
             if needs.accelerators > 0 {
-                demand.accelerated += tasks.saturating_mul(needs.accelerators);
+                let slots = tasks.saturating_mul(needs.accelerators);
+                demand.accelerated = demand.accelerated.saturating_add(slots);
             } else {
-                demand.plain += tasks;
+                demand.plain = demand.plain.saturating_add(tasks);
             }
         }
         demand
@@ -134,17 +135,27 @@
         Some(index)
     }
 
-    /// Removes all waiting tasks of a job.
-    pub fn remove_job(&mut self, serial: TicketSerial) {
-        for lane in self.lanes.values_mut() {
+    /// Removes the waiting tasks of a job with the given needs.
+    ///
+    /// Returns the number of lanes and tasks visited.
+    pub fn remove_job(&mut self, serial: TicketSerial, needs: &BTreeSet<TaskNeeds>) -> u64 {
+        let mut steps = 0;
+        for need in needs {
+            let Some(lane) = self.lanes.get_mut(need) else {
+                continue;
+            };
+            steps += 1;
             if let Some(group) = lane.groups.remove(&serial) {
+                steps += group.indices.len() as u64;
                 self.total -= group.indices.len();
                 lane.tasks -= group.indices.len();
                 lane.order.remove(serial);
             }
+            if lane.groups.is_empty() && *need != TaskNeeds::default() {
+                self.lanes.remove(need);
+            }
         }
-        self.lanes
-            .retain(|needs, lane| !lane.groups.is_empty() || *needs == TaskNeeds::default());
+        steps
     }
 
     /// Sets whether a team has used up its quota.
--- a/crates/bramley-core/src/outcomes.rs
+++ b/crates/bramley-core/src/outcomes.rs
@@ -97,6 +97,7 @@
 
     /// Enters an accepted job.
     pub fn insert(&mut self, serial: TicketSerial, entry: OutcomeEntry) {
+        self.kept_bytes += entry.record.kept_bytes();
         self.expiries.insert((entry.expiry, serial));
         self.entries.insert(serial, entry);
     }
@@ -105,10 +106,9 @@
     pub fn answer(&mut self, serial: TicketSerial, answer: Arc<JobAnswer>) -> Option<JobRecord> {
         let entry = self.entries.get_mut(&serial)?;
         self.kept_bytes += answer.kept_bytes();
-        Some(std::mem::replace(
-            &mut entry.record,
-            JobRecord::Answered(answer),
-        ))
+        let former = std::mem::replace(&mut entry.record, JobRecord::Answered(answer));
+        self.kept_bytes -= former.kept_bytes();
+        Some(former)
     }
 
     /// Closes a ticket whose submission was refused before any task started.
@@ -138,8 +138,17 @@
         let Some(entry) = self.entries.remove(&serial) else {
             return;
         };
-        if let JobRecord::Answered(answer) = entry.record {
-            self.kept_bytes -= answer.kept_bytes();
+        self.kept_bytes -= entry.record.kept_bytes();
+    }
+
+    /// Forgets an answer before its time, which only a deliberate fault does.
+    pub(crate) fn forget_answer(&mut self, serial: TicketSerial) {
+        if let Some(OutcomeEntry {
+            record: JobRecord::Answered(_),
+            ..
+        }) = self.entries.get(&serial)
+        {
+            self.forget(serial);
         }
     }
 
@@ -155,7 +164,7 @@
         self.entries.is_empty()
     }
 
-    /// Returns an estimate of the memory that kept answers take, in bytes.
+    /// Returns an estimate of the memory that active jobs and kept answers take, in bytes.
     #[must_use]
     pub const fn kept_bytes(&self) -> usize {
         self.kept_bytes
--- a/crates/bramley-core/src/task.rs
+++ b/crates/bramley-core/src/task.rs
@@ -2,7 +2,8 @@
 //!
 //! A task is queued, then sent, then finished, failed or unknown. Being sent is one-way: a sent
 //! task returns to the queue only with a [`NotStartedProof`], or with a [`RetryPermit`] if its
-//! job is a single idempotent request.
+//! job is a single idempotent request. A task that returned with a permit may have run, and is
+//! never reported as not run afterwards.
 
 use std::sync::Arc;
 
@@ -58,14 +59,21 @@
 }
 
 /// State of a task that waits to be sent.
-#[derive(Debug)]
-pub struct Queued;
+#[derive(Debug, Default)]
+pub struct Queued {
+    /// Whether the task was sent before.
+    sent_before: bool,
+    /// Whether an earlier attempt may have run the task.
+    may_have_run: bool,
+}
 
 /// State of a task that a worker may be running.
 #[derive(Debug)]
 pub struct Sent {
     /// Attempt that carries the task.
     pub attempt: AttemptId,
+    /// Whether an earlier attempt may have run the task.
+    may_have_run: bool,
 }
 
 /// State of a task that ran to its end.
@@ -93,14 +101,33 @@
     /// Makes a task that was never sent.
     #[must_use]
     pub const fn new() -> Self {
-        Self { state: Queued }
+        let state = Queued {
+            sent_before: false,
+            may_have_run: false,
+        };
+        Self { state }
+    }
+
+    /// Tells whether the task was sent before.
+    #[must_use]
+    pub const fn was_sent_before(&self) -> bool {
+        self.state.sent_before
+    }
+
+    /// Tells whether an earlier attempt may have run the task.
+    #[must_use]
+    pub const fn may_have_run(&self) -> bool {
+        self.state.may_have_run
     }
 
     /// Records that the task leaves for a worker.
     #[must_use]
     pub fn send(self, attempt: AttemptId) -> TaskRecord<Sent> {
         TaskRecord {
-            state: Sent { attempt },
+            state: Sent {
+                attempt,
+                may_have_run: self.state.may_have_run,
+            },
         }
     }
 }
@@ -121,13 +148,23 @@
     /// Returns the task to the queue on proof that it did not start.
     #[must_use]
     pub fn requeue(self, _proof: NotStartedProof) -> TaskRecord<Queued> {
-        TaskRecord::new()
+        TaskRecord {
+            state: Queued {
+                sent_before: true,
+                may_have_run: self.state.may_have_run,
+            },
+        }
     }
 
     /// Returns an idempotent task to the queue although it may have run.
     #[must_use]
     pub fn retry(self, _permit: RetryPermit) -> TaskRecord<Queued> {
-        TaskRecord::new()
+        TaskRecord {
+            state: Queued {
+                sent_before: true,
+                may_have_run: true,
+            },
+        }
     }
 
     /// Records the output of the task.
@@ -179,6 +216,7 @@
     #[must_use]
     pub const fn report(&self) -> TaskReport {
         match self {
+            Self::Queued(task) if task.may_have_run() => TaskReport::MayHaveRun,
             Self::Queued(_) => TaskReport::NotRun,
             Self::Sent(_) | Self::Unknown(_) => TaskReport::MayHaveRun,
             Self::Finished(_) => TaskReport::Finished,
--- a/crates/bramley-core/src/worker.rs
+++ b/crates/bramley-core/src/worker.rs
@@ -60,7 +60,7 @@
     pub const fn fits(&self, needs: TaskNeeds) -> bool {
         let accelerators_fit = needs.accelerators <= self.accelerators
             && (needs.accelerators <= self.slots || needs.accelerators == 0);
-        accelerators_fit && needs.memory_mib <= self.memory_mib
+        accelerators_fit && self.slots > 0 && needs.memory_mib <= self.memory_mib
     }
 }
 
--- /dev/null
+++ b/crates/bramley-core/tests/support/mod.rs
@@ -0,0 +1,71 @@
+//! Builds the inputs of kernels under test.
+
+use std::sync::Arc;
+
+use bramley_core::configuration::{ClassConfiguration, DeploymentConfiguration, TeamConfiguration};
+use bramley_core::job::JobSpec;
+use bramley_core::names::{ClassName, DomainName, RackName, TeamName, WorkerName};
+use bramley_core::task::TaskInput;
+use bramley_core::units::UnixTime;
+use bramley_core::worker::{WorkerProfile, WorkerState};
+
+/// Team of the jobs.
+pub const TEAM: &str = "harbour";
+
+/// Class of the tasks.
+pub const CLASS: &str = "hold";
+
+/// Makes a configuration with one team.
+pub fn configuration() -> Arc<DeploymentConfiguration> {
+    let class = ClassConfiguration {
+        name: ClassName::from(CLASS),
+        expected_run_ms: 50,
+        answer_within_ms: 2_000,
+    };
+    let team = TeamConfiguration {
+        name: TeamName::from(TEAM),
+        max_running_tasks: 1_000,
+        max_job_tasks: 500,
+        weight: 1,
+        classes: vec![class],
+    };
+    Arc::new(DeploymentConfiguration {
+        deployment: "test".to_owned(),
+        failure_domains: Vec::new(),
+        teams: vec![team],
+    })
+}
+
+/// Makes a live worker without accelerators.
+pub fn worker(name: &str, domain: &str, slots: u32) -> WorkerProfile {
+    WorkerProfile {
+        name: WorkerName::from(name),
+        address: ([10, 0, 0, 1], 7_000).into(),
+        domain: DomainName::from(domain),
+        rack: RackName::from("rack-1"),
+        slots,
+        accelerators: 0,
+        memory_mib: 65_536,
+        state: WorkerState::Live,
+    }
+}
+
+/// Makes a job with one task for each payload.
+pub fn job(payloads: &[&str], deadline: UnixTime, idempotent: bool) -> JobSpec {
+    let tasks = payloads
+        .iter()
+        .map(|payload| TaskInput {
+            payload: Arc::from(*payload),
+            accelerators: 0,
+            memory_mib: 0,
+            declared_ms: 0,
+        })
+        .collect();
+    JobSpec {
+        team: TeamName::from(TEAM),
+        class: ClassName::from(CLASS),
+        deadline,
+        idempotent,
+        tasks,
+    }
+}
