Add bramley-load: scenarios in virtual time against baselines

The virtual run drives the real kernels, or a baseline in their place, with the same arrivals, delays, workers and faults from a scenario file. A full simulation of the network was ruled out: delays, cuts and frozen hosts are all that the scenarios need.

--- /dev/null
+++ b/crates/bramley-load/src/main.rs
@@ -0,0 +1,130 @@
+//! Open-loop load and experiments with bramleydock.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use argh::FromArgs;
+use bramley_load::compare::compare_reports;
+use bramley_load::plot::draw_reports;
+use bramley_load::report::RunReport;
+use bramley_load::scenario::Scenario;
+use bramley_load::virtual_run::dispatcher::{POLICIES, PolicyDescriptor, find_policy};
+use bramley_load::virtual_run::run_scenario;
+
+/// Offers load to bramleydock and measures it.
+#[derive(Debug, FromArgs)]
+struct LoadOptions {
+    #[argh(subcommand)]
+    command: LoadCommand,
+}
+
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+enum LoadCommand {
+    Virtual(VirtualOptions),
+    Compare(CompareOptions),
+}
+
+/// Runs a scenario in virtual time.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "virtual")]
+struct VirtualOptions {
+    /// scenario file
+    #[argh(option)]
+    scenario: PathBuf,
+    /// policy, or `all`; `fair` by default
+    #[argh(option, default = "String::from(\"fair\")")]
+    policy: String,
+    /// seed instead of that of the file
+    #[argh(option)]
+    seed: Option<u64>,
+    /// offered load in percent instead of that of the file
+    #[argh(option)]
+    load: Option<u32>,
+    /// file for the reports as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+    /// file for a plot as SVG
+    #[argh(option)]
+    svg: Option<PathBuf>,
+}
+
+/// Sets the first reports of two JSON files side by side.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "compare")]
+struct CompareOptions {
+    /// first file
+    #[argh(positional)]
+    first: PathBuf,
+    /// second file
+    #[argh(positional)]
+    second: PathBuf,
+}
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let options: LoadOptions = argh::from_env();
+    let outcome = match options.command {
+        LoadCommand::Virtual(options) => run_virtual(&options),
+        LoadCommand::Compare(options) => run_compare(&options),
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_virtual(options: &VirtualOptions) -> Result<(), String> {
+    let mut scenario: Scenario =
+        bramley_settings::load_file(&options.scenario).map_err(|error| error.to_string())?;
+    scenario.seed = options.seed.unwrap_or(scenario.seed);
+    scenario.load_percent = options.load.unwrap_or(scenario.load_percent);
+    let mut reports = Vec::new();
+    for policy in choose_policies(&options.policy)? {
+        let report = run_scenario(&scenario, policy);
+        println!("{}", report.to_table());
+        reports.push(report);
+    }
+    if let Some(path) = &options.json {
+        let text = serde_json::to_string_pretty(&reports).map_err(|error| error.to_string())?;
+        write_file(path, &text)?;
+    }
+    if let Some(path) = &options.svg {
+        write_file(path, &draw_reports(&reports)?)?;
+    }
+    Ok(())
+}
+
+fn choose_policies(name: &str) -> Result<Vec<&'static PolicyDescriptor>, String> {
+    if name == "all" {
+        return Ok(POLICIES.iter().collect());
+    }
+    let policy = find_policy(name).ok_or_else(|| {
+        let names: Vec<&str> = POLICIES.iter().map(|policy| policy.name).collect();
+        format!("unknown policy {name}; known are all, {}", names.join(", "))
+    })?;
+    Ok(vec![policy])
+}
+
+fn run_compare(options: &CompareOptions) -> Result<(), String> {
+    let first = read_report(&options.first)?;
+    let second = read_report(&options.second)?;
+    println!("{}", compare_reports(&first, &second));
+    Ok(())
+}
+
+fn read_report(path: &Path) -> Result<RunReport, String> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
+    let reports: Vec<RunReport> =
+        serde_json::from_str(&text).map_err(|error| format!("{}: {error}", path.display()))?;
+    let first = reports.into_iter().next();
+    first.ok_or_else(|| format!("{}: no report", path.display()))
+}
+
+fn write_file(path: &Path, text: &str) -> Result<(), String> {
+    std::fs::write(path, text).map_err(|error| format!("{}: {error}", path.display()))
+}
