--- a/crates/bramley-load/src/virtual_run/baseline.rs
+++ b/crates/bramley-load/src/virtual_run/baseline.rs
@@ -12,7 +12,7 @@
 use bramley_core::kernel::KernelIdentity;
 use bramley_core::kernel::action::{KernelAction, TaskStart};
 use bramley_core::kernel::event::{AttemptEnd, KernelEvent, PeerView};
-use bramley_core::names::HostName;
+use bramley_core::names::{HostName, WorkerName};
 use bramley_core::slots::division::{owner_of_slot, rank_hosts};
 use bramley_core::units::{AttemptId, TaskKey, TicketSerial, UnixTime};
 use bramley_core::worker::{WorkerProfile, WorkerState};
@@ -354,6 +354,16 @@
     }
 }
 
+impl BaselineDispatcher {
+    fn set_state(&mut self, name: &WorkerName, state: WorkerState) {
+        for worker in &mut self.workers {
+            if worker.profile.name == *name {
+                worker.profile.state = state;
+            }
+        }
+    }
+}
+
 impl Dispatcher for BaselineDispatcher {
     fn handle(&mut self, event: KernelEvent, now: UnixTime, actions: &mut Vec<KernelAction>) {
         match event {
@@ -366,13 +376,8 @@
             }
             KernelEvent::WorkersListed(profiles) => self.on_listed(profiles),
             KernelEvent::PeersChanged(peers) => self.on_peers(&peers),
-            KernelEvent::WorkerLeaving(name) => {
-                for worker in &mut self.workers {
-                    if worker.profile.name == name {
-                        worker.profile.state = WorkerState::Leaving;
-                    }
-                }
-            }
+            KernelEvent::WorkerLeaving(name) => self.set_state(&name, WorkerState::Leaving),
+            KernelEvent::WorkerLive(name) => self.set_state(&name, WorkerState::Live),
             KernelEvent::Queried { .. }
             | KernelEvent::Configured(_)
             | KernelEvent::LoanAsked(_)
--- a/crates/bramley-load/src/virtual_run/driver.rs
+++ b/crates/bramley-load/src/virtual_run/driver.rs
@@ -173,6 +173,7 @@
             name: ClassName::from(workload.class.as_str()),
             expected_run_ms: workload.declared_ms,
             answer_within_ms: workload.answer_within_ms,
+            ..ClassConfiguration::default()
         };
         let known = teams
             .iter_mut()
@@ -187,6 +188,7 @@
             max_job_tasks: 500,
             weight: workload.weight,
             classes: vec![class],
+            ..TeamConfiguration::default()
         });
     }
     DeploymentConfiguration {
@@ -197,6 +199,7 @@
             .map(|domain| DomainName::from(domain.name.as_str()))
             .collect(),
         teams,
+        ..DeploymentConfiguration::default()
     }
 }
 
