Failures shown with real processes; fresh connections after silence; lists from siblings

Cause: 1. after a worker's connections went silent, each request that followed was sent on another silent one of the pool. Every worker has a pool of its own now, replaced once an attempt gives no answer for four times its expected run time (at least 1 s). Without the replacement the test silent_connections_lose_nothing_but_what_was_in_flight ended with 502 for the job that followed; with it the job is complete. Ruled out: keep-alive probes, which the far end's network stack answers. 2. A host that started in an outage had no workers. The newest list travels with the configuration between siblings. Tests: killed, frozen and stopped owners, an outage, lost answers of the store, a leaving worker, cancellation, bad input and silent callers, against the built programs.

--- a/crates/bramley-core/src/kernel/action.rs
+++ b/crates/bramley-core/src/kernel/action.rs
@@ -80,4 +80,6 @@
     pub accelerators: u32,
     /// Latest time at which the task may start.
     pub start_before: UnixTime,
+    /// Time from which the connection counts as silent: what follows takes a fresh one.
+    pub silent_after: UnixTime,
 }
--- a/crates/bramley-core/src/kernel/dispatch.rs
+++ b/crates/bramley-core/src/kernel/dispatch.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use std::time::Duration;
+
 use smallvec::SmallVec;
 
 use crate::invariants::InvariantKind;
@@ -18,6 +20,12 @@
 /// Multiple of the expected run time for which a borrowed slot must stay ours.
 const LOAN_RUN_FACTOR: u32 = 2;
 
+/// Multiple of the expected run time after which a connection without an answer counts as silent.
+const SILENT_RUN_FACTOR: u32 = 4;
+
+/// Shortest time after which a connection without an answer counts as silent.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+
 /// Where a task is going to run.
 struct SlotChoice {
     worker: WorkerIndex,
@@ -128,6 +136,10 @@
         job.under_way += 1;
         let input = job.inputs[task.index as usize].clone();
         let (team, class, deadline) = (job.team.clone(), job.class.clone(), job.deadline);
+        let silence = job
+            .expected_run
+            .saturating_mul(SILENT_RUN_FACTOR)
+            .max(MIN_SILENCE);
 
         self.monitor
             .check(InvariantKind::StartedAtMostOnce, permitted, || {
@@ -149,6 +161,7 @@
             payload: input.payload,
             accelerators: input.accelerators,
             start_before: deadline,
+            silent_after: now.after(silence),
         })));
         let record = AttemptRecord {
             task,
--- a/crates/bramley-entry/src/bin/bramley-entry.rs
+++ b/crates/bramley-entry/src/bin/bramley-entry.rs
@@ -41,6 +41,7 @@
     };
     env_logger::Builder::new()
         .parse_filters(&settings.log)
+        .format_timestamp_millis()
         .init();
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.threads as usize)
--- a/crates/bramley-entry/src/caller/requests.rs
+++ b/crates/bramley-entry/src/caller/requests.rs
@@ -39,6 +39,21 @@
     check_team(&request.team)
 }
 
+/// Checks that a submission names a ticket or a well-formed key.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::MalformedRequest`].
+pub fn check_reference(request: &JobRequest) -> Result<(), DispatchError> {
+    if request.ticket.is_empty() == request.key.is_empty() {
+        return Err(malformed("either a ticket or a key is needed"));
+    }
+    if request.key.is_empty() {
+        return Ok(());
+    }
+    check_key(&request.key)
+}
+
 /// Checks a submission and turns it into a job.
 ///
 /// # Errors
@@ -49,12 +64,6 @@
     if !request.class.is_empty() && !is_valid_name(&request.class) {
         return Err(malformed("class must be a name"));
     }
-    if request.ticket.is_empty() == request.key.is_empty() {
-        return Err(malformed("either a ticket or a key is needed"));
-    }
-    if !request.key.is_empty() {
-        check_key(&request.key)?;
-    }
     let limit = settings.limits.max_job_tasks as usize;
     if request.tasks.len() > limit {
         let detail = format!("{} tasks, at most {limit}", request.tasks.len());
--- a/crates/bramley-entry/src/caller/routes.rs
+++ b/crates/bramley-entry/src/caller/routes.rs
@@ -12,7 +12,7 @@
 use hyper::StatusCode;
 
 use crate::caller::replies::EncodedAnswer;
-use crate::caller::requests::{check_ticket_request, make_job, parse_message};
+use crate::caller::requests::{check_reference, check_ticket_request, make_job, parse_message};
 use crate::kernel_loop::SubmitRequest;
 use crate::keys;
 use crate::shared::SharedState;
@@ -89,6 +89,9 @@
         Ok(request) => request,
         Err(error) => return EncodedAnswer::of_error("", error),
     };
+    if let Err(error) = check_reference(&request) {
+        return EncodedAnswer::of_error(&request.ticket, error);
+    }
     if request.key.is_empty() {
         return submit_ticket(state, request, body, hops).await;
     }
--- a/crates/bramley-entry/src/daemon.rs
+++ b/crates/bramley-entry/src/daemon.rs
@@ -35,7 +35,7 @@
 use crate::peers::server::PeerService;
 use crate::platform_loop;
 use crate::shared::SharedState;
-use crate::worker_client::WorkerClient;
+use crate::worker_client::AttemptTimes;
 
 /// Interval at which a planned stop looks whether all work is done.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
@@ -253,11 +253,9 @@
 
     fn spawn_kernel(&self, inbox: KernelInbox) {
         let kernel = make_kernel(&self.state.settings, rand::rng().random());
-        let connect_timeout = Duration::from_millis(self.state.settings.timing.connect_timeout_ms);
         let runner = TaskRunner {
             state: Arc::clone(&self.state),
             members: self.members.clone(),
-            workers: WorkerClient::new(self.state.issuer.incarnation(), connect_timeout),
             all: self.tokens.all.clone(),
         };
         let kernel_loop = KernelLoop::new(kernel, self.state.clock, inbox, runner);
@@ -327,7 +325,6 @@
 struct TaskRunner {
     state: Arc<SharedState>,
     members: MemberHandle,
-    workers: WorkerClient,
     all: CancellationToken,
 }
 
@@ -335,13 +332,15 @@
     fn run(&mut self, action: KernelAction) {
         match action {
             KernelAction::Start(start) => {
-                let answer_by = self.state.clock.instant_of(start.start_before);
-                let workers = self.workers.clone();
+                let times = AttemptTimes {
+                    silent_after: self.state.clock.instant_of(start.silent_after),
+                    answer_by: self.state.clock.instant_of(start.start_before),
+                };
                 let state = Arc::clone(&self.state);
                 let members = self.members.clone();
                 self.spawn(async move {
                     let (attempt, worker) = (start.attempt, start.worker.clone());
-                    let outcome = workers.start(*start, answer_by).await;
+                    let outcome = state.worker_client.start(*start, times).await;
                     if matches!(outcome.end, AttemptEnd::Unknown) {
                         log::warn!(
                             "event=outcome_unknown worker={worker} attempt={}",
@@ -363,8 +362,8 @@
             // The attempt's own deadline closes its connection at the same time.
             KernelAction::Abandon(_) => {}
             KernelAction::Stop { address, task } => {
-                let workers = self.workers.clone();
-                self.spawn(async move { workers.stop(address, task).await });
+                let state = Arc::clone(&self.state);
+                self.spawn(async move { state.worker_client.stop(address, task).await });
             }
             KernelAction::AskLoan {
                 lender,
--- a/crates/bramley-entry/src/lib.rs
+++ b/crates/bramley-entry/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`peers`] talks to other entry processes.
 //! - [`platform_loop`] follows the platform's list and configuration.
 //! - [`shared`] holds what the request path reads.
+//! - [`worker_channels`] holds connections to workers.
 //! - [`worker_client`] sends tasks to workers.
 
 pub mod caller;
@@ -29,6 +30,7 @@
 pub mod peers;
 pub mod platform_loop;
 pub mod shared;
+pub mod worker_channels;
 pub mod worker_client;
 
 pub use daemon::{EntryDaemon, StopOutcome};
--- a/crates/bramley-entry/src/member_loop.rs
+++ b/crates/bramley-entry/src/member_loop.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::peers::convert::{news_from_wire, news_to_wire};
+use crate::platform_loop::adopt_workers;
 use crate::shared::{ConfigurationSnapshot, MemberDirectory, SharedState};
 
 /// Messages that may wait for the membership's task.
@@ -306,6 +307,9 @@
             let message = match state.peers.fetch_configuration(address).await {
                 Ok(reply) => {
                     state.metrics.count_control_message(&reply);
+                    if let Ok(list) = serde_json::from_str(&reply.worker_list) {
+                        adopt_workers(&state, &handle, list, "sibling").await;
+                    }
                     MemberMessage::Offer {
                         text: reply.document,
                         source: address.to_string(),
--- a/crates/bramley-entry/src/peers/server.rs
+++ b/crates/bramley-entry/src/peers/server.rs
@@ -123,6 +123,7 @@
         let reply = ConfigurationReply {
             generation: configuration.generation,
             document: configuration.stored.clone(),
+            worker_list: self.state.encode_workers(),
         };
         self.state.metrics.count_control_message(&reply);
         Ok(Response::new(reply))
--- a/crates/bramley-entry/src/platform_loop.rs
+++ b/crates/bramley-entry/src/platform_loop.rs
@@ -76,16 +76,11 @@
 pub async fn follow_workers(state: Arc<SharedState>, members: MemberHandle) {
     let interval = Duration::from_millis(state.settings.timing.worker_list_poll_ms);
     let mut wait = RetryWait::new();
-    let mut newest = 0;
     loop {
         match state.store.workers().await {
             Ok(list) => {
                 wait.reset();
-                // A list that comes back older is not obeyed.
-                if list.revision >= newest {
-                    newest = list.revision;
-                    report_workers(&state, &members, list).await;
-                }
+                adopt_workers(&state, &members, list, "platform").await;
                 tokio::time::sleep(spread(interval)).await;
             }
             Err(error) => {
@@ -101,6 +96,31 @@
     interval.mul_f64(rand::rng().random_range(0.9..1.1))
 }
 
+/// Puts a worker list into force if it is newer than the present one.
+///
+/// `source` is named in the log. The list may come from the platform or from a sibling, which
+/// helps a host that starts while the platform cannot be reached.
+pub async fn adopt_workers(
+    state: &SharedState,
+    members: &MemberHandle,
+    list: WorkerList,
+    source: &str,
+) {
+    let present = state.workers.load().revision;
+    if list.revision < present {
+        let offered = list.revision;
+        log::warn!("event=worker_list_older source={source} offered={offered} present={present}");
+    }
+    if list.revision > present {
+        log::info!(
+            "event=workers_listed source={source} revision={}",
+            list.revision
+        );
+        state.workers.store(Arc::new(list.clone()));
+        report_workers(state, members, list).await;
+    }
+}
+
 async fn report_workers(state: &SharedState, members: &MemberHandle, list: WorkerList) {
     let mut listed = ListedWorkers {
         revision: list.revision,
--- a/crates/bramley-entry/src/shared.rs
+++ b/crates/bramley-entry/src/shared.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use bramley_core::configuration::DeploymentConfiguration;
@@ -12,11 +13,13 @@
 use bramley_core::ticket::TicketIssuer;
 use bramley_settings::EntrySettings;
 use bramley_store::StoreClient;
+use bramley_wire::platform::WorkerList;
 
 use crate::clock::ProcessClock;
 use crate::kernel_loop::KernelHandle;
 use crate::metrics::EntryMetrics;
 use crate::peers::client::PeerClients;
+use crate::worker_client::WorkerClient;
 
 /// Configuration in force with its generation.
 #[derive(Debug, Default)]
@@ -94,12 +97,16 @@
     pub kernel: KernelHandle,
     /// Connections to other entry processes.
     pub peers: PeerClients,
+    /// Connections to workers.
+    pub worker_client: WorkerClient,
     /// Platform's key-value service.
     pub store: StoreClient,
     /// Members, replaced as a whole by the membership loop.
     pub members: ArcSwap<MemberDirectory>,
     /// Configuration, replaced as a whole when a newer one comes into force.
     pub configuration: ArcSwap<ConfigurationSnapshot>,
+    /// Newest worker list of the platform; its revision only rises.
+    pub workers: ArcSwap<WorkerList>,
     /// Present load, which heartbeats tell.
     pub load: LoadGauge,
     /// Metrics.
@@ -119,6 +126,8 @@
     ) -> Self {
         let host = HostName::from(settings.host.as_str());
         let peers = PeerClients::new(settings.timing.connect_timeout_ms);
+        let connect_timeout = Duration::from_millis(settings.timing.connect_timeout_ms);
+        let worker_client = WorkerClient::new(issuer.incarnation(), connect_timeout);
         Self {
             settings,
             host,
@@ -126,15 +135,27 @@
             issuer,
             kernel,
             peers,
+            worker_client,
             store,
             members: ArcSwap::default(),
             configuration: ArcSwap::default(),
+            workers: ArcSwap::default(),
             load: LoadGauge::default(),
             metrics: EntryMetrics::default(),
             draining: AtomicBool::new(false),
         }
     }
 
+    /// Encodes the newest worker list for a sibling; empty if none is known.
+    #[must_use]
+    pub fn encode_workers(&self) -> String {
+        let list = self.workers.load();
+        if list.revision == 0 {
+            return String::new();
+        }
+        serde_json::to_string(list.as_ref()).unwrap_or_default()
+    }
+
     /// Tells whether a planned stop has begun.
     #[must_use]
     pub fn is_draining(&self) -> bool {
--- a/crates/bramley-entry/src/worker_client.rs
+++ b/crates/bramley-entry/src/worker_client.rs
@@ -1,5 +1,6 @@
 //! Sends tasks to workers and tells what is proved when no answer comes.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,25 +13,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Method, Request, StatusCode};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::{Instant, timeout_at};
 
-/// Time after which an idle connection is closed, before anything between the ends forgets it.
-const IDLE_CONNECTION_LIFE: Duration = Duration::from_secs(2);
-
-/// Idle connections kept to one worker.
-const MAX_IDLE_CONNECTIONS: usize = 8;
-
-/// Time between keep-alive probes on a connection without traffic.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
-
-/// Unanswered keep-alive probes after which a connection counts as dead.
-const KEEP_ALIVE_PROBES: u32 = 3;
-
-/// Time for sent data to be acknowledged by the other end's network stack.
-const ACKNOWLEDGE_LIMIT: Duration = Duration::from_secs(3);
+use crate::worker_channels::{HttpClient, WorkerChannels};
 
 /// Largest answer of a worker in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
@@ -65,10 +50,19 @@
     }
 }
 
+/// Times that bound one attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptTimes {
+    /// Instant from which the connection counts as silent.
+    pub silent_after: Instant,
+    /// Instant after which the end is no longer waited for.
+    pub answer_by: Instant,
+}
+
 /// Sends tasks to workers over pooled connections.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct WorkerClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    channels: WorkerChannels,
     incarnation: IncarnationId,
 }
 
@@ -76,26 +70,14 @@
     /// Makes a client whose connections are opened within `connect_timeout`.
     #[must_use]
     pub fn new(incarnation: IncarnationId, connect_timeout: Duration) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(connect_timeout));
-        connector.set_keepalive(Some(KEEP_ALIVE_INTERVAL));
-        connector.set_keepalive_interval(Some(KEEP_ALIVE_INTERVAL));
-        connector.set_keepalive_retries(Some(KEEP_ALIVE_PROBES));
-        connector.set_tcp_user_timeout(Some(ACKNOWLEDGE_LIMIT));
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_CONNECTION_LIFE)
-            .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
-            .pool_timer(TokioTimer::new())
-            .build(connector);
         Self {
-            client,
+            channels: WorkerChannels::new(connect_timeout),
             incarnation,
         }
     }
 
-    /// Sends a task and waits for its end, at most until `answer_by`.
-    pub async fn start(&self, start: TaskStart, answer_by: Instant) -> StartOutcome {
+    /// Sends a task and waits for its end, at most until the last of the times.
+    pub async fn start(&self, start: TaskStart, times: AttemptTimes) -> StartOutcome {
         let task = self.name_task(start.task);
         let body = StartRequest {
             task: task.clone(),
@@ -113,27 +95,28 @@
             }
             .into();
         };
-        let response = match timeout_at(answer_by, self.client.request(request)).await {
-            Ok(Ok(response)) => response,
-            // Only a failure to connect proves that nothing left.
-            Ok(Err(error)) if error.is_connect() => {
-                let proof = NotStartedProof::ConnectFailed;
-                return AttemptEnd::NotStarted {
-                    proof,
-                    leaving: false,
-                }
-                .into();
+        let channel = self.channels.channel(start.address);
+        let exchange = exchange(&channel.client, request, times.answer_by);
+        tokio::pin!(exchange);
+        let answer = tokio::select! {
+            answer = &mut exchange => answer,
+            () = tokio::time::sleep_until(times.silent_after) => {
+                // The task may only be slow, so its end is still waited for.
+                self.channels.replace(start.address, &channel);
+                exchange.await
             }
-            Ok(Err(_)) | Err(_) => return AttemptEnd::Unknown.into(),
         };
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
-        match timeout_at(answer_by, body.collect()).await {
-            Ok(Ok(body)) => judge(status, &body.to_bytes(), &task, start.attempt.0),
-            Ok(Err(_)) | Err(_) => AttemptEnd::Unknown.into(),
+        match answer {
+            Ok((status, body)) => judge(status, &body, &task, start.attempt.0),
+            Err(end) => end.into(),
         }
     }
 
+    /// Drops the connections to workers that are no longer listed.
+    pub fn retain_listed(&self, addresses: &HashSet<SocketAddr>) {
+        self.channels.retain(|address| addresses.contains(&address));
+    }
+
     /// Asks a worker to stop a task; nothing depends on the answer.
     pub async fn stop(&self, address: SocketAddr, task: TaskKey) {
         let body = StopRequest {
@@ -143,7 +126,11 @@
             return;
         };
         let deadline = Instant::now() + STOP_LIMIT;
-        let result = timeout_at(deadline, self.client.request(request)).await;
+        let result = timeout_at(
+            deadline,
+            self.channels.channel(address).client.request(request),
+        )
+        .await;
         if !matches!(result, Ok(Ok(_))) {
             log::debug!("event=stop_failed worker={address} task={}", task.serial.0);
         }
@@ -155,6 +142,32 @@
     }
 }
 
+/// Sends a request and reads the whole answer; an error tells how the attempt ended.
+async fn exchange(
+    client: &HttpClient,
+    request: Request<Full<Bytes>>,
+    answer_by: Instant,
+) -> Result<(StatusCode, Bytes), AttemptEnd> {
+    let response = match timeout_at(answer_by, client.request(request)).await {
+        Ok(Ok(response)) => response,
+        // Only a failure to connect proves that nothing left.
+        Ok(Err(error)) if error.is_connect() => {
+            let proof = NotStartedProof::ConnectFailed;
+            return Err(AttemptEnd::NotStarted {
+                proof,
+                leaving: false,
+            });
+        }
+        Ok(Err(_)) | Err(_) => return Err(AttemptEnd::Unknown),
+    };
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    match timeout_at(answer_by, body.collect()).await {
+        Ok(Ok(body)) => Ok((status, body.to_bytes())),
+        Ok(Err(_)) | Err(_) => Err(AttemptEnd::Unknown),
+    }
+}
+
 fn post(
     address: SocketAddr,
     path: &str,
--- a/crates/bramley-entry/tests/support/mod.rs
+++ b/crates/bramley-entry/tests/support/mod.rs
@@ -201,6 +201,14 @@
         });
     }
 
+    /// Starts a process in place of one that has ended, at the same host name.
+    pub fn replace_entry(&mut self, position: usize, domain: &str) {
+        let ended = self.entries.remove(position);
+        self.start_entry(&ended.name, domain);
+        let started = self.entries.pop().expect("it was just started");
+        self.entries.insert(position, started);
+    }
+
     /// Starts an entry host that knows the peer addresses of those started before.
     pub fn start_entry(&mut self, name: &str, domain: &str) {
         let siblings: Vec<String> = self
