--- a/crates/bramley-store/tests/store_client.rs
+++ b/crates/bramley-store/tests/store_client.rs
@@ -148,3 +148,28 @@
         "{slots:?}"
     );
 }
+
+#[test]
+fn hosts_do_not_come_back_from_an_outage_together() {
+    const HOSTS: usize = 100;
+    const OUTAGE: Duration = Duration::from_secs(60);
+    const PART: Duration = Duration::from_millis(100);
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let mut calls_by_part = [0; 21];
+    for _ in 0..HOSTS {
+        // The outage cuts the waiting watches of all hosts at once.
+        let mut backoff = RetryBackoff::new(BackoffSettings::default());
+        let mut next_call = Duration::ZERO;
+        while next_call < OUTAGE {
+            next_call += backoff.next_delay(&mut rng);
+        }
+        let part = (next_call - OUTAGE).as_millis() / PART.as_millis();
+        calls_by_part[usize::try_from(part).expect("a part")] += 1;
+    }
+    println!("calls in each 100 ms after the outage: {calls_by_part:?}");
+    let most = calls_by_part.iter().max().copied().unwrap_or(0);
+    assert!(
+        most <= HOSTS / 5,
+        "{most} of {HOSTS} hosts come back within {PART:?}"
+    );
+}
--- a/crates/bramleyctl/src/commands/apply.rs
+++ b/crates/bramleyctl/src/commands/apply.rs
@@ -87,7 +87,7 @@
     }
     let deadline = Instant::now() + Duration::from_millis(arguments.wait_ms);
     let hosts = wait_for_generation(&arguments.host, generation, deadline).await;
-    match write_hosts(&hosts, generation, output)? {
+    match write_hosts(&hosts, Some(generation), output)? {
         0 => Ok(()),
         count => Err(CommandError::NotInForce { count }),
     }
--- a/crates/bramleyctl/src/commands/inspect.rs
+++ b/crates/bramleyctl/src/commands/inspect.rs
@@ -8,7 +8,7 @@
 use crate::change::unix_millis;
 use crate::cli::{DiffArguments, HistoryArguments, ShowArguments};
 use crate::commands::{open_repository, read_deadline, write_hosts};
-use crate::control::ask_generations;
+use crate::control::{HostGeneration, ask_generations};
 use crate::difference::compare_documents;
 use crate::error::CommandError;
 use crate::repository::ConfigurationRepository;
@@ -29,24 +29,24 @@
         Ok(envelope) => envelope,
         Err(error) => {
             // The hosts are shown all the same: they go on with what is in force.
-            write_hosts(&hosts, 0, output)?;
+            write_hosts(&hosts, None, output)?;
             return Err(error);
         }
     };
     if !arguments.document {
         writeln!(output, "{}", describe_change(&envelope.change))?;
-        write_hosts(&hosts, envelope.generation(), output)?;
+        write_hosts(&hosts, Some(envelope.generation()), output)?;
         warn_about_rollback(&hosts, envelope.generation(), output)?;
     }
     write_document(&envelope.document, output)
 }
 
 fn warn_about_rollback(
-    hosts: &[crate::control::HostGeneration],
+    hosts: &[HostGeneration],
     generation: u64,
     output: &mut impl Write,
 ) -> Result<(), CommandError> {
-    let is_newer = |host: &crate::control::HostGeneration| {
+    let is_newer = |host: &HostGeneration| {
         host.generation
             .as_ref()
             .is_ok_and(|found| *found > generation)
--- a/crates/bramleyctl/src/commands/mod.rs
+++ b/crates/bramleyctl/src/commands/mod.rs
@@ -23,7 +23,7 @@
 use crate::repository::ConfigurationRepository;
 
 /// Longest time to read from the store.
-const READ_TIME_LIMIT: Duration = Duration::from_secs(10);
+const READ_TIME_LIMIT: Duration = Duration::from_secs(5);
 
 /// Runs a command and writes its results.
 ///
@@ -81,28 +81,39 @@
 }
 
 /// Writes the generation in force on each host, and returns how many are behind or unreachable.
+///
+/// `stored` is the generation in the store, if it is known.
 fn write_hosts(
     hosts: &[HostGeneration],
-    generation: u64,
+    stored: Option<u64>,
     output: &mut impl Write,
 ) -> Result<usize, CommandError> {
     let mut behind = 0;
     for host in hosts {
-        let state = match &host.generation {
-            Ok(found) if *found == generation => format!("generation {found} in force"),
-            Ok(found) if *found > generation => {
-                format!("generation {found} in force, newer than generation {generation}")
-            }
-            Ok(found) => {
-                behind += 1;
-                format!("generation {found} in force, behind generation {generation}")
-            }
-            Err(reason) => {
-                behind += 1;
-                format!("unreachable: {reason}")
-            }
-        };
-        writeln!(output, "host {}: {state}", host.address)?;
+        let least = stored.unwrap_or(0);
+        if !host.generation.as_ref().is_ok_and(|found| *found >= least) {
+            behind += 1;
+        }
+        writeln!(
+            output,
+            "host {}: {}",
+            host.address,
+            describe_host(host, stored)
+        )?;
     }
     Ok(behind)
 }
+
+fn describe_host(host: &HostGeneration, stored: Option<u64>) -> String {
+    let found = match &host.generation {
+        Ok(0) => return String::from("no configuration in force"),
+        Ok(found) => *found,
+        Err(reason) => return format!("unreachable: {reason}"),
+    };
+    let comparison = match stored {
+        Some(stored) if found < stored => ", behind the store",
+        Some(stored) if found > stored => ", newer than the store",
+        Some(_) | None => "",
+    };
+    format!("generation {found} in force{comparison}")
+}
