Never call a change lost when its record may have been pushed out

Now the command says that the effect is unknown where an answer was lost and the record does not reach back to the base.

--- a/crates/bramley-core/src/configuration/envelope.rs
+++ b/crates/bramley-core/src/configuration/envelope.rs
@@ -109,6 +109,14 @@
         }
     }
 
+    /// Tells whether every change after a generation is recorded.
+    #[must_use]
+    pub fn records_since(&self, generation: u64) -> bool {
+        let is_whole = self.earlier.len() < MAX_CHANGE_RECORDS;
+        let mut earlier = self.earlier.iter();
+        is_whole || earlier.any(|change| change.generation <= generation)
+    }
+
     /// Returns the recorded change with an operation id.
     #[must_use]
     pub fn find_change(&self, operation_id: &str) -> Option<&ChangeRecord> {
--- a/crates/bramleyctl/src/change.rs
+++ b/crates/bramleyctl/src/change.rs
@@ -241,6 +241,12 @@
         if current.find_change(operation_id).is_some() {
             return Ok(applied(Some(current.change)));
         }
+        if is_unknown && !current.records_since(self.base) {
+            let last = StoreError::AnswerLost(String::from(
+                "so many changes followed that the store no longer records this one",
+            ));
+            return Err(self.give_up(is_unknown, last).into());
+        }
         Err(ChangeRefusal {
             error: lose_race(self.base, &current),
             stored: Some(Box::new(current)),
