--- /dev/null
+++ b/crates/bramley-core/tests/outcome_runs.rs
@@ -0,0 +1,167 @@
+//! Long randomised runs: outcomes stay true while hosts, workers, links and the store fail.
+
+mod runs;
+mod support;
+
+use bramley_core::kernel::settings::KernelFaults;
+use runs::report::{RunReport, ViolationKind};
+use runs::{BrokenParts, RunSettings, run};
+
+/// Steps of a run with a fixed seed.
+const RUN_STEPS: u64 = 100_000;
+
+/// Seeds of the runs with nothing broken.
+const SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
+
+fn assert_sound(seed: u64, report: &RunReport) {
+    println!("seed={seed} {report}");
+    assert!(report.violations.is_empty(), "seed={seed} {report}");
+    assert_eq!(report.missing_faults(), [], "seed={seed}");
+}
+
+#[test]
+fn outcomes_stay_true_under_failure() {
+    for seed in SEEDS {
+        let steps = RUN_STEPS;
+        let report = run(RunSettings {
+            seed,
+            steps,
+            ..RunSettings::default()
+        });
+        assert_sound(seed, &report);
+    }
+}
+
+/// Runs `BRAMLEY_RUN_STEPS` steps with the seed `BRAMLEY_RUN_SEED`.
+#[test]
+#[ignore = "takes minutes; run it by the command in docs/PROOFS.md"]
+fn outcomes_stay_true_in_a_long_run() {
+    let number = |name: &str, default: u64| {
+        std::env::var(name).map_or(default, |text| text.parse().expect("a number"))
+    };
+    let seed = number("BRAMLEY_RUN_SEED", 1);
+    let steps = number("BRAMLEY_RUN_STEPS", 3_000_000);
+    let report = run(RunSettings {
+        seed,
+        steps,
+        ..RunSettings::default()
+    });
+    assert_sound(seed, &report);
+}
+
+/// Runs a broken version and checks that each expected violation is found.
+fn assert_caught(kernel_faults: KernelFaults, broken: BrokenParts, expected: &[ViolationKind]) {
+    let seed = 1;
+    let steps = RUN_STEPS;
+    let report = run(RunSettings {
+        seed,
+        steps,
+        kernel_faults,
+        broken,
+    });
+    println!("seed={seed} {kernel_faults:?} {broken:?} {report}");
+    for kind in expected {
+        assert!(
+            report.violations.contains_key(kind),
+            "{kind:?} is missing in {report}"
+        );
+    }
+}
+
+#[test]
+fn resending_after_an_unknown_outcome_is_caught() {
+    let faults = KernelFaults {
+        resend_unknown: true,
+        ..KernelFaults::default()
+    };
+    let expected = [ViolationKind::StartedTwice, ViolationKind::KernelMonitor];
+    assert_caught(faults, BrokenParts::default(), &expected);
+}
+
+#[test]
+fn reporting_sent_tasks_as_not_run_is_caught() {
+    let faults = KernelFaults {
+        report_sent_as_not_run: true,
+        ..KernelFaults::default()
+    };
+    let expected = [
+        ViolationKind::NotRunHadStarted,
+        ViolationKind::StartedAfterNotRun,
+    ];
+    assert_caught(faults, BrokenParts::default(), &expected);
+}
+
+#[test]
+fn forgetting_closed_tickets_is_caught() {
+    let faults = KernelFaults {
+        forget_closed_tickets: true,
+        ..KernelFaults::default()
+    };
+    let expected = [
+        ViolationKind::StartedAfterNotRun,
+        ViolationKind::DifferentAnswers,
+    ];
+    assert_caught(faults, BrokenParts::default(), &expected);
+}
+
+#[test]
+fn forgetting_answers_early_is_caught() {
+    let faults = KernelFaults {
+        forget_answers: true,
+        ..KernelFaults::default()
+    };
+    let expected = [ViolationKind::StartedTwice, ViolationKind::DifferentAnswers];
+    assert_caught(faults, BrokenParts::default(), &expected);
+}
+
+#[test]
+fn accepting_crossed_answers_is_caught() {
+    let faults = KernelFaults {
+        accept_crossed_answers: true,
+        ..KernelFaults::default()
+    };
+    assert_caught(
+        faults,
+        BrokenParts::default(),
+        &[ViolationKind::ForeignOutput],
+    );
+}
+
+#[test]
+fn adopting_the_tickets_of_a_former_incarnation_is_caught() {
+    let broken = BrokenParts {
+        adopt_tickets: true,
+        ..BrokenParts::default()
+    };
+    assert_caught(
+        KernelFaults::default(),
+        broken,
+        &[ViolationKind::StartedTwice],
+    );
+}
+
+#[test]
+fn binding_a_refused_key_again_is_caught() {
+    let broken = BrokenParts {
+        rebind_refused_keys: true,
+        ..BrokenParts::default()
+    };
+    assert_caught(
+        KernelFaults::default(),
+        broken,
+        &[ViolationKind::StartedAfterNotRun],
+    );
+}
+
+#[test]
+fn claiming_without_the_store_that_a_key_was_not_run_is_caught() {
+    let broken = BrokenParts {
+        claim_keys_not_run: true,
+        ..BrokenParts::default()
+    };
+    assert_caught(
+        KernelFaults::default(),
+        broken,
+        &[ViolationKind::NotRunHadStarted],
+    );
+}
--- /dev/null
+++ b/crates/bramley-core/tests/runs/checks.rs
@@ -0,0 +1,193 @@
+//! Compares what callers are told with the ledgers of the workers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramley_core::errors::ExecutionClaim;
+use bramley_core::job::{JobAnswer, JobFailure};
+use bramley_core::task::TaskReport;
+
+use super::callers::Decision;
+use super::messages::{IncarnationNumber, Message, RequestKind, StartCall, Target};
+use super::report::ViolationKind;
+use super::world::{WORKER_DOMAINS, WORKER_SLOTS, World};
+
+/// Time by which an answer may follow the deadline of its job, for the ticks of the driver.
+const ANSWER_GRACE: Duration = Duration::from_millis(150);
+
+/// Reads caller, index and variant from the payload of a task.
+fn read_payload(payload: &str) -> (u64, usize, u32) {
+    let mut parts = payload.split('.');
+    let mut next = || parts.next().expect("a payload has three parts");
+    let caller = next().parse().expect("a caller");
+    let index = next().parse().expect("an index");
+    let variant = next().parse().expect("a variant");
+    (caller, index, variant)
+}
+
+impl World {
+    /// Enters a start into the ledger and checks that it may happen.
+    pub fn record_start(&mut self, call: &StartCall) {
+        self.report.starts += 1;
+        let (caller, index, _) = read_payload(&call.payload);
+        let Some(state) = self.callers.get_mut(&caller) else {
+            self.report
+                .violated(ViolationKind::StartedAfterExpiry, || format!("{call:?}"));
+            return;
+        };
+        state.starts[index] += 1;
+        let retried = state.idempotent && state.tasks == 1;
+        if state.starts[index] > 1 && !retried {
+            self.report
+                .violated(ViolationKind::StartedTwice, || format!("{call:?}"));
+        }
+        if state.told_not_run[index] {
+            self.report
+                .violated(ViolationKind::StartedAfterNotRun, || format!("{call:?}"));
+        }
+    }
+
+    /// Checks an answer at the time at which it is decided.
+    pub fn check_answer(&mut self, caller: u64, kind: RequestKind, answer: &Arc<JobAnswer>) {
+        if !self.callers.contains_key(&caller) {
+            return;
+        }
+        let decision = match &**answer {
+            JobAnswer::Complete(outputs) => {
+                self.report.complete += 1;
+                self.check_outputs(caller, kind, outputs);
+                Some(Decision::Complete)
+            }
+            JobAnswer::Failed(failure) => {
+                self.report.failed += 1;
+                self.check_not_run(caller, failure);
+                match (failure.tasks.is_empty(), failure.execution) {
+                    (false, _) => Some(Decision::Failed(failure.tasks.clone())),
+                    (true, ExecutionClaim::NotRun) => Some(Decision::Refused),
+                    (true, ExecutionClaim::MayHaveRun | ExecutionClaim::Undetermined) => None,
+                }
+            }
+        };
+        let Some(decision) = decision else {
+            return;
+        };
+        let state = self.callers.get_mut(&caller).expect("the caller is known");
+        let former = state.decision.get_or_insert_with(|| decision.clone());
+        if *former != decision {
+            let detail = format!("caller {caller}: {former:?} and {decision:?}");
+            self.report
+                .violated(ViolationKind::DifferentAnswers, || detail);
+        }
+    }
+
+    fn check_outputs(&mut self, caller: u64, kind: RequestKind, outputs: &[Arc<str>]) {
+        let state = &self.callers[&caller];
+        let variant = match (kind, outputs.first()) {
+            (RequestKind::Submit(variant), _) => variant,
+            (_, Some(output)) => read_payload(output).2,
+            (_, None) => 0,
+        };
+        let expected = (0..state.tasks).map(|index| format!("{caller}.{index}.{variant}"));
+        let own = outputs.len() == state.tasks
+            && expected
+                .zip(outputs)
+                .all(|(expected, output)| *expected == **output);
+        if !own || state.starts.contains(&0) {
+            let detail = format!("caller {caller}: {outputs:?}");
+            self.report
+                .violated(ViolationKind::ForeignOutput, || detail);
+        }
+    }
+
+    fn check_not_run(&mut self, caller: u64, failure: &JobFailure) {
+        let state = self.callers.get_mut(&caller).expect("the caller is known");
+        for index in 0..state.tasks {
+            let claimed = match failure.tasks.get(index) {
+                Some(report) => *report == TaskReport::NotRun,
+                None => failure.execution == ExecutionClaim::NotRun,
+            };
+            if !claimed {
+                continue;
+            }
+            state.told_not_run[index] = true;
+            if state.starts[index] > 0 {
+                self.report.violated(ViolationKind::NotRunHadStarted, || {
+                    format!("caller {caller} task {index}: {failure:?}")
+                });
+            }
+        }
+    }
+
+    /// Checks all running hosts.
+    pub fn on_check(&mut self) {
+        let numbers: Vec<IncarnationNumber> = self.hosts.keys().copied().collect();
+        for number in numbers {
+            self.check_monitor(number);
+            self.check_host(number);
+        }
+        self.schedule(Duration::from_millis(100), Target::World, Message::Check);
+    }
+
+    fn check_host(&mut self, incarnation: IncarnationNumber) {
+        let node = &self.hosts[&incarnation];
+        if node.frozen || self.now < node.thawed.after(ANSWER_GRACE) {
+            return;
+        }
+        let overdue = node
+            .pending
+            .values()
+            .find(|pending| pending.answer_by.after(ANSWER_GRACE) < self.now)
+            .map(|pending| pending.caller);
+        let dump = node.kernel.dump();
+        if let Some(caller) = overdue {
+            self.report.violated(ViolationKind::AnswerOverdue, || {
+                format!("incarnation {incarnation} caller {caller}")
+            });
+        }
+        if dump.attempts != dump.rights.busy as usize {
+            self.report.violated(ViolationKind::SlotsNotConserved, || {
+                format!("{} attempts, {:?}", dump.attempts, dump.rights)
+            });
+        }
+    }
+
+    /// Takes over the violations that a kernel counted itself.
+    pub fn check_monitor(&mut self, incarnation: IncarnationNumber) {
+        let Some(node) = self.hosts.get(&incarnation) else {
+            return;
+        };
+        if let Some(first) = node.kernel.monitor().first_violation() {
+            let detail = format!("incarnation {incarnation}: {first}");
+            self.report
+                .violated(ViolationKind::KernelMonitor, || detail);
+        }
+    }
+
+    /// Checks that nothing is left over at the end.
+    pub fn check_settled(&mut self) {
+        let mut idle = 0;
+        let numbers: Vec<IncarnationNumber> = self.hosts.keys().copied().collect();
+        for number in numbers {
+            let dump = self.hosts[&number].kernel.dump();
+            let rights = dump.rights;
+            idle += rights.idle_plain;
+            let left = dump.active_jobs + dump.waiting_tasks + dump.attempts;
+            if left > 0 || rights.busy + rights.lent + rights.borrowed > 0 {
+                self.report.violated(ViolationKind::SlotsNotConserved, || {
+                    format!("incarnation {number} keeps {left} and {rights:?}")
+                });
+            }
+        }
+        let all = WORKER_SLOTS * u32::try_from(WORKER_DOMAINS.len()).expect("few workers");
+        let ejected: usize = self
+            .hosts
+            .values()
+            .map(|node| node.kernel.dump().health.ejected)
+            .sum();
+        if idle > all || (idle < all && ejected == 0) {
+            self.report.violated(ViolationKind::SlotsNotConserved, || {
+                format!("{idle} of {all} slots are idle at the end")
+            });
+        }
+    }
+}
