--- a/crates/bramley-core/src/kernel/answers.rs
+++ b/crates/bramley-core/src/kernel/answers.rs
@@ -32,7 +32,7 @@
         self.judge_worker(&record, &end, now);
         if let AttemptEnd::NotStarted { leaving: true, .. } = end {
             let name = self.workers.get(record.worker).name.clone();
-            self.on_worker_leaving(&name);
+            self.on_worker_leaving(&name, now);
         }
         self.end_quota_use(&record.team);
         let Some(sent) = self.take_sent(record.task, attempt) else {
--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -2,8 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::configuration::DeploymentConfiguration;
 use crate::names::{HostName, WorkerName};
@@ -20,12 +21,19 @@
 /// Slots of one worker that are used at most, whatever the platform lists.
 const MAX_WORKER_SLOTS: u32 = 4_096;
 
+/// Time for which a leaving sign holds against a list that still shows the worker as live.
+///
+/// A worker may change its mind before the list ever shows it as leaving. If the list is only
+/// late, the worker's next refusal renews the sign.
+const LEAVING_SIGN_LIFE: Duration = Duration::from_secs(60);
+
 /// What is known of peers and of ejected workers.
 #[derive(Debug, Default)]
 pub struct FleetView {
     peers: Vec<PeerView>,
     probes: BTreeMap<WorkerIndex, UnixTime>,
-    signed_leaving: FxHashSet<WorkerName>,
+    /// Workers that signed that they are leaving, with the time until which the sign holds.
+    signed_leaving: FxHashMap<WorkerName, UnixTime>,
 }
 
 impl FleetView {
@@ -77,11 +85,12 @@
     ///
     /// An empty list is ignored once workers are known: a platform that lost its list must not
     /// stop the deployment.
-    pub(super) fn on_workers_listed(&mut self, profiles: Vec<WorkerProfile>) {
+    pub(super) fn on_workers_listed(&mut self, profiles: Vec<WorkerProfile>, now: UnixTime) {
         if profiles.is_empty() && self.workers.has_listed() {
             self.counters.ignored_worker_lists += 1;
             return;
         }
+        self.fleet.signed_leaving.retain(|_, until| *until > now);
         let mut listed = FxHashSet::default();
         for mut profile in profiles {
             self.apply_sign(&mut profile);
@@ -108,7 +117,7 @@
 
     /// Keeps a leaving sign until the lagging list shows that the platform knows of it.
     fn apply_sign(&mut self, profile: &mut WorkerProfile) {
-        if !self.fleet.signed_leaving.contains(&profile.name) {
+        if !self.fleet.signed_leaving.contains_key(&profile.name) {
             return;
         }
         match profile.state {
@@ -120,8 +129,9 @@
     }
 
     /// Stops new starts on a worker that is leaving.
-    pub(super) fn on_worker_leaving(&mut self, name: &WorkerName) {
-        self.fleet.signed_leaving.insert(name.clone());
+    pub(super) fn on_worker_leaving(&mut self, name: &WorkerName, now: UnixTime) {
+        let until = now.after(LEAVING_SIGN_LIFE);
+        self.fleet.signed_leaving.insert(name.clone(), until);
         let Some(index) = self.workers.find(name.as_str()) else {
             return;
         };
--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -149,8 +149,8 @@
             KernelEvent::AttemptEnded { attempt, end } => {
                 self.on_attempt_ended(attempt, end, now, actions);
             }
-            KernelEvent::WorkersListed(profiles) => self.on_workers_listed(profiles),
-            KernelEvent::WorkerLeaving(name) => self.on_worker_leaving(&name),
+            KernelEvent::WorkersListed(profiles) => self.on_workers_listed(profiles, now),
+            KernelEvent::WorkerLeaving(name) => self.on_worker_leaving(&name, now),
             KernelEvent::WorkerLive(name) => self.on_worker_live(&name),
             KernelEvent::PeersChanged(peers) => self.on_peers_changed(peers),
             KernelEvent::Configured(configuration) => self.on_configured(&configuration),
--- a/crates/bramley-core/tests/outcomes.rs
+++ b/crates/bramley-core/tests/outcomes.rs
@@ -609,6 +609,25 @@
     assert!(bench.kernel.right_counts().owned <= 4_096);
 }
 
+#[test]
+fn worker_that_stays_after_a_leaving_sign_is_used_again() {
+    let mut bench = KernelBench::new(1);
+    let profile = worker("worker-1", "freising", 1);
+    bench.handle(KernelEvent::WorkerLeaving(profile.name.clone()));
+    bench.handle(KernelEvent::WorkersListed(vec![profile.clone()]));
+    let soon = bench.submit(1, &single("a"));
+    assert!(bench.starts().is_empty());
+    bench.wait(Duration::from_secs(5));
+    assert_eq!(bench.failure(soon).execution, ExecutionClaim::NotRun);
+
+    // The platform's list never showed the worker as leaving.
+    bench.wait(Duration::from_secs(60));
+    bench.handle(KernelEvent::WorkersListed(vec![profile]));
+    bench.expiry = UnixTime::NEVER;
+    bench.submit(2, &single("b"));
+    assert_eq!(bench.starts().len(), 1);
+}
+
 #[test]
 fn job_that_no_worker_can_run_fails_at_once() {
     let mut bench = KernelBench::new(0);
--- a/crates/bramley-core/tests/runs/keys.rs
+++ b/crates/bramley-core/tests/runs/keys.rs
@@ -8,11 +8,11 @@
 use bramley_core::names::TeamName;
 use bramley_core::ticket::JobTicket;
 
-use super::hosts::{ReplyPath, refusal};
 use super::messages::{
     CallerRequest, IncarnationNumber, Message, Reply, RequestKind, StoreCall, StoreReply, Target,
 };
 use super::report::FaultKind;
+use super::requests::{ReplyPath, refusal};
 use super::world::World;
 
 /// Life of the ticket that a key is bound to.
--- a/crates/bramley-core/tests/runs/mod.rs
+++ b/crates/bramley-core/tests/runs/mod.rs
@@ -9,6 +9,7 @@
 //! - [`keys`] binds callers' keys to tickets through the store.
 //! - [`messages`] holds what travels between them.
 //! - [`report`] holds the result of a run.
+//! - [`requests`] routes requests of callers.
 //! - [`workers`] runs tasks and keeps the ledgers.
 //! - [`world`] holds the state and the queue of events.
 
@@ -19,6 +20,7 @@
 pub mod keys;
 pub mod messages;
 pub mod report;
+pub mod requests;
 pub mod workers;
 pub mod world;
 
--- /dev/null
+++ b/crates/bramley-core/tests/runs/requests.rs
@@ -0,0 +1,195 @@
+//! Requests of callers: routing to the owner of the ticket, and the way back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramley_core::errors::{DispatchError, ErrorKind};
+use bramley_core::job::{JobAnswer, JobFailure, ReplyToken};
+use bramley_core::kernel::event::{JobSubmission, KernelEvent};
+use bramley_core::ownership::{OwnerCandidate, TicketRoute, route_ticket};
+use bramley_core::ticket::JobTicket;
+use bramley_core::units::UnixTime;
+
+use super::hosts::host_name;
+use super::messages::{CallerRequest, IncarnationNumber, Message, Reply, RequestKind, Target};
+use super::world::{HOST_DOMAINS, World};
+
+/// Wait for the answer of another host to a forwarded request.
+const FORWARD_WAIT: Duration = Duration::from_millis(3_500);
+
+/// Where the answer to a request goes.
+#[derive(Clone, Copy, Debug)]
+pub enum ReplyPath {
+    Caller(u64),
+    Peer(IncarnationNumber, u64),
+    Key(u64),
+}
+
+/// A request that waits for the answer of the kernel.
+#[derive(Debug)]
+pub struct PendingRequest {
+    pub caller: u64,
+    pub kind: RequestKind,
+    pub path: ReplyPath,
+    pub answer_by: UnixTime,
+}
+
+/// Makes the refusal that a host gives without its kernel.
+pub fn refusal(kind: ErrorKind) -> Reply {
+    let error = DispatchError::new(kind, "");
+    Reply::Final(Arc::new(JobAnswer::Failed(JobFailure::refusal(error))))
+}
+
+impl World {
+    /// Routes a request of a caller as the daemon does.
+    pub fn on_request(
+        &mut self,
+        incarnation: IncarnationNumber,
+        request: CallerRequest,
+        path: ReplyPath,
+    ) {
+        let Some(ticket) = &request.ticket else {
+            self.on_key_request(incarnation, request.caller, request.kind);
+            return;
+        };
+        let node = &self.hosts[&incarnation];
+        let domain = node.domain;
+        let own_host = host_name(node.host);
+        let own = node.issuer.incarnation();
+        let candidates = self.owner_candidates();
+        let owner = match route_ticket(ticket, &own_host, own, &candidates) {
+            TicketRoute::Here => {
+                self.on_owned_request(incarnation, request, path);
+                return;
+            }
+            TicketRoute::Forward(address) => usize::from(address.port()),
+            TicketRoute::OwnerGone if self.settings.broken.adopt_tickets => {
+                self.on_owned_request(incarnation, request, path);
+                return;
+            }
+            TicketRoute::OwnerGone => {
+                let reply = refusal(ErrorKind::OwnerGone);
+                self.send_reply(incarnation, request.caller, path, reply);
+                return;
+            }
+            TicketRoute::OwnerUnknown => {
+                let reply = refusal(ErrorKind::OwnerUnreachable);
+                self.send_reply(incarnation, request.caller, path, reply);
+                return;
+            }
+        };
+        let node = self.hosts.get_mut(&incarnation).expect("the host runs");
+        let id = node.next_id();
+        node.forwards.insert(id, (path, request.caller));
+        let target = Target::Incarnation(incarnation);
+        self.schedule(FORWARD_WAIT, target, Message::ForwardTimeout { id });
+        let forwarded = Message::Forwarded {
+            from: incarnation,
+            id,
+            request,
+        };
+        let to = Some(HOST_DOMAINS[owner]);
+        self.transmit(Some(domain), to, Target::Host(owner), forwarded);
+    }
+
+    /// Returns the incarnations that the membership knows.
+    fn owner_candidates(&self) -> Vec<OwnerCandidate> {
+        let mut candidates = Vec::new();
+        for (number, node) in &self.hosts {
+            let port = u16::try_from(node.host).expect("few hosts");
+            candidates.push(OwnerCandidate {
+                host: host_name(node.host),
+                incarnation: node.issuer.incarnation(),
+                address: ([10, 0, 0, 2], port).into(),
+                gone: self.current[node.host].is_some_and(|current| current != *number),
+            });
+        }
+        candidates
+    }
+
+    /// Handles a request at the host that its ticket names.
+    pub fn on_owned_request(
+        &mut self,
+        incarnation: IncarnationNumber,
+        request: CallerRequest,
+        path: ReplyPath,
+    ) {
+        let Some(ticket) = &request.ticket else {
+            return;
+        };
+        let node = self.hosts.get_mut(&incarnation).expect("the host runs");
+        // A ticket travels as text.
+        let ticket = JobTicket::parse(&ticket.to_string()).expect("tickets are readable");
+        if !node.issuer.owns(&ticket) && !self.settings.broken.adopt_tickets {
+            let reply = refusal(ErrorKind::OwnerGone);
+            self.send_reply(incarnation, request.caller, path, reply);
+            return;
+        }
+        if node.issuer.owns(&ticket) {
+            node.issuer.check(&ticket).expect("the ticket is genuine");
+        }
+        let Some(caller) = self.callers.get(&request.caller) else {
+            return;
+        };
+        let token = ReplyToken(node.next_id());
+        let pending = PendingRequest {
+            caller: request.caller,
+            kind: request.kind,
+            path,
+            answer_by: caller.deadline.max(self.now),
+        };
+        node.pending.insert(token, pending);
+        let (serial, expiry) = (ticket.serial, ticket.expiry);
+        let event = match request.kind {
+            RequestKind::Submit(variant) => {
+                let spec = caller.spec(request.caller, variant);
+                let digest = spec.digest();
+                KernelEvent::Submitted(JobSubmission {
+                    serial,
+                    expiry,
+                    spec,
+                    digest,
+                    token,
+                })
+            }
+            RequestKind::Query => KernelEvent::Queried {
+                serial,
+                expiry,
+                token,
+            },
+            RequestKind::Cancel => KernelEvent::Cancelled {
+                serial,
+                expiry,
+                token,
+            },
+        };
+        self.feed(incarnation, event);
+    }
+
+    /// Sends an answer towards the caller.
+    pub fn send_reply(
+        &mut self,
+        incarnation: IncarnationNumber,
+        caller: u64,
+        path: ReplyPath,
+        reply: Reply,
+    ) {
+        let from = self.hosts.get(&incarnation).map(|node| node.domain);
+        match path {
+            ReplyPath::Caller(caller) => {
+                self.transmit(
+                    None,
+                    None,
+                    Target::World,
+                    Message::Answered { caller, reply },
+                );
+            }
+            ReplyPath::Peer(peer, id) => {
+                let to = self.hosts.get(&peer).map(|node| node.domain);
+                let message = Message::ForwardAnswered { id, reply };
+                self.transmit(from, to, Target::Incarnation(peer), message);
+            }
+            ReplyPath::Key(id) => self.on_key_answered(incarnation, caller, id, reply),
+        }
+    }
+}
--- a/crates/bramley-core/tests/support/mod.rs
+++ b/crates/bramley-core/tests/support/mod.rs
@@ -21,6 +21,7 @@
         name: ClassName::from(CLASS),
         expected_run_ms: 50,
         answer_within_ms: 2_000,
+        ..ClassConfiguration::default()
     };
     let team = TeamConfiguration {
         name: TeamName::from(TEAM),
@@ -28,11 +29,13 @@
         max_job_tasks: 500,
         weight: 1,
         classes: vec![class],
+        ..TeamConfiguration::default()
     };
     Arc::new(DeploymentConfiguration {
         deployment: "test".to_owned(),
         failure_domains: Vec::new(),
         teams: vec![team],
+        ..DeploymentConfiguration::default()
     })
 }
 
