Randomised runs: quotas, changes of configuration and a last job on each host

The runs now have a team with a small quota, change quotas while they go on, and give each kernel leaving signs of its own. After the faults have ended, each host must complete one more job of each team, so that leaked slots, quotas and ejections are noticed.

--- a/crates/bramley-core/tests/outcomes.rs
+++ b/crates/bramley-core/tests/outcomes.rs
@@ -14,7 +14,7 @@
 use bramley_core::names::{DomainName, HostName};
 use bramley_core::task::{NotStartedProof, TaskReport};
 use bramley_core::units::{TicketSerial, UnixTime};
-use support::{configuration, job, worker};
+use support::{TEAM, configuration_of, job, worker};
 
 const START: UnixTime = UnixTime::from_millis(1_000_000);
 const TICKET_LIFE: Duration = Duration::from_secs(60);
@@ -45,7 +45,7 @@
             last_token: 0,
             actions: Vec::new(),
         };
-        bench.handle(KernelEvent::Configured(configuration()));
+        bench.handle(KernelEvent::Configured(configuration_of(&[(TEAM, 1_000)])));
         let profile = worker("worker-1", "freising", slots);
         bench.handle(KernelEvent::WorkersListed(vec![profile]));
         bench
--- a/crates/bramley-core/tests/runs/callers.rs
+++ b/crates/bramley-core/tests/runs/callers.rs
@@ -13,6 +13,9 @@
 use super::world::{HOST_DOMAINS, World};
 use crate::support::{TEAM, job};
 
+/// Teams; the second has a small quota.
+pub const TEAMS: [&str; 2] = [TEAM, "market"];
+
 /// Life of a ticket.
 const TICKET_LIFE: Duration = Duration::from_secs(4);
 
@@ -35,6 +38,7 @@
 pub struct CallerState {
     /// Ticket, or `None` for a caller with a key of its own.
     pub ticket: Option<JobTicket>,
+    pub team: &'static str,
     pub tasks: usize,
     pub idempotent: bool,
     pub deadline: UnixTime,
@@ -54,7 +58,9 @@
             .map(|index| format!("{caller}.{index}.{variant}"))
             .collect();
         let payloads: Vec<&str> = payloads.iter().map(String::as_str).collect();
-        job(&payloads, self.deadline, self.idempotent)
+        let mut spec = job(&payloads, self.deadline, self.idempotent);
+        spec.team = TeamName::from(self.team);
+        spec
     }
 }
 
@@ -64,22 +70,25 @@
         if self.settling {
             return;
         }
-        let pause = self.micros(1_000, 40_000);
+        let pause = self.micros(1_000, 24_000);
         self.schedule(pause, Target::World, Message::CallerArrives);
         self.last_caller += 1;
         let caller = self.last_caller;
         let ticket = if self.chance(25) {
             None
         } else {
-            let Some(ticket) = self.take_ticket() else {
+            let host = self.below(HOST_DOMAINS.len());
+            let Some(ticket) = self.take_ticket(host) else {
                 return;
             };
             Some(ticket)
         };
+        let team = TEAMS[self.below(TEAMS.len())];
         let tasks = 1 + self.below(4);
         let span = self.micros(300_000, 3_000_000);
         let state = CallerState {
             ticket,
+            team,
             tasks,
             idempotent: self.chance(30),
             deadline: self.now.after(span),
@@ -95,13 +104,38 @@
         self.schedule(pause, Target::World, Message::CallerActs(caller));
     }
 
-    fn take_ticket(&mut self) -> Option<JobTicket> {
-        let host = self.below(HOST_DOMAINS.len());
+    fn take_ticket(&self, host: usize) -> Option<JobTicket> {
         let node = self.hosts.get(&self.current[host]?)?;
         let expiry = self.now.after(TICKET_LIFE);
         (!node.frozen).then(|| node.issuer.issue(TeamName::from(TEAM), expiry))
     }
 
+    /// Submits one more job of each team to each host and returns the callers.
+    pub fn probe_hosts(&mut self) -> Vec<u64> {
+        let mut probes = Vec::new();
+        for host in 0..HOST_DOMAINS.len() {
+            for team in TEAMS {
+                self.last_caller += 1;
+                let state = CallerState {
+                    ticket: self.take_ticket(host),
+                    team,
+                    tasks: 1,
+                    idempotent: false,
+                    deadline: self.now.after(Duration::from_secs(4)),
+                    created: self.now,
+                    answered: false,
+                    decision: None,
+                    starts: vec![0],
+                    told_not_run: vec![false],
+                };
+                self.callers.insert(self.last_caller, state);
+                self.submit_somewhere(self.last_caller, 0);
+                probes.push(self.last_caller);
+            }
+        }
+        probes
+    }
+
     /// Sends a request to the owner of the ticket or to any other host.
     fn ask(&mut self, caller: u64, kind: RequestKind) {
         let ticket = self.callers[&caller].ticket.clone();
@@ -136,6 +170,11 @@
             return;
         }
         let answered = state.answered;
+        if answered && self.chance(40) {
+            let pause = Duration::from_secs(8);
+            self.schedule(pause, Target::World, Message::CallerActs(caller));
+            return;
+        }
         match self.below(10) {
             0 if self.callers[&caller].ticket.is_some() => {
                 self.report.injected(FaultKind::Cancellation);
--- a/crates/bramley-core/tests/runs/checks.rs
+++ b/crates/bramley-core/tests/runs/checks.rs
@@ -164,7 +164,15 @@
     }
 
     /// Checks that nothing is left over at the end.
-    pub fn check_settled(&mut self) {
+    pub fn check_settled(&mut self, probes: &[u64]) {
+        for probe in probes {
+            let decision = self.callers[probe].decision.clone();
+            if decision != Some(Decision::Complete) {
+                self.report.violated(ViolationKind::NotServing, || {
+                    format!("caller {probe}: {decision:?}")
+                });
+            }
+        }
         let mut idle = 0;
         let numbers: Vec<IncarnationNumber> = self.hosts.keys().copied().collect();
         for number in numbers {
--- a/crates/bramley-core/tests/runs/faults.rs
+++ b/crates/bramley-core/tests/runs/faults.rs
@@ -1,13 +1,17 @@
 //! Faults, injected two at a time.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bramley_core::kernel::event::KernelEvent;
+use bramley_core::names::WorkerName;
 use bramley_core::units::UnixTime;
 
+use super::callers::TEAMS;
 use super::messages::{IncarnationNumber, Message, Target};
 use super::report::FaultKind;
 use super::world::{HOST_DOMAINS, WORKER_DOMAINS, World};
+use crate::support::configuration_of;
 
 /// Faults that hold for a time.
 #[derive(Clone, Copy, Debug, Default)]
@@ -20,7 +24,7 @@
 }
 
 /// Kinds of faults that [`World::inject`] knows.
-const INJECTORS: usize = 13;
+const INJECTORS: usize = 14;
 
 impl World {
     /// Injects two different faults at once, now and then.
@@ -72,16 +76,35 @@
                     self.report.injected(FaultKind::WorkerFreeze);
                 }
             }
-            _ => {
+            12 => {
                 self.workers[worker].leaving = true;
                 self.report.injected(FaultKind::WorkerLeaving);
+                if let Some(incarnation) = self.current[host] {
+                    let name = WorkerName::from(format!("worker-{worker}").as_str());
+                    self.feed(incarnation, KernelEvent::WorkerLeaving(name));
+                }
             }
+            _ => self.reconfigure(),
         }
-        if injector >= 10 {
+        if (10..=12).contains(&injector) {
             self.schedule(span, Target::World, Message::WorkerRestored(worker));
         }
     }
 
+    /// Brings a configuration with other quotas into force on the hosts that run.
+    fn reconfigure(&mut self) {
+        self.report.injected(FaultKind::Reconfiguration);
+        let quota = 1 + u32::try_from(self.below(12)).expect("small");
+        let configuration = configuration_of(&[(TEAMS[0], 10 * quota), (TEAMS[1], quota)]);
+        let numbers: Vec<IncarnationNumber> = self.hosts.keys().copied().collect();
+        for number in numbers {
+            if !self.hosts[&number].frozen {
+                let configuration = Arc::clone(&configuration);
+                self.feed(number, KernelEvent::Configured(configuration));
+            }
+        }
+    }
+
     fn kill_host(&mut self, host: usize) {
         if let Some(incarnation) = self.current[host] {
             self.report.injected(FaultKind::Kill);
--- a/crates/bramley-core/tests/runs/hosts.rs
+++ b/crates/bramley-core/tests/runs/hosts.rs
@@ -13,12 +13,13 @@
 use bramley_core::ticket::TicketIssuer;
 use bramley_core::units::{AttemptId, IncarnationId, UnixTime};
 
+use super::callers::TEAMS;
 use super::keys::KeyRequest;
 use super::messages::{IncarnationNumber, Message, Reply, StartCall, Target};
 use super::report::{FaultKind, ViolationKind};
 use super::requests::{PendingRequest, ReplyPath, refusal};
 use super::world::{DOMAINS, HOST_DOMAINS, World};
-use crate::support::configuration;
+use crate::support::configuration_of;
 
 /// Longest time between two ticks.
 const LONGEST_SLEEP: Duration = Duration::from_millis(100);
@@ -106,7 +107,8 @@
         };
         self.hosts.insert(number, node);
         self.current[host] = Some(number);
-        self.feed(number, KernelEvent::Configured(configuration()));
+        let configuration = configuration_of(&[(TEAMS[0], 1_000), (TEAMS[1], 10)]);
+        self.feed(number, KernelEvent::Configured(configuration));
         let list = self.worker_list();
         self.feed(number, KernelEvent::WorkersListed(list));
         let peers = self.peers_of(number);
--- a/crates/bramley-core/tests/runs/report.rs
+++ b/crates/bramley-core/tests/runs/report.rs
@@ -19,6 +19,7 @@
     Loan,
     LostMessage,
     RefusedSubmission,
+    Reconfiguration,
     ReorderedMessage,
     ReplacedWhileFrozen,
     Resubmission,
@@ -35,7 +36,7 @@
 }
 
 /// Every kind of fault that a run must inject to count.
-pub const ALL_FAULTS: [FaultKind; 26] = [
+pub const ALL_FAULTS: [FaultKind; 27] = [
     FaultKind::Cancellation,
     FaultKind::ChangedBody,
     FaultKind::CrossedAnswer,
@@ -49,6 +50,7 @@
     FaultKind::Loan,
     FaultKind::LostMessage,
     FaultKind::RefusedSubmission,
+    FaultKind::Reconfiguration,
     FaultKind::ReorderedMessage,
     FaultKind::ReplacedWhileFrozen,
     FaultKind::Resubmission,
@@ -83,6 +85,8 @@
     AnswerOverdue,
     /// Slots are occupied without an attempt, or lost.
     SlotsNotConserved,
+    /// A host did not complete a job after all faults had ended.
+    NotServing,
     /// The kernel counted a violation of its own invariants.
     KernelMonitor,
     /// A planned stop ended while callers waited.
--- a/crates/bramley-core/tests/runs/world.rs
+++ b/crates/bramley-core/tests/runs/world.rs
@@ -31,6 +31,9 @@
 /// Time for which the run goes on without faults and new callers at the end.
 const SETTLE_TIME: Duration = Duration::from_secs(90);
 
+/// Time for which the last jobs may run.
+const PROBE_TIME: Duration = Duration::from_secs(5);
+
 const START: UnixTime = UnixTime::from_millis(1_000_000);
 
 /// State of a run.
@@ -97,11 +100,17 @@
         }
         self.settling = true;
         self.end_all_faults();
-        let end = self.now.after(SETTLE_TIME);
+        self.run_for(SETTLE_TIME);
+        let probes = self.probe_hosts();
+        self.run_for(PROBE_TIME);
+        self.check_settled(&probes);
+    }
+
+    fn run_for(&mut self, span: Duration) {
+        let end = self.now.after(span);
         while self.now < end {
             self.step();
         }
-        self.check_settled();
     }
 
     fn step(&mut self) {
--- a/crates/bramley-core/tests/support/mod.rs
+++ b/crates/bramley-core/tests/support/mod.rs
@@ -15,26 +15,29 @@
 /// Class of the tasks.
 pub const CLASS: &str = "hold";
 
-/// Makes a configuration with one team.
-pub fn configuration() -> Arc<DeploymentConfiguration> {
+/// Makes a configuration of teams with their quotas.
+pub fn configuration_of(quotas: &[(&str, u32)]) -> Arc<DeploymentConfiguration> {
     let class = ClassConfiguration {
         name: ClassName::from(CLASS),
         expected_run_ms: 50,
         answer_within_ms: 2_000,
         ..ClassConfiguration::default()
     };
-    let team = TeamConfiguration {
-        name: TeamName::from(TEAM),
-        max_running_tasks: 1_000,
-        max_job_tasks: 500,
-        weight: 1,
-        classes: vec![class],
-        ..TeamConfiguration::default()
-    };
+    let mut teams = Vec::new();
+    for (name, quota) in quotas {
+        teams.push(TeamConfiguration {
+            name: TeamName::from(*name),
+            max_running_tasks: *quota,
+            max_job_tasks: 500,
+            weight: 1,
+            classes: vec![class.clone()],
+            ..TeamConfiguration::default()
+        });
+    }
     Arc::new(DeploymentConfiguration {
         deployment: "test".to_owned(),
         failure_domains: Vec::new(),
-        teams: vec![team],
+        teams,
         ..DeploymentConfiguration::default()
     })
 }
