Borrow slots in fewer and larger steps

Hosts asked for a slot or two as soon as one task waited.

Change: ask only from an expected wait of 100 ms on, or after 500 ms with tasks waiting; ask for 8 slots at least, and only peers that report an idle sixth of the own share, at most 8; wait 300 ms after an empty grant; return all idle borrowed slots together; rest a slot 200 ms after a refused start.

--- a/crates/bramley-core/src/kernel/admission.rs
+++ b/crates/bramley-core/src/kernel/admission.rs
@@ -124,7 +124,7 @@
     }
 
     /// Returns the expected time in which the slots at hand run a number of tasks.
-    fn drain_time(&self, tasks: usize) -> Duration {
+    pub(super) fn drain_time(&self, tasks: usize) -> Duration {
         let counts = self.slots.counts();
         let slots = u64::from((counts.owned + counts.borrowed).max(1));
         let mean = u64::try_from(self.estimates.overall_mean().as_micros()).unwrap_or(u64::MAX);
--- a/crates/bramley-core/src/kernel/loans.rs
+++ b/crates/bramley-core/src/kernel/loans.rs
@@ -23,7 +23,22 @@
 const MAX_SLOTS_PER_REQUEST: u32 = 64;
 
 /// Wait before a host that lent nothing is asked again.
-const EMPTY_REPLY_WAIT: Duration = Duration::from_millis(100);
+const EMPTY_REPLY_WAIT: Duration = Duration::from_millis(300);
+
+/// Expected wait of the queue from which borrowing is worth its messages.
+const MIN_BORROW_WAIT: Duration = Duration::from_millis(100);
+
+/// Time without an empty queue after which slots are borrowed whatever wait is expected.
+const MAX_QUEUE_PATIENCE: Duration = Duration::from_millis(500);
+
+/// Slots asked for in one request at least.
+const MIN_SLOTS_PER_REQUEST: u32 = 8;
+
+/// Largest number of idle slots that a peer must report to be asked.
+const MAX_LENDER_IDLE_FLOOR: u32 = 8;
+
+/// Part of the own share, as one over this number, that a peer must report idle to be asked.
+const LENDER_IDLE_DIVISOR: u32 = 6;
 
 /// Wait for an answer to a loan request.
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
@@ -33,6 +48,30 @@
 pub struct LoanDesk {
     pending: FxHashMap<HostName, UnixTime>,
     ask_again: FxHashMap<HostName, UnixTime>,
+    patience: QueuePatience,
+}
+
+/// How long tasks have waited without a break.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum QueuePatience {
+    /// No task waits.
+    #[default]
+    Idle,
+    /// Tasks wait; borrowing is worthwhile from the stated time.
+    Until(UnixTime),
+    /// Tasks have waited long enough.
+    Over,
+}
+
+impl QueuePatience {
+    fn advance(self, tasks_wait: bool, now: UnixTime) -> Self {
+        match self {
+            _ if !tasks_wait => Self::Idle,
+            Self::Idle => Self::Until(now.after(MAX_QUEUE_PATIENCE)),
+            Self::Until(time) if time <= now => Self::Over,
+            Self::Until(_) | Self::Over => self,
+        }
+    }
 }
 
 impl LoanDesk {
@@ -54,7 +93,12 @@
 
     /// Returns the time at which another request may be worthwhile.
     pub fn next_wakeup(&self) -> Option<UnixTime> {
-        self.ask_again.values().min().copied()
+        let patience = match self.patience {
+            QueuePatience::Until(time) => Some(time),
+            QueuePatience::Idle | QueuePatience::Over => None,
+        };
+        let ask_again = self.ask_again.values().min().copied();
+        ask_again.into_iter().chain(patience).min()
     }
 }
 
@@ -70,6 +114,15 @@
         if counts.idle_accelerated > 0 {
             demand.accelerated = 0;
         }
+        let wanted = demand.plain + demand.accelerated;
+        self.loans.patience = self.loans.patience.advance(wanted > 0, now);
+        let slow = self.drain_time(wanted as usize) >= MIN_BORROW_WAIT;
+        if !slow && self.loans.patience != QueuePatience::Over {
+            return;
+        }
+        if demand.plain > 0 {
+            demand.plain = demand.plain.max(MIN_SLOTS_PER_REQUEST);
+        }
         while demand.plain + demand.accelerated > 0
             && self.loans.pending_requests(now) < MAX_PENDING_REQUESTS
         {
@@ -101,6 +154,14 @@
         }
     }
 
+    /// Returns the number of idle slots that a peer must report to be asked.
+    ///
+    /// Few idle slots are mostly taken by the time of the request, which is then wasted.
+    fn lender_idle_floor(&self) -> u32 {
+        let share = self.slots.counts().owned;
+        (share / LENDER_IDLE_DIVISOR).clamp(1, MAX_LENDER_IDLE_FLOOR)
+    }
+
     /// Picks the reachable peer with most idle slots, in the own failure domain if possible.
     fn best_lender(&self, plain: bool, accelerated: bool, now: UnixTime) -> Option<usize> {
         let usable_idle = |position: usize| {
@@ -113,10 +174,15 @@
             };
             plain_idle + accelerated_idle
         };
+        let floor = if accelerated {
+            1
+        } else {
+            self.lender_idle_floor()
+        };
         let mut best: Option<(usize, (bool, u32))> = None;
         for (position, peer) in self.fleet.peers().iter().enumerate() {
             let idle = usable_idle(position);
-            if !peer.reachable || idle == 0 || !self.loans.may_ask(&peer.host, now) {
+            if !peer.reachable || idle < floor || !self.loans.may_ask(&peer.host, now) {
                 continue;
             }
             let score = (peer.domain == self.identity.domain, idle);
@@ -191,10 +257,16 @@
         }
     }
 
-    /// Gives back borrowed slots that have been idle for a while.
+    /// Gives all idle borrowed slots back once one of them has been idle for a while.
+    ///
+    /// One slot that idles shows that the others are not needed either, and giving them back
+    /// together takes one message for each lender.
     pub(super) fn return_idle_loans(&mut self, now: UnixTime, actions: &mut Vec<KernelAction>) {
         let idle_before = now.before(self.settings.loan_idle_limit);
-        for (lender, places) in self.slots.return_idle_loans(idle_before) {
+        if !self.slots.any_loan_idle_since(idle_before) {
+            return;
+        }
+        for (lender, places) in self.slots.return_idle_loans(now) {
             let slots = self.name_slots(&places);
             actions.push(KernelAction::ReturnLoan { lender, slots });
         }
--- a/crates/bramley-core/src/kernel/settings.rs
+++ b/crates/bramley-core/src/kernel/settings.rs
@@ -41,8 +41,8 @@
             queue_order: "fair".to_owned(),
             loan_term: Duration::from_secs(2),
             loan_idle_limit: Duration::from_millis(100),
-            loan_request_interval: Duration::from_millis(20),
-            slot_rest: Duration::from_millis(50),
+            loan_request_interval: Duration::from_millis(100),
+            slot_rest: Duration::from_millis(200),
             retry_percent: 10,
             sweep_interval: Duration::from_millis(100),
         }
--- a/crates/bramley-core/src/slots/ledger.rs
+++ b/crates/bramley-core/src/slots/ledger.rs
@@ -368,6 +368,22 @@
         true
     }
 
+    /// Tells whether a borrowed slot has been idle since `idle_before`.
+    #[must_use]
+    pub fn any_loan_idle_since(&self, idle_before: UnixTime) -> bool {
+        if self.counts.borrowed == 0 {
+            return false;
+        }
+        let is_idle = |right: &SlotRight| {
+            let loan = right.loan.as_ref();
+            right.state == RightState::Idle
+                && loan.is_some_and(|loan| loan.idle_since <= idle_before)
+        };
+        self.workers
+            .iter()
+            .any(|rights| rights.slots.iter().any(is_idle))
+    }
+
     /// Gives up borrowed slots that have been idle since `idle_before`, by lender.
     pub fn return_idle_loans(
         &mut self,
