--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -17,6 +17,9 @@
 use super::event::PeerView;
 use super::quota::QuotaChange;
 
+/// Slots of one worker that are used at most, whatever the platform lists.
+const MAX_WORKER_SLOTS: u32 = 4_096;
+
 /// What is known of peers and of ejected workers.
 #[derive(Debug, Default)]
 pub struct FleetView {
@@ -82,6 +85,7 @@
         let mut listed = FxHashSet::default();
         for mut profile in profiles {
             self.apply_sign(&mut profile);
+            profile.slots = profile.slots.min(MAX_WORKER_SLOTS);
             let accepted_slots = profile.slots;
             let index = self.workers.upsert(profile);
             listed.insert(index);
@@ -127,6 +131,18 @@
         }
     }
 
+    /// Lets new starts happen on a worker that was leaving and is live again.
+    pub(super) fn on_worker_live(&mut self, name: &WorkerName) {
+        self.fleet.signed_leaving.remove(name);
+        let Some(index) = self.workers.find(name.as_str()) else {
+            return;
+        };
+        if self.workers.get(index).state == WorkerState::Leaving {
+            self.workers.set_state(index, WorkerState::Live);
+            self.refresh_usable(index);
+        }
+    }
+
     /// Takes a new view of the peers and divides the slots anew if their set changed.
     pub(super) fn on_peers_changed(&mut self, peers: Vec<PeerView>) {
         let former = self.sharing_hosts();
