Own signs of workers carry their time and the list revision where given

A host ended a worker's own sign, then took a later one for an echo for 30 s; it let a list from before the sign confirm it; and it kept the hold of an earlier sign.

Only a list newer than that revision confirms or ends a sign. Own signs more than 5 s apart renew the hold.

Whoever builds WorkerNews has to fill in the new field.

--- a/crates/bramley-core/src/membership/record.rs
+++ b/crates/bramley-core/src/membership/record.rs
@@ -95,8 +95,20 @@
     pub worker: WorkerName,
     /// Whether the worker is leaving.
     pub leaving: bool,
-    /// Revision of the platform's list, or 0 for a sign given by the worker itself.
+    /// Revision of the platform's list; for a sign given by the worker itself, the newest
+    /// revision known where it was given.
     pub revision: u64,
+    /// Time at which the worker gave the sign itself, in whole milliseconds; the Unix epoch for a
+    /// sign of the platform's list.
+    pub given: UnixTime,
+}
+
+impl WorkerNews {
+    /// Tells whether the worker gave the sign itself.
+    #[must_use]
+    pub fn is_own_sign(&self) -> bool {
+        self.given != UnixTime::default()
+    }
 }
 
 /// Demand of one team at one host.
--- a/crates/bramley-core/src/membership/signs.rs
+++ b/crates/bramley-core/src/membership/signs.rs
@@ -20,13 +20,20 @@
 /// Number of messages that carry a new sign.
 const SIGN_SENDS: u32 = 12;
 
+/// Span within which the own signs of one worker count as one; a later one renews the hold.
+const SAME_SIGN_SPAN: Duration = Duration::from_secs(5);
+
 /// The sign that a worker gave itself.
 #[derive(Clone, Copy, Debug)]
 struct OwnSign {
-    /// Newest list revision known when the sign came; only a newer list may end it.
+    /// Time at which the worker gave the sign; it tells a new sign from an ended one.
+    given: UnixTime,
+    /// Newest list revision known where the sign was given; only a newer list may end it.
     base_revision: u64,
     /// Time from which a newer list may end the sign.
     hold_until: UnixTime,
+    /// Whether a newer list showed the worker leaving, so that the next change back ends the sign.
+    confirmed: bool,
 }
 
 /// What is known about one worker.
@@ -35,8 +42,8 @@
     revision: u64,
     listed_leaving: bool,
     own_sign: Option<OwnSign>,
-    /// Time until which signs passed on by siblings are taken as echoes of an ended sign.
-    echo_until: UnixTime,
+    /// Newest own sign that has ended; siblings may still pass it on.
+    ended_sign: UnixTime,
     /// Time at which a leaving worker is forgotten.
     forget_at: UnixTime,
     sends_left: u32,
@@ -46,6 +53,31 @@
     const fn is_leaving(&self) -> bool {
         self.listed_leaving || self.own_sign.is_some()
     }
+
+    /// Confirms or ends the worker's own sign by what a list of the given revision shows.
+    fn compare_own_sign(
+        &mut self,
+        leaving: bool,
+        revision: u64,
+        settings: &MembershipSettings,
+        now: UnixTime,
+    ) {
+        let Some(sign) = &mut self.own_sign else {
+            return;
+        };
+        if revision <= sign.base_revision {
+            return;
+        }
+        if leaving {
+            sign.confirmed = true;
+            return;
+        }
+        let hold_passed = sign.hold_until <= now || settings.faults.obey_lagging_list;
+        if sign.confirmed || hold_passed {
+            self.ended_sign = self.ended_sign.max(sign.given);
+            self.own_sign = None;
+        }
+    }
 }
 
 /// A worker that started to leave, came back or was seen live for the first time.
@@ -132,22 +164,29 @@
         settings: &MembershipSettings,
         now: UnixTime,
     ) {
-        self.apply_own_sign(worker, settings, now);
+        let ended_sign = match self.entries.get(worker) {
+            Some(entry) => entry.ended_sign,
+            None => UnixTime::default(),
+        };
+        let next_given = ended_sign.after(Duration::from_millis(1));
+        let given = UnixTime::from_millis(now.as_millis()).max(next_given);
+        let base_revision = self.seen_revision;
+        self.apply_own_sign(worker, given, base_revision, settings, now);
     }
 
     /// Takes in a sign that a sibling passed on.
     pub fn take_news(&mut self, news: &WorkerNews, settings: &MembershipSettings, now: UnixTime) {
-        if news.revision > 0 {
+        self.seen_revision = self.seen_revision.max(news.revision);
+        if !news.is_own_sign() {
             self.apply_listed(&news.worker, news.leaving, news.revision, settings, now);
-            self.seen_revision = self.seen_revision.max(news.revision);
             return;
         }
-        let is_echo = self
+        let has_ended = self
             .entries
             .get(&news.worker)
-            .is_some_and(|entry| now < entry.echo_until);
-        if news.leaving && !is_echo {
-            self.apply_own_sign(&news.worker, settings, now);
+            .is_some_and(|entry| news.given <= entry.ended_sign);
+        if news.leaving && !has_ended {
+            self.apply_own_sign(&news.worker, news.given, news.revision, settings, now);
         }
     }
 
@@ -240,7 +279,6 @@
         let is_new = !self.entries.contains_key(worker);
         let entry = self.entry(worker, settings, now);
         let was_leaving = entry.is_leaving();
-        let comes_back = entry.listed_leaving && !leaving && revision > entry.revision;
         if revision > entry.revision {
             entry.revision = revision;
             entry.listed_leaving = leaving;
@@ -250,16 +288,7 @@
         } else {
             return;
         }
-        if let Some(sign) = entry.own_sign
-            && !leaving
-            && revision > sign.base_revision
-        {
-            let hold_passed = sign.hold_until <= now || settings.faults.obey_lagging_list;
-            if comes_back || hold_passed {
-                entry.own_sign = None;
-                entry.echo_until = now.after(sign_hold(settings));
-            }
-        }
+        entry.compare_own_sign(leaving, revision, settings, now);
         self.note_change(worker, was_leaving, settings, now);
         if is_new && !leaving {
             self.changes.push(WorkerChange {
@@ -272,18 +301,27 @@
     fn apply_own_sign(
         &mut self,
         worker: &WorkerName,
+        given: UnixTime,
+        base_revision: u64,
         settings: &MembershipSettings,
         now: UnixTime,
     ) {
-        let base_revision = self.seen_revision;
         let entry = self.entry(worker, settings, now);
         let was_leaving = entry.is_leaving();
-        if entry.own_sign.is_none() {
-            entry.own_sign = Some(OwnSign {
-                base_revision,
-                hold_until: now.after(sign_hold(settings)),
-            });
-            entry.sends_left = SIGN_SENDS;
+        match &mut entry.own_sign {
+            Some(sign) if given <= sign.given.after(SAME_SIGN_SPAN) => {
+                sign.given = sign.given.max(given);
+                sign.base_revision = sign.base_revision.max(base_revision);
+            }
+            Some(_) | None => {
+                entry.own_sign = Some(OwnSign {
+                    given,
+                    base_revision,
+                    hold_until: now.after(sign_hold(settings)),
+                    confirmed: false,
+                });
+                entry.sends_left = SIGN_SENDS;
+            }
         }
         self.note_change(worker, was_leaving, settings, now);
     }
@@ -301,7 +339,7 @@
                 revision: 0,
                 listed_leaving: false,
                 own_sign: None,
-                echo_until: now,
+                ended_sign: UnixTime::default(),
                 forget_at,
                 sends_left: 0,
             })
@@ -336,11 +374,12 @@
 
 /// Adds what a message tells about one worker: its own sign, the newest listed state, or both.
 fn push_news(news: &mut Vec<WorkerNews>, worker: &WorkerName, entry: &WorkerEntry) {
-    if entry.own_sign.is_some() {
+    if let Some(sign) = entry.own_sign {
         news.push(WorkerNews {
             worker: worker.clone(),
             leaving: true,
-            revision: 0,
+            revision: sign.base_revision,
+            given: sign.given,
         });
     }
     let is_listed = entry.revision > 0;
@@ -349,6 +388,7 @@
             worker: worker.clone(),
             leaving: entry.listed_leaving,
             revision: entry.revision,
+            given: UnixTime::default(),
         });
     }
 }
