--- a/crates/bramley-load/src/virtual_run/baseline.rs
+++ b/crates/bramley-load/src/virtual_run/baseline.rs
@@ -240,6 +240,7 @@
             payload: Arc::clone(&input.payload),
             accelerators: input.accelerators,
             start_before: job.spec.deadline,
+            silent_after: job.spec.deadline,
         })));
         self.attempts.insert(attempt, (waiting, worker));
     }
