Settings: refuse unregistered queue orders and policies that do nothing

policies.queue is checked against the registry of the kernel. The fields policies.placement and policies.admission had no reader, so a file could name a policy that was silently ignored; they are unknown fields until the kernel registers such policies.

--- a/crates/bramley-settings/src/entry.rs
+++ b/crates/bramley-settings/src/entry.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 
+use bramley_core::queue::{OrderRegistry, register_enabled};
 use serde::{Deserialize, Serialize};
 
 use crate::fault::FaultList;
@@ -78,16 +79,12 @@
     pub connect_timeout_ms: u64,
 }
 
-/// Names of the policies; an absent name takes the kernel's default.
+/// Names of registered policies; an absent name takes the kernel's default.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct EntryPolicies {
     /// Order of the queue.
     pub queue: Option<String>,
-    /// Choice of the worker.
-    pub placement: Option<String>,
-    /// Admission of new work.
-    pub admission: Option<String>,
 }
 
 impl Default for EntrySettings {
@@ -274,15 +271,16 @@
 
 impl EntryPolicies {
     fn check(&self, faults: &mut FaultList) {
-        let policies = [
-            ("policies.queue", &self.queue),
-            ("policies.placement", &self.placement),
-            ("policies.admission", &self.admission),
-        ];
-        for (field, name) in policies {
-            if let Some(name) = name {
-                faults.check_name(field, name);
-            }
+        let Some(name) = &self.queue else {
+            return;
+        };
+        let mut registry = OrderRegistry::default();
+        register_enabled(&mut registry);
+        let known: Vec<&str> = registry.iter().map(|order| order.name).collect();
+        if !known.contains(&name.as_str()) {
+            let problem = format!("{name:?} is not a registered queue order");
+            let expected = format!("one of {}", known.join(", "));
+            faults.report("policies.queue", problem, expected);
         }
     }
 }
--- a/crates/bramley-settings/tests/entry_settings.rs
+++ b/crates/bramley-settings/tests/entry_settings.rs
@@ -59,6 +59,11 @@
             "\"host\": \"entry-0\", \"host\":",
         ),
         ("two addresses alike", "0.0.0.0:8080", "10.0.0.1:7402"),
+        (
+            "unregistered policy",
+            "\"siblings\"",
+            "\"policies\": { \"queue\": \"random\" }, \"siblings\"",
+        ),
         ("syntax", "\"siblings\": [", "\"siblings\": [,"),
         ("no object", RIGHT, "// empty"),
     ];
--- a/crates/bramley-settings/tests/questionnaire.rs
+++ b/crates/bramley-settings/tests/questionnaire.rs
@@ -86,7 +86,7 @@
         ),
         (
             "job too slow",
-            "\"answer_within_ms\": 120000",
+            "\"answer_within_ms\": 60000",
             "\"answer_within_ms\": 1500",
         ),
         (
