--- a/crates/bramley-core/tests/outcomes.rs
+++ b/crates/bramley-core/tests/outcomes.rs
@@ -14,7 +14,7 @@
 use bramley_core::names::{DomainName, HostName};
 use bramley_core::task::{NotStartedProof, TaskReport};
 use bramley_core::units::{TicketSerial, UnixTime};
-use support::{configuration, job, worker};
+use support::{TEAM, configuration_of, job, worker};
 
 const START: UnixTime = UnixTime::from_millis(1_000_000);
 const TICKET_LIFE: Duration = Duration::from_secs(60);
@@ -45,7 +45,7 @@
             last_token: 0,
             actions: Vec::new(),
         };
-        bench.handle(KernelEvent::Configured(configuration()));
+        bench.handle(KernelEvent::Configured(configuration_of(&[(TEAM, 1_000)])));
         let profile = worker("worker-1", "freising", slots);
         bench.handle(KernelEvent::WorkersListed(vec![profile]));
         bench
@@ -421,7 +421,7 @@
     let submit = bench.submit(1, &balance_check());
     let start = bench.only_start();
     bench.end(&start, AttemptEnd::Unknown);
-    bench.wait(Duration::from_millis(60));
+    bench.wait(KernelSettings::default().slot_rest);
     let retry = bench.only_start();
     bench.end(&retry, REFUSED_START);
     bench.cancel(1);
@@ -609,6 +609,25 @@
     assert!(bench.kernel.right_counts().owned <= 4_096);
 }
 
+#[test]
+fn worker_that_stays_after_a_leaving_sign_is_used_again() {
+    let mut bench = KernelBench::new(1);
+    let profile = worker("worker-1", "freising", 1);
+    bench.handle(KernelEvent::WorkerLeaving(profile.name.clone()));
+    bench.handle(KernelEvent::WorkersListed(vec![profile.clone()]));
+    let soon = bench.submit(1, &single("a"));
+    assert!(bench.starts().is_empty());
+    bench.wait(Duration::from_secs(5));
+    assert_eq!(bench.failure(soon).execution, ExecutionClaim::NotRun);
+
+    // The platform's list never showed the worker as leaving.
+    bench.wait(Duration::from_secs(60));
+    bench.handle(KernelEvent::WorkersListed(vec![profile]));
+    bench.expiry = UnixTime::NEVER;
+    bench.submit(2, &single("b"));
+    assert_eq!(bench.starts().len(), 1);
+}
+
 #[test]
 fn job_that_no_worker_can_run_fails_at_once() {
     let mut bench = KernelBench::new(0);
