Randomised runs: retry single idempotent requests often enough to matter

A trial with the mend of the retried task taken back out was not noticed by the runs with 100,000 steps: too few callers made single idempotent requests.

--- a/crates/bramley-core/src/kernel/submissions.rs
+++ b/crates/bramley-core/src/kernel/submissions.rs
@@ -235,6 +235,7 @@
         };
         let mut failure = job.failure(error);
         let needs = job.waiting_needs();
+        let all_wait = job.is_waiting();
         let sent = job.sent_attempts();
         let consistent = sent.len() == job.under_way;
         self.monitor
@@ -250,7 +251,9 @@
                 });
             }
         }
-        if self.settings.faults.report_sent_as_not_run {
+        let faults = self.settings.faults;
+        let retried = faults.report_retried_as_not_run && all_wait;
+        if faults.report_sent_as_not_run || retried {
             failure.execution = ExecutionClaim::NotRun;
             failure.tasks.fill(TaskReport::NotRun);
         }
@@ -345,6 +348,13 @@
         needs
     }
 
+    /// Tells whether every task waits to be sent.
+    fn is_waiting(&self) -> bool {
+        self.phases
+            .iter()
+            .all(|phase| matches!(phase, TaskPhase::Queued(_)))
+    }
+
     fn sent_attempts(&self) -> Vec<AttemptId> {
         let mut attempts = Vec::new();
         for phase in &self.phases {
--- a/crates/bramley-core/tests/outcome_runs.rs
+++ b/crates/bramley-core/tests/outcome_runs.rs
@@ -8,7 +8,7 @@
 use runs::{BrokenParts, RunSettings, run};
 
 /// Steps of a run with a fixed seed.
-const RUN_STEPS: u64 = 100_000;
+const RUN_STEPS: u64 = 300_000;
 
 /// Seeds of the runs with nothing broken.
 const SEEDS: [u64; 6] = [1, 2, 3, 4, 5, 6];
@@ -91,6 +91,16 @@
     assert_caught(faults, BrokenParts::default(), &expected);
 }
 
+#[test]
+fn reporting_retried_tasks_as_not_run_is_caught() {
+    let faults = KernelFaults {
+        report_retried_as_not_run: true,
+        ..KernelFaults::default()
+    };
+    let expected = [ViolationKind::NotRunHadStarted];
+    assert_caught(faults, BrokenParts::default(), &expected);
+}
+
 #[test]
 fn forgetting_closed_tickets_is_caught() {
     let faults = KernelFaults {
--- a/crates/bramley-core/tests/runs/callers.rs
+++ b/crates/bramley-core/tests/runs/callers.rs
@@ -84,13 +84,19 @@
             Some(ticket)
         };
         let team = TEAMS[self.below(TEAMS.len())];
-        let tasks = 1 + self.below(4);
+        let idempotent = self.chance(40);
+        // Only single idempotent requests are ever retried.
+        let tasks = if idempotent && self.chance(80) {
+            1
+        } else {
+            1 + self.below(4)
+        };
         let span = self.micros(300_000, 3_000_000);
         let state = CallerState {
             ticket,
             team,
             tasks,
-            idempotent: self.chance(30),
+            idempotent,
             deadline: self.now.after(span),
             created: self.now,
             answered: false,
