--- a/crates/bramley-entry/src/peers/convert.rs
+++ b/crates/bramley-entry/src/peers/convert.rs
@@ -21,6 +21,7 @@
                 worker: sign.worker.as_str().to_owned(),
                 leaving: sign.leaving,
                 revision: sign.revision,
+                given_unix_ms: sign.given.as_millis(),
             })
             .collect(),
         generation: news.generation,
@@ -54,6 +55,7 @@
                 worker: WorkerName::from(sign.worker.as_str()),
                 leaving: sign.leaving,
                 revision: sign.revision,
+                given: UnixTime::from_millis(sign.given_unix_ms),
             })
             .collect(),
         generation: news.generation,
