--- a/crates/bramley-core/src/membership/generations.rs
+++ b/crates/bramley-core/src/membership/generations.rs
@@ -20,6 +20,8 @@
     in_force: u64,
     attempt: Option<FetchAttempt>,
     failed_address: Option<SocketAddr>,
+    /// Time at which another fetch may follow a failed one.
+    retry_at: Option<UnixTime>,
 }
 
 impl GenerationTracker {
@@ -29,10 +31,14 @@
         self.in_force
     }
 
-    /// Returns the time at which the fetch under way is given up, or `None` without one.
+    /// Returns the time at which the fetch under way is given up or a failed one is followed by
+    /// another, or `None` without either.
     #[must_use]
-    pub fn fetch_deadline(&self) -> Option<UnixTime> {
-        self.attempt.map(|attempt| attempt.deadline)
+    pub fn next_deadline(&self) -> Option<UnixTime> {
+        match self.attempt {
+            Some(attempt) => Some(attempt.deadline),
+            None => self.retry_at,
+        }
     }
 
     /// Puts a generation into force and tells whether it is newer than the one before.
@@ -57,40 +63,46 @@
         if newer {
             self.attempt = None;
             self.failed_address = None;
+            self.retry_at = None;
         }
         newer
     }
 
-    /// Ends the fetch under way at an address, so that another address is tried next.
-    pub fn note_failure(&mut self, address: SocketAddr) {
+    /// Ends the fetch under way at an address, so that another address is tried after `gap`.
+    pub fn note_failure(&mut self, address: SocketAddr, gap: Duration, now: UnixTime) {
         if self
             .attempt
             .is_some_and(|attempt| attempt.address == address)
         {
             self.attempt = None;
             self.failed_address = Some(address);
+            self.retry_at = Some(now.after(gap));
         }
     }
 
-    /// Gives up the fetch under way if its deadline has passed.
+    /// Gives up the fetch under way, or ends the wait after a failed one, if it is time.
     pub fn expire(&mut self, now: UnixTime) {
         if let Some(attempt) = self.attempt
             && attempt.deadline <= now
         {
-            self.note_failure(attempt.address);
+            self.note_failure(attempt.address, Duration::ZERO, now);
+        }
+        if self.retry_at.is_some_and(|retry_at| retry_at <= now) {
+            self.retry_at = None;
         }
     }
 
     /// Chooses an address to fetch from among those that have a newer generation.
     ///
-    /// It prefers one that has not just failed. It returns `None` while a fetch is under way.
+    /// It prefers one that has not just failed. It returns `None` while a fetch is under way and
+    /// shortly after a failure.
     pub fn start_fetch(
         &mut self,
         newer: &[SocketAddr],
         timeout: Duration,
         now: UnixTime,
     ) -> Option<SocketAddr> {
-        if self.attempt.is_some() {
+        if self.attempt.is_some() || self.retry_at.is_some() {
             return None;
         }
         let untried = newer
--- a/crates/bramley-core/src/membership/kernel.rs
+++ b/crates/bramley-core/src/membership/kernel.rs
@@ -197,7 +197,7 @@
     #[must_use]
     pub fn next_wakeup(&self) -> UnixTime {
         let round_at = self.next_round_at.min(self.early_at);
-        match self.generations.fetch_deadline() {
+        match self.generations.next_deadline() {
             Some(deadline) => round_at.min(deadline),
             None => round_at,
         }
@@ -261,7 +261,8 @@
     /// Takes in that a fetch of the configuration failed.
     pub fn on_fetch_failed(&mut self, address: SocketAddr, now: UnixTime) -> Vec<MembershipAction> {
         self.observe_time(now);
-        self.generations.note_failure(address);
+        let gap = Duration::from_millis(self.settings.early_gap_ms);
+        self.generations.note_failure(address, gap, now);
         self.finish(Vec::new(), now)
     }
 
