Split membership into smaller modules

Actions, early rounds, comparison of records, choice of rumours and the entry of one worker get modules of their own.

--- a/crates/bramley-core/examples/membership_cost.rs
+++ b/crates/bramley-core/examples/membership_cost.rs
@@ -1,5 +1,8 @@
 //! Prints what membership costs one host, by the number of hosts and workers.
 //!
+//! With two arguments, a number of hosts and one of workers, it prints one row. The memory of a
+//! row is only right in a process of its own: the next row reuses what the last one freed.
+//!
 //! Every host runs in this process, in virtual time. Traffic is counted by the encoded size of
 //! each message with 100 bytes for HTTP/2, TCP and IP. Processor time is that of all kernels and
 //! of the exchange between them, divided by the hosts, so that it is an upper bound.
@@ -25,6 +28,14 @@
 const POLL_SECONDS: u64 = 1;
 
 fn main() {
+    let sizes: Vec<usize> = std::env::args()
+        .skip(1)
+        .filter_map(|size| size.parse().ok())
+        .collect();
+    if let [hosts, workers] = sizes[..] {
+        print_row(hosts, workers);
+        return;
+    }
     println!("| hosts | workers | messages/s | bytes/s | worst bytes/s | CPU us/s | memory kB |");
     println!("|---|---|---|---|---|---|---|");
     for hosts in [7, 20, 40, 70, 100] {
--- a/crates/bramley-core/src/membership/kernel.rs
+++ b/crates/bramley-core/src/membership/kernel.rs
@@ -5,93 +5,25 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use serde::Serialize;
 
+use super::action::{MemberSnapshot, MembershipAction};
 use super::counts::{MembershipCounts, check_invariant};
+use super::early::EarlySchedule;
 use super::generations::GenerationTracker;
 use super::record::{HeartbeatNews, MemberLoad, MemberRecord, MemberState, TeamDemand};
 use super::settings::MembershipSettings;
 use super::signs::WorkerSigns;
-use super::table::{MemberEntry, MemberTable};
+use super::table::MemberTable;
 use super::targets::TargetChooser;
 use crate::names::{DomainName, WorkerName};
 use crate::units::{IncarnationId, UnixTime};
 
-/// Number of early rounds that one urgent item of news causes.
-const EARLY_ROUNDS: u32 = 2;
-
 /// Number of missed rounds after which the process itself counts as paused.
 const PAUSE_ROUNDS: u32 = 4;
 
 /// Largest number of records of one message that are taken in.
 const MAX_RECORDS_TAKEN: usize = 64;
 
-/// What the daemon has to do.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum MembershipAction {
-    /// Send a heartbeat and hand the reply to [`MembershipKernel::on_news`], or report the
-    /// failure to [`MembershipKernel::on_send_failed`].
-    SendHeartbeat {
-        /// Address of the receiver.
-        address: SocketAddr,
-        /// Content of the heartbeat.
-        news: Box<HeartbeatNews>,
-    },
-    /// Fetch the configuration, and report the result to [`MembershipKernel::set_generation`] or
-    /// [`MembershipKernel::on_fetch_failed`].
-    FetchConfiguration {
-        /// Address of a host with a newer generation.
-        address: SocketAddr,
-    },
-    /// Give the worker no new work.
-    WorkerLeaving {
-        /// Name of the worker.
-        worker: WorkerName,
-    },
-    /// The worker is listed live, for the first time or again.
-    WorkerLive {
-        /// Name of the worker.
-        worker: WorkerName,
-    },
-    /// A member is new or changed its state.
-    MemberChanged {
-        /// Record after the change.
-        record: Box<MemberRecord>,
-        /// State before the change, or `None` for a new member.
-        previous: Option<MemberState>,
-    },
-    /// A newer incarnation of this host runs: end this process, or start it again with a start
-    /// time after that of the other.
-    Superseded {
-        /// Record of the newer incarnation.
-        by: Box<MemberRecord>,
-    },
-}
-
-/// A member as seen by this host.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct MemberSnapshot {
-    /// Newest record.
-    pub record: MemberRecord,
-    /// Time at which the heartbeat counter last rose here.
-    pub heard_at: UnixTime,
-    /// Generation in force when the member last wrote itself.
-    pub generation: u64,
-    /// Load when the member last wrote itself.
-    pub load: MemberLoad,
-}
-
-impl From<&MemberEntry> for MemberSnapshot {
-    fn from(entry: &MemberEntry) -> Self {
-        Self {
-            record: entry.record.clone(),
-            heard_at: entry.heard_at,
-            generation: entry.generation,
-            load: entry.load,
-        }
-    }
-}
-
 /// Membership of one entry host.
 ///
 /// Every method takes the present time, which must not go back. The daemon calls
@@ -113,11 +45,7 @@
     next_round_at: UnixTime,
     last_round_at: UnixTime,
     last_seen_at: UnixTime,
-    early_at: UnixTime,
-    early_rounds_left: u32,
-    early_is_wide: bool,
-    /// Time up to which the allowance of early rounds is used.
-    early_used_until: UnixTime,
+    early: EarlySchedule,
     superseded: bool,
 }
 
@@ -149,10 +77,7 @@
             next_round_at: now.after(first_wait),
             last_round_at: now,
             last_seen_at: now,
-            early_at: UnixTime::NEVER,
-            early_rounds_left: 0,
-            early_is_wide: false,
-            early_used_until: now,
+            early: EarlySchedule::new(now),
             superseded: false,
         }
     }
@@ -196,7 +121,7 @@
     /// Returns the time at which [`on_tick`](Self::on_tick) has to be called.
     #[must_use]
     pub fn next_wakeup(&self) -> UnixTime {
-        let round_at = self.next_round_at.min(self.early_at);
+        let round_at = self.next_round_at.min(self.early.next_at());
         match self.generations.next_deadline() {
             Some(deadline) => round_at.min(deadline),
             None => round_at,
@@ -209,7 +134,7 @@
         let mut actions = Vec::new();
         if self.next_round_at <= now {
             self.start_regular_round(now, &mut actions);
-        } else if self.early_at <= now {
+        } else if self.early.next_at() <= now {
             self.start_early_round(now, &mut actions);
         }
         self.generations.expire(now);
@@ -380,15 +305,8 @@
     }
 
     fn request_early_rounds(&mut self, wide: bool, now: UnixTime) {
-        if self.settings.faults.no_early_rounds {
-            return;
-        }
-        self.early_rounds_left = EARLY_ROUNDS;
-        self.early_is_wide |= wide;
-        if self.early_at == UnixTime::NEVER {
-            let gap = Duration::from_millis(self.settings.early_gap_ms);
-            self.early_at = now.max(self.last_round_at.after(gap));
-        }
+        self.early
+            .request(wide, self.last_round_at, &self.settings, now);
     }
 
     fn start_regular_round(&mut self, now: UnixTime, actions: &mut Vec<MembershipAction>) {
@@ -406,23 +324,12 @@
     }
 
     fn start_early_round(&mut self, now: UnixTime, actions: &mut Vec<MembershipAction>) {
-        let refill = Duration::from_millis(self.settings.early_refill_ms);
-        let allowance_end = now.after(refill * self.settings.early_burst);
-        let used_until = self.early_used_until.max(now).after(refill);
-        if used_until > allowance_end {
-            self.early_at = now.after(used_until.since(allowance_end));
+        if !self.early.take_allowance(&self.settings, now) {
             return;
         }
-        self.early_used_until = used_until;
-        self.early_rounds_left = self.early_rounds_left.saturating_sub(1);
         self.counts.early_rounds += 1;
-        self.start_round(self.early_is_wide, now, actions);
-        self.early_at = UnixTime::NEVER;
-        if self.early_rounds_left > 0 {
-            self.early_at = now.after(Duration::from_millis(self.settings.early_gap_ms));
-        } else {
-            self.early_is_wide = false;
-        }
+        self.start_round(self.early.is_wide(), now, actions);
+        self.early.finish_round(&self.settings, now);
     }
 
     fn start_round(&mut self, wide: bool, now: UnixTime, actions: &mut Vec<MembershipAction>) {
--- a/crates/bramley-core/src/membership/signs.rs
+++ b/crates/bramley-core/src/membership/signs.rs
@@ -14,72 +14,13 @@
 use super::counts::MembershipCounts;
 use super::record::WorkerNews;
 use super::settings::MembershipSettings;
+use super::worker_entry::WorkerEntry;
 use crate::names::WorkerName;
 use crate::units::UnixTime;
 
 /// Number of messages that carry a new sign.
 const SIGN_SENDS: u32 = 12;
 
-/// Span within which the own signs of one worker count as one; a later one renews the hold.
-const SAME_SIGN_SPAN: Duration = Duration::from_secs(5);
-
-/// The sign that a worker gave itself.
-#[derive(Clone, Copy, Debug)]
-struct OwnSign {
-    /// Time at which the worker gave the sign; it tells a new sign from an ended one.
-    given: UnixTime,
-    /// Newest list revision known where the sign was given; only a newer list may end it.
-    base_revision: u64,
-    /// Time from which a newer list may end the sign.
-    hold_until: UnixTime,
-    /// Whether a newer list showed the worker leaving, so that the next change back ends the sign.
-    confirmed: bool,
-}
-
-/// What is known about one worker.
-#[derive(Clone, Debug)]
-struct WorkerEntry {
-    revision: u64,
-    listed_leaving: bool,
-    own_sign: Option<OwnSign>,
-    /// Newest own sign that has ended; siblings may still pass it on.
-    ended_sign: UnixTime,
-    /// Time at which a leaving worker is forgotten.
-    forget_at: UnixTime,
-    sends_left: u32,
-}
-
-impl WorkerEntry {
-    const fn is_leaving(&self) -> bool {
-        self.listed_leaving || self.own_sign.is_some()
-    }
-
-    /// Confirms or ends the worker's own sign by what a list of the given revision shows.
-    fn compare_own_sign(
-        &mut self,
-        leaving: bool,
-        revision: u64,
-        settings: &MembershipSettings,
-        now: UnixTime,
-    ) {
-        let Some(sign) = &mut self.own_sign else {
-            return;
-        };
-        if revision <= sign.base_revision {
-            return;
-        }
-        if leaving {
-            sign.confirmed = true;
-            return;
-        }
-        let hold_passed = sign.hold_until <= now || settings.faults.obey_lagging_list;
-        if sign.confirmed || hold_passed {
-            self.ended_sign = self.ended_sign.max(sign.given);
-            self.own_sign = None;
-        }
-    }
-}
-
 /// A worker that started to leave, came back or was seen live for the first time.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WorkerChange {
@@ -224,7 +165,7 @@
         }
         let mut news = Vec::with_capacity(picked.len());
         for worker in picked {
-            push_news(&mut news, &worker, &self.entries[&worker]);
+            self.entries[&worker].push_news(&worker, &mut news);
         }
         news
     }
@@ -279,16 +220,7 @@
         let is_new = !self.entries.contains_key(worker);
         let entry = self.entry(worker, settings, now);
         let was_leaving = entry.is_leaving();
-        if revision > entry.revision {
-            entry.revision = revision;
-            entry.listed_leaving = leaving;
-        } else if revision == entry.revision {
-            // Two hosts may read one revision differently only by a fault; leaving is safe.
-            entry.listed_leaving |= leaving;
-        } else {
-            return;
-        }
-        entry.compare_own_sign(leaving, revision, settings, now);
+        entry.apply_listed(leaving, revision, settings, now);
         self.note_change(worker, was_leaving, settings, now);
         if is_new && !leaving {
             self.changes.push(WorkerChange {
@@ -308,20 +240,8 @@
     ) {
         let entry = self.entry(worker, settings, now);
         let was_leaving = entry.is_leaving();
-        match &mut entry.own_sign {
-            Some(sign) if given <= sign.given.after(SAME_SIGN_SPAN) => {
-                sign.given = sign.given.max(given);
-                sign.base_revision = sign.base_revision.max(base_revision);
-            }
-            Some(_) | None => {
-                entry.own_sign = Some(OwnSign {
-                    given,
-                    base_revision,
-                    hold_until: now.after(sign_hold(settings)),
-                    confirmed: false,
-                });
-                entry.sends_left = SIGN_SENDS;
-            }
+        if entry.apply_own_sign(given, base_revision, settings, now) {
+            entry.sends_left = SIGN_SENDS;
         }
         self.note_change(worker, was_leaving, settings, now);
     }
@@ -335,14 +255,7 @@
         let forget_at = now.after(settings.ticket_lifetime());
         self.entries
             .entry(worker.clone())
-            .or_insert_with(|| WorkerEntry {
-                revision: 0,
-                listed_leaving: false,
-                own_sign: None,
-                ended_sign: UnixTime::default(),
-                forget_at,
-                sends_left: 0,
-            })
+            .or_insert_with(|| WorkerEntry::new(forget_at))
     }
 
     fn note_change(
@@ -367,28 +280,3 @@
         });
     }
 }
-
-const fn sign_hold(settings: &MembershipSettings) -> Duration {
-    Duration::from_millis(settings.worker_sign_hold_ms)
-}
-
-/// Adds what a message tells about one worker: its own sign, the newest listed state, or both.
-fn push_news(news: &mut Vec<WorkerNews>, worker: &WorkerName, entry: &WorkerEntry) {
-    if let Some(sign) = entry.own_sign {
-        news.push(WorkerNews {
-            worker: worker.clone(),
-            leaving: true,
-            revision: sign.base_revision,
-            given: sign.given,
-        });
-    }
-    let is_listed = entry.revision > 0;
-    if is_listed && (entry.listed_leaving || entry.own_sign.is_none()) {
-        news.push(WorkerNews {
-            worker: worker.clone(),
-            leaving: entry.listed_leaving,
-            revision: entry.revision,
-            given: UnixTime::default(),
-        });
-    }
-}
--- a/crates/bramley-core/src/membership/table.rs
+++ b/crates/bramley-core/src/membership/table.rs
@@ -2,9 +2,9 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::ops::Bound;
 
 use super::counts::{MembershipCounts, check_invariant};
+use super::merge::{is_older, merge_states};
 use super::record::{MemberLoad, MemberRecord, MemberState};
 use super::settings::MembershipSettings;
 use crate::units::{IncarnationId, UnixTime};
@@ -27,7 +27,7 @@
     /// Load when the incarnation last wrote itself.
     pub load: MemberLoad,
     /// Number of messages that still carry the newest change.
-    sends_left: u32,
+    pub(super) sends_left: u32,
 }
 
 /// A change of one member's state.
@@ -43,9 +43,10 @@
 #[derive(Debug)]
 pub struct MemberTable {
     own: MemberRecord,
-    entries: BTreeMap<IncarnationId, MemberEntry>,
+    pub(super) entries: BTreeMap<IncarnationId, MemberEntry>,
     changes: Vec<MemberChange>,
-    rotation: IncarnationId,
+    /// Incarnation that the rotation of rumours came to last.
+    pub(super) rotation: IncarnationId,
 }
 
 impl MemberTable {
@@ -162,30 +163,6 @@
         }
     }
 
-    /// Chooses records for one message: recent changes, least often sent first, then the next
-    /// ones of a rotation through all members.
-    pub fn pick_rumours(&mut self, settings: &MembershipSettings) -> Vec<MemberRecord> {
-        let limit = settings.max_member_rumours;
-        let recent_limit = limit.saturating_sub(1);
-        let mut picked = self.recent_changes(recent_limit);
-        for incarnation in &picked {
-            if let Some(entry) = self.entries.get_mut(incarnation) {
-                entry.sends_left -= 1;
-            }
-        }
-        for _ in picked.len()..limit {
-            match self.next_in_rotation() {
-                Some(incarnation) if !picked.contains(&incarnation) => picked.push(incarnation),
-                _ => break,
-            }
-        }
-        let mut records = Vec::with_capacity(picked.len());
-        for incarnation in picked {
-            records.push(self.entries[&incarnation].record.clone());
-        }
-        records
-    }
-
     /// Spreads a change again because another host still tells something older.
     fn repeat(&mut self, incarnation: IncarnationId) {
         if let Some(entry) = self.entries.get_mut(&incarnation) {
@@ -193,32 +170,6 @@
         }
     }
 
-    fn recent_changes(&self, limit: usize) -> Vec<IncarnationId> {
-        let mut recent = Vec::new();
-        for (incarnation, entry) in &self.entries {
-            if entry.sends_left > 0 {
-                recent.push((entry.sends_left, *incarnation));
-            }
-        }
-        recent.sort_unstable_by(|left, right| right.cmp(left));
-        recent.truncate(limit);
-        recent
-            .into_iter()
-            .map(|(_, incarnation)| incarnation)
-            .collect()
-    }
-
-    fn next_in_rotation(&mut self) -> Option<IncarnationId> {
-        let after_last = (Bound::Excluded(self.rotation), Bound::Unbounded);
-        let later = self.entries.range(after_last);
-        let next = later
-            .chain(self.entries.iter())
-            .find(|(_, entry)| entry.record.state != MemberState::Gone)
-            .map(|(incarnation, _)| *incarnation)?;
-        self.rotation = next;
-        Some(next)
-    }
-
     fn merge_known(
         &mut self,
         record: &MemberRecord,
@@ -447,29 +398,3 @@
         now.after(settings.silence_limit(sharers, rounds))
     }
 }
-
-/// Returns the state that two records of one incarnation show together.
-fn merge_states(ours: &MemberRecord, theirs: &MemberRecord) -> MemberState {
-    if theirs.state.rank() != ours.state.rank() {
-        if theirs.state.rank() > ours.state.rank() {
-            return theirs.state;
-        }
-        return ours.state;
-    }
-    if theirs.heartbeat > ours.heartbeat {
-        return theirs.state;
-    }
-    let same_counter = theirs.heartbeat == ours.heartbeat;
-    if same_counter && theirs.state == MemberState::Suspect {
-        return MemberState::Suspect;
-    }
-    ours.state
-}
-
-/// Tells whether `theirs` lacks a change of state that `ours` has.
-fn is_older(theirs: &MemberRecord, ours: &MemberRecord) -> bool {
-    if theirs.state.rank() != ours.state.rank() {
-        return theirs.state.rank() < ours.state.rank();
-    }
-    theirs.state != ours.state && theirs.heartbeat < ours.heartbeat
-}
