Facade crate bramley by feature, with an example for each common use

Cause: others embed the kernels, the caller library and the checked settings and need one name and runnable programs to start from.

--- /dev/null
+++ b/crates/bramley/examples/checked_settings.rs
@@ -0,0 +1,44 @@
+//! Reads settings in JSON with comments and reports all faults of a file with their places.
+
+use bramley::settings::{CheckedSettings, FaultList, load_text};
+use serde::Deserialize;
+
+/// Settings of a program of one's own.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct KioskSettings {
+    /// Name of the kiosk.
+    name: String,
+    /// Time to wait for an answer, in milliseconds.
+    answer_within_ms: u64,
+}
+
+impl CheckedSettings for KioskSettings {
+    const REQUIRED_FIELDS: &'static [&'static str] = &["name"];
+
+    fn check(&self, faults: &mut FaultList) {
+        faults.check_name("name", &self.name);
+        faults.check_range("answer_within_ms", self.answer_within_ms, 100, 60_000);
+    }
+}
+
+/// Runs the example.
+pub fn main() {
+    let text = r#"
+// Kiosk at the bus stand.
+{
+  "name": "kurunegala-3",
+  "answer_within_ms": 5000,
+}"#;
+    let settings: KioskSettings = load_text("kiosk.jsonc", text).expect("the settings are right");
+    println!("{} waits {} ms", settings.name, settings.answer_within_ms);
+
+    let text = r#"{
+  "name": "kurunegala-3",
+  "answer_within_ms": 5,
+  "colour": "blue"
+}"#;
+    let error = load_text::<KioskSettings>("kiosk.jsonc", text).expect_err("two faults");
+    println!("{error}");
+    assert_eq!(error.to_string().lines().count(), 2);
+}
--- /dev/null
+++ b/crates/bramley/examples/membership_kernel.rs
@@ -0,0 +1,88 @@
+//! Embeds the membership kernel in two hosts, which learn about each other by heartbeats.
+
+use std::net::SocketAddr;
+
+use bramley::core::membership::{
+    MemberRecord, MemberState, MembershipAction, MembershipKernel, MembershipSettings,
+};
+use bramley::core::names::{DomainName, HostName};
+use bramley::core::units::{IncarnationId, UnixTime};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+/// Largest number of rounds of heartbeats.
+const ROUNDS_LIMIT: u32 = 10;
+
+/// Runs the example.
+pub fn main() {
+    let mut now = UnixTime::from_millis(1_000_000);
+    let first_address = SocketAddr::from(([127, 0, 0, 1], 7_402));
+    let second_address = SocketAddr::from(([127, 0, 0, 1], 7_412));
+    let mut first = make_kernel("entry-1", first_address, None, now);
+    let mut second = make_kernel("entry-2", second_address, Some(first_address), now);
+
+    // The second host has put generation 7 of the configuration into force.
+    let actions = second.set_generation(7, now);
+    assert!(actions.is_empty());
+
+    // Rounds go on until both hosts know each other.
+    for _ in 0..ROUNDS_LIMIT {
+        now = second.next_wakeup();
+        let actions = second.on_tick(now);
+        deliver(actions, &mut first, &mut second, now);
+        if !first.members().is_empty() && !second.members().is_empty() {
+            break;
+        }
+    }
+
+    for kernel in [&first, &second] {
+        let members = kernel.members();
+        assert_eq!(members.len(), 1);
+        println!(
+            "knows {} as {:?}",
+            members[0].record.host, members[0].record.state
+        );
+        assert_eq!(kernel.counts().violations(), 0);
+    }
+}
+
+/// Hands the heartbeats of the second host to the first and the replies back.
+fn deliver(
+    actions: Vec<MembershipAction>,
+    first: &mut MembershipKernel,
+    second: &mut MembershipKernel,
+    now: UnixTime,
+) {
+    for action in actions {
+        let MembershipAction::SendHeartbeat { address, news } = action else {
+            continue;
+        };
+        println!("entry-2 sends a heartbeat to {address}");
+        let follow_ups = first.on_news(&news, now);
+        println!("entry-1 follows up with {follow_ups:?}");
+        let reply = first.reply_news(&news.sender.domain, now);
+        second.on_news(&reply, now);
+    }
+}
+
+fn make_kernel(
+    host: &str,
+    peer_address: SocketAddr,
+    seed: Option<SocketAddr>,
+    now: UnixTime,
+) -> MembershipKernel {
+    let own = MemberRecord {
+        host: HostName::from(host),
+        domain: DomainName::from("freising"),
+        incarnation: IncarnationId::from_bits(rand::random()),
+        started: now,
+        peer_address,
+        state: MemberState::Alive,
+        heartbeat: 0,
+    };
+    let settings = MembershipSettings {
+        seeds: seed.into_iter().collect(),
+        ..MembershipSettings::default()
+    };
+    MembershipKernel::new(settings, own, &mut StdRng::seed_from_u64(1), now)
+}
