Admit by the work ahead under the queue order; judge workers by constant work

Change: each queue order tells the work that goes before a job's end; the fair order counts that of the job's own team and takes the slots that the other teams leave, by their recent work, and at least the share by weight.

Cause: recording an outcome went over all workers and their windows; an ejected worker got tasks on all slots at its probe; jobs were told apart by ticket, so that a broken team of single requests counted against the workers.

--- a/crates/bramley-core/src/kernel/admission.rs
+++ b/crates/bramley-core/src/kernel/admission.rs
@@ -8,11 +8,16 @@
 use crate::configuration::TeamConfiguration;
 use crate::errors::{DispatchError, ErrorKind};
 use crate::job::JobSpec;
-use crate::units::UnixTime;
+use crate::queue::{QueueEntry, WorkAhead};
+use crate::task::TaskInput;
+use crate::units::{TicketSerial, UnixTime};
 use crate::worker::TaskNeeds;
 
 use super::DispatchKernel;
 
+/// Wait that is planned for each hundred parts of the expected wait, as waits scatter.
+const WAIT_MARGIN_PERCENT: u32 = 200;
+
 /// Shortest wait that a refused caller is asked to keep.
 const MIN_RETRY_WAIT: Duration = Duration::from_millis(100);
 
@@ -110,7 +115,7 @@
             let wait = self.spread(self.drain_time(ahead));
             return Err(DispatchError::retry(ErrorKind::QueueFull, "", wait));
         }
-        let finish = self.drain_time(ahead);
+        let finish = self.expected_response(spec, now);
         if now.after(finish) > spec.deadline {
             let excess = now.after(finish).since(spec.deadline);
             let wait = self.spread(excess);
@@ -123,6 +128,40 @@
         Ok(())
     }
 
+    /// Returns the expected time until a job that is accepted now has ended.
+    fn expected_response(&self, spec: &JobSpec, now: UnixTime) -> Duration {
+        let declared = self.teams.team(spec.team.as_str());
+        let weight = declared.map_or(1, |team| team.weight);
+        let declared = declared.map_or(Duration::ZERO, |team| {
+            team.declared_run(spec.class.as_str())
+        });
+        let expected_run = self.estimates.expect(&spec.team, &spec.class, declared);
+        let tasks = u32::try_from(spec.tasks.len()).unwrap_or(u32::MAX);
+        let entry = QueueEntry {
+            serial: TicketSerial(u64::MAX),
+            team: spec.team.clone(),
+            weight,
+            submitted: now,
+            remaining: expected_run.saturating_mul(tasks),
+        };
+        // A job with tasks of different needs ends with its slowest lane; the first stands for all.
+        let needs = spec.tasks.first().map(TaskInput::needs).unwrap_or_default();
+        let counts = self.slots.counts();
+        let slots = f64::from((counts.owned + counts.borrowed).max(1));
+        let (work, slots) = match self.waiting.work_ahead(needs, &entry) {
+            WorkAhead::OfAll(work) => (work, slots),
+            WorkAhead::OfTeam(work) => {
+                let usable = self.demand.slots_for(&spec.team, weight, slots, now);
+                (work, usable)
+            }
+        };
+        if work <= expected_run && counts.idle_plain > 0 {
+            return expected_run;
+        }
+        let wait = work.div_f64(slots.max(1.0)) * WAIT_MARGIN_PERCENT / 100;
+        wait + expected_run
+    }
+
     /// Returns the expected time in which the slots at hand run a number of tasks.
     pub(super) fn drain_time(&self, tasks: usize) -> Duration {
         let counts = self.slots.counts();
--- a/crates/bramley-core/src/kernel/answers.rs
+++ b/crates/bramley-core/src/kernel/answers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::errors::{DispatchError, ErrorKind};
-use crate::health::{HealthSign, HealthVerdict};
+use crate::health::{HealthEvidence, HealthSign, HealthVerdict};
 use crate::invariants::InvariantKind;
 use crate::names::TeamName;
 use crate::task::{Finished, NotStartedProof, Queued, RetryPermit, Sent, TaskPhase, TaskRecord};
@@ -77,9 +77,8 @@
     ) {
         let rest_until = match end {
             AttemptEnd::Finished(_) | AttemptEnd::Failed => None,
-            AttemptEnd::NotStarted { .. } | AttemptEnd::Unknown => {
-                Some(now.after(self.settings.slot_rest))
-            }
+            AttemptEnd::NotStarted { .. } => Some(now.after(self.settings.refused_slot_rest)),
+            AttemptEnd::Unknown => Some(now.after(self.settings.slot_rest)),
         };
         self.slots
             .release(record.worker, &record.slots, attempt, rest_until, now);
@@ -98,11 +97,14 @@
                 ..
             } => return,
         };
-        let listed = self.workers.iter().count();
-        match self
-            .health
-            .record(record.worker, record.task.serial, sign, listed, now)
-        {
+        let evidence = HealthEvidence {
+            worker: record.worker,
+            job: record.task.serial,
+            team: record.team.clone(),
+            sign,
+        };
+        let listed = self.workers.len();
+        match self.health.record(&evidence, listed, now) {
             HealthVerdict::Unchanged => {}
             HealthVerdict::Eject(until) => {
                 self.counters.ejections += 1;
--- a/crates/bramley-core/src/kernel/dispatch.rs
+++ b/crates/bramley-core/src/kernel/dispatch.rs
@@ -5,7 +5,7 @@
 use smallvec::SmallVec;
 
 use crate::invariants::InvariantKind;
-use crate::slots::SlotNumber;
+use crate::slots::{SlotAccess, SlotNumber};
 use crate::task::TaskPhase;
 use crate::units::{AttemptId, TaskKey, TicketSerial, UnixTime};
 use crate::worker::{TaskNeeds, WorkerIndex, WorkerState};
@@ -55,9 +55,10 @@
             return true;
         };
         let expected = job.expected_run;
+        let single = job.inputs.len() == 1;
         let attempt = self.attempts.next_id();
         let needed_until = now.after(expected.saturating_mul(LOAN_RUN_FACTOR));
-        let Some(choice) = self.choose_slots(needs, attempt, needed_until) else {
+        let Some(choice) = self.choose_slots(needs, single, attempt, needed_until) else {
             return false;
         };
         let Some(index) = self.waiting.take(needs, serial, expected) else {
@@ -70,9 +71,13 @@
     }
 
     /// Occupies slots on the least busy worker that fits.
+    ///
+    /// An ejected worker is probed with jobs of one task only, so that a probe that fails fails no
+    /// larger job.
     fn choose_slots(
         &mut self,
         needs: TaskNeeds,
+        single: bool,
         attempt: AttemptId,
         needed_until: UnixTime,
     ) -> Option<SlotChoice> {
@@ -83,6 +88,7 @@
             .candidates(accelerated)
             .filter(|worker| self.workers.get(*worker).fits(needs))
             .filter(|worker| self.slots.idle_on(*worker, accelerated) >= count)
+            .filter(|worker| single || self.slots.access(*worker) == SlotAccess::Open)
             .take(4)
             .collect();
         for worker in fitting {
@@ -128,6 +134,7 @@
         job.under_way += 1;
         let input = job.inputs[task.index as usize].clone();
         let (team, class, deadline) = (job.team.clone(), job.class.clone(), job.deadline);
+        let expected = job.expected_run;
 
         self.monitor
             .check(InvariantKind::StartedAtMostOnce, permitted, || {
@@ -159,6 +166,8 @@
             answer_by: deadline,
         };
         self.attempts.insert(attempt, record);
+        let weight = self.teams.team(team.as_str()).map_or(1, |team| team.weight);
+        self.demand.record(&team, weight, expected, now);
         self.counters.starts += 1;
         if first {
             self.budget.earn();
--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -8,7 +8,7 @@
 use crate::configuration::DeploymentConfiguration;
 use crate::names::{HostName, WorkerName};
 use crate::slots::division::rank_hosts;
-use crate::slots::owner_of_slot;
+use crate::slots::{SlotAccess, owner_of_slot};
 use crate::teams::TeamDirectory;
 use crate::units::UnixTime;
 use crate::worker::{WorkerIndex, WorkerProfile, WorkerState};
@@ -219,11 +219,18 @@
         self.slots.set_worker(index, accelerators, &owned);
     }
 
-    /// Lets tasks start on a worker if it is live and not ejected, or if its probe is due.
+    /// Sets how far tasks may start on a worker: not at all unless it is live, and one at a time
+    /// while an ejected worker is probed.
     pub(super) fn refresh_usable(&mut self, index: WorkerIndex) {
         let live = self.workers.get(index).state == WorkerState::Live;
-        let usable = live && !self.fleet.awaits_probe(index);
-        self.slots.set_usable(index, usable);
+        let access = if !live || self.fleet.awaits_probe(index) {
+            SlotAccess::Closed
+        } else if self.health.is_ejected(index) {
+            SlotAccess::Probing
+        } else {
+            SlotAccess::Open
+        };
+        self.slots.set_access(index, access);
     }
 
     /// Lets tasks start again on ejected workers whose probes are due.
--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod answers;
 mod attempts;
+mod demand;
 mod dispatch;
 pub mod event;
 mod fleet;
@@ -43,6 +44,7 @@
 
 use self::action::KernelAction;
 use self::attempts::AttemptTable;
+use self::demand::DemandMeter;
 use self::event::KernelEvent;
 use self::fleet::FleetView;
 use self::loans::LoanDesk;
@@ -80,6 +82,7 @@
     quotas: QuotaLedger,
     health: HealthTable,
     estimates: RunTimeTable,
+    demand: DemandMeter,
     budget: RetryBudget,
     counters: KernelCounters,
     monitor: InvariantMonitor,
@@ -118,6 +121,7 @@
             quotas: QuotaLedger::default(),
             health: HealthTable::default(),
             estimates: RunTimeTable::default(),
+            demand: DemandMeter::default(),
             budget,
             counters: KernelCounters::default(),
             monitor: InvariantMonitor::default(),
@@ -226,6 +230,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now.after(self.settings.sweep_interval);
             self.book.forget_expired(now);
+            self.demand.forget_inactive(now);
             self.return_idle_loans(now, actions);
         }
     }
--- a/crates/bramley-core/src/kernel/settings.rs
+++ b/crates/bramley-core/src/kernel/settings.rs
@@ -40,8 +40,10 @@
     pub loan_idle_limit: Duration,
     /// Least time between two loan requests to one host.
     pub loan_request_interval: Duration,
-    /// Rest of a slot after a refused start or an unknown outcome.
+    /// Rest of a slot after an unknown outcome.
     pub slot_rest: Duration,
+    /// Rest of a slot after a refused start: another host is using it.
+    pub refused_slot_rest: Duration,
     /// Additional starts that retries may cause, in percent of first starts.
     pub retry_percent: u32,
     /// Interval of the sweeps that forget expired outcomes and give idle loans back.
@@ -61,7 +63,8 @@
             loan_term: Duration::from_secs(2),
             loan_idle_limit: Duration::from_millis(100),
             loan_request_interval: Duration::from_millis(100),
-            slot_rest: Duration::from_millis(200),
+            slot_rest: Duration::from_millis(50),
+            refused_slot_rest: Duration::from_millis(200),
             retry_percent: 10,
             sweep_interval: Duration::from_millis(100),
             faults: KernelFaults::default(),
--- a/crates/bramley-core/src/kernel/waiting.rs
+++ b/crates/bramley-core/src/kernel/waiting.rs
@@ -6,7 +6,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::names::TeamName;
-use crate::queue::{JobOrder, OrderRegistry, QueueEntry};
+use crate::queue::{JobOrder, OrderRegistry, QueueEntry, WorkAhead};
 use crate::units::TicketSerial;
 use crate::worker::TaskNeeds;
 
@@ -112,6 +112,14 @@
         lane.order.insert(entry);
     }
 
+    /// Returns the work that is sent up to the end of a job that would be entered now.
+    pub fn work_ahead(&self, needs: TaskNeeds, entry: &QueueEntry) -> WorkAhead {
+        match self.lanes.get(&needs) {
+            Some(lane) => lane.order.work_ahead(entry),
+            None => WorkAhead::OfTeam(entry.remaining),
+        }
+    }
+
     /// Returns the job whose task with these needs goes next.
     pub fn next(&self, needs: TaskNeeds) -> Option<TicketSerial> {
         self.lanes.get(&needs)?.order.next()
--- a/crates/bramley-core/src/queue/fair.rs
+++ b/crates/bramley-core/src/queue/fair.rs
@@ -10,13 +10,16 @@
 
 use rustc_hash::FxHashMap;
 
-use super::{JobOrder, OrderDescriptor, OrderRegistry, QueueEntry};
+use super::{JobOrder, OrderDescriptor, OrderRegistry, QueueEntry, WorkAhead};
 use crate::names::TeamName;
 use crate::units::{TicketSerial, UnixTime};
 
 /// Multiple of its remaining work by which a job may be passed.
 const AGEING_FACTOR: u32 = 4;
 
+/// Jobs of a team that are looked at one by one to find the work ahead of a new job.
+const MAX_JOBS_SCANNED: usize = 64;
+
 const DESCRIPTOR: OrderDescriptor = OrderDescriptor {
     name: "fair",
     summary: "Shares slots between teams by weight and serves the smallest remaining job first.",
@@ -36,6 +39,7 @@
     virtual_time: VirtualTime,
     blocked: bool,
     jobs: BTreeSet<(UnixTime, TicketSerial)>,
+    backlog: Duration,
 }
 
 #[derive(Debug)]
@@ -87,6 +91,7 @@
             lane.virtual_time = lane.virtual_time.max(self.clock);
         }
         lane.jobs.insert((rank, entry.serial));
+        lane.backlog += entry.remaining;
         self.entries
             .insert(entry.serial, RankedEntry { entry, rank });
         self.relist(&team);
@@ -100,6 +105,7 @@
         self.unlist(&team);
         if let Some(lane) = self.lanes.get_mut(&team) {
             lane.jobs.remove(&(ranked.rank, serial));
+            lane.backlog = lane.backlog.saturating_sub(ranked.entry.remaining);
         }
         self.relist(&team);
     }
@@ -121,7 +127,9 @@
             let step = micros / u64::from(ranked.entry.weight.max(1));
             lane.virtual_time = lane.virtual_time.saturating_add(step.max(1));
             lane.jobs.remove(&(ranked.rank, serial));
-            ranked.entry.remaining = ranked.entry.remaining.saturating_sub(work);
+            let sent = work.min(ranked.entry.remaining);
+            ranked.entry.remaining -= sent;
+            lane.backlog = lane.backlog.saturating_sub(sent);
             ranked.rank = rank_of(&ranked.entry);
             lane.jobs.insert((ranked.rank, serial));
         }
@@ -135,6 +143,24 @@
         self.relist(team);
     }
 
+    fn work_ahead(&self, entry: &QueueEntry) -> WorkAhead {
+        let Some(lane) = self.lanes.get(&entry.team) else {
+            return WorkAhead::OfTeam(entry.remaining);
+        };
+        let rank = rank_of(entry);
+        let mut work = entry.remaining;
+        for (position, (other, serial)) in lane.jobs.iter().enumerate() {
+            if *other > rank {
+                break;
+            }
+            if position == MAX_JOBS_SCANNED {
+                return WorkAhead::OfTeam(entry.remaining + lane.backlog);
+            }
+            work += self.entries[serial].entry.remaining;
+        }
+        WorkAhead::OfTeam(work)
+    }
+
     fn len(&self) -> usize {
         self.entries.len()
     }
--- a/crates/bramley-core/src/queue/fifo.rs
+++ b/crates/bramley-core/src/queue/fifo.rs
@@ -5,7 +5,7 @@
 
 use rustc_hash::{FxHashMap, FxHashSet};
 
-use super::{JobOrder, OrderDescriptor, OrderRegistry, QueueEntry};
+use super::{JobOrder, OrderDescriptor, OrderRegistry, QueueEntry, WorkAhead};
 use crate::names::TeamName;
 use crate::units::{TicketSerial, UnixTime};
 
@@ -29,6 +29,7 @@
     parked: BTreeMap<TeamName, BTreeSet<FifoKey>>,
     blocked: FxHashSet<TeamName>,
     entries: FxHashMap<TicketSerial, QueueEntry>,
+    backlog: Duration,
 }
 
 impl JobOrder for FifoOrder {
@@ -42,6 +43,7 @@
         } else {
             self.ready.insert(key);
         }
+        self.backlog += entry.remaining;
         self.entries.insert(entry.serial, entry);
     }
 
@@ -49,6 +51,7 @@
         let Some(entry) = self.entries.remove(&serial) else {
             return;
         };
+        self.backlog = self.backlog.saturating_sub(entry.remaining);
         let key = (entry.submitted, serial);
         self.ready.remove(&key);
         if let Some(parked) = self.parked.get_mut(&entry.team) {
@@ -60,7 +63,17 @@
         self.ready.first().map(|(_, serial)| *serial)
     }
 
-    fn charge(&mut self, _serial: TicketSerial, _work: Duration) {}
+    fn charge(&mut self, serial: TicketSerial, work: Duration) {
+        if let Some(entry) = self.entries.get_mut(&serial) {
+            let sent = work.min(entry.remaining);
+            entry.remaining -= sent;
+            self.backlog = self.backlog.saturating_sub(sent);
+        }
+    }
+
+    fn work_ahead(&self, entry: &QueueEntry) -> WorkAhead {
+        WorkAhead::OfAll(self.backlog + entry.remaining)
+    }
 
     fn set_blocked(&mut self, team: &TeamName, blocked: bool) {
         if !blocked {
--- a/crates/bramley-core/src/queue/mod.rs
+++ b/crates/bramley-core/src/queue/mod.rs
@@ -29,6 +29,15 @@
     pub remaining: Duration,
 }
 
+/// Expected run time of the tasks that are sent up to the end of a job, its own included.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkAhead {
+    /// All waiting work goes first, whatever team it is of.
+    OfAll(Duration),
+    /// Work of the job's team; the other teams take their shares beside it.
+    OfTeam(Duration),
+}
+
 /// Order of the jobs that have tasks waiting for one kind of slot.
 pub trait JobOrder: std::fmt::Debug + Send {
     /// Enters a job that has waiting tasks.
@@ -46,6 +55,9 @@
     /// Sets whether a team has used up its quota; its jobs are passed over while it has.
     fn set_blocked(&mut self, team: &TeamName, blocked: bool);
 
+    /// Returns the work that is sent up to the end of a job that would be entered now.
+    fn work_ahead(&self, entry: &QueueEntry) -> WorkAhead;
+
     /// Returns the number of jobs in the order.
     fn len(&self) -> usize;
 
--- a/crates/bramley-core/src/slots/ledger.rs
+++ b/crates/bramley-core/src/slots/ledger.rs
@@ -70,11 +70,24 @@
     }
 }
 
+/// How far new tasks may start on a worker.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SlotAccess {
+    /// No new task may start.
+    #[default]
+    Closed,
+    /// One task at a time may start, to find out whether the worker is well again.
+    Probing,
+    /// Tasks may start on all slots.
+    Open,
+}
+
 #[derive(Clone, Debug, Default)]
 struct WorkerRights {
     slots: Vec<SlotRight>,
     accelerators: u32,
-    usable: bool,
+    access: SlotAccess,
     busy: u32,
     idle_plain: u32,
     idle_accelerated: u32,
@@ -147,22 +160,22 @@
         self.relist(worker);
     }
 
-    /// Sets whether new tasks may start on a worker.
-    pub fn set_usable(&mut self, worker: WorkerIndex, usable: bool) {
+    /// Sets how far new tasks may start on a worker.
+    pub fn set_access(&mut self, worker: WorkerIndex, access: SlotAccess) {
         if worker.0 as usize >= self.workers.len() {
             return;
         }
         self.unlist(worker);
-        self.workers[worker.0 as usize].usable = usable;
+        self.workers[worker.0 as usize].access = access;
         self.relist(worker);
     }
 
-    /// Tells whether new tasks may start on a worker.
+    /// Returns how far new tasks may start on a worker.
     #[must_use]
-    pub fn is_usable(&self, worker: WorkerIndex) -> bool {
+    pub fn access(&self, worker: WorkerIndex) -> SlotAccess {
         self.workers
             .get(worker.0 as usize)
-            .is_some_and(|rights| rights.usable)
+            .map_or(SlotAccess::Closed, |rights| rights.access)
     }
 
     /// Returns the number of tasks of this host that run on a worker.
@@ -305,8 +318,9 @@
     ) {
         self.unlist(worker);
         let rights = &mut self.workers[worker.0 as usize];
+        let open = rights.access == SlotAccess::Open;
         for (number, right) in (0_u32..).zip(rights.slots.iter_mut()) {
-            if lent.len() >= count as usize {
+            if !open || lent.len() >= count as usize {
                 break;
             }
             let kind_fits = (number < rights.accelerators) == accelerated;
@@ -518,10 +532,22 @@
                 RightState::Foreign | RightState::Resting(_) | RightState::Lent(_, _) => {}
             }
         }
-        if rights.usable && rights.idle_plain > 0 {
+        match rights.access {
+            SlotAccess::Open => {}
+            SlotAccess::Probing => {
+                let free = 1_u32.saturating_sub(rights.busy);
+                rights.idle_plain = rights.idle_plain.min(free);
+                rights.idle_accelerated = rights.idle_accelerated.min(free);
+            }
+            SlotAccess::Closed => {
+                rights.idle_plain = 0;
+                rights.idle_accelerated = 0;
+            }
+        }
+        if rights.idle_plain > 0 {
             self.idle_plain.insert((rights.busy, worker));
         }
-        if rights.usable && rights.idle_accelerated > 0 {
+        if rights.idle_accelerated > 0 {
             self.idle_accelerated.insert((rights.busy, worker));
         }
         self.count(worker, |total, part| total + part);
@@ -531,12 +557,10 @@
         let rights = &self.workers[worker.0 as usize];
         let counts = &mut self.counts;
         counts.busy = combine(counts.busy, rights.busy);
-        if rights.usable {
-            counts.idle_plain = combine(counts.idle_plain, rights.idle_plain);
-            counts.idle_accelerated = combine(counts.idle_accelerated, rights.idle_accelerated);
-        }
+        counts.idle_plain = combine(counts.idle_plain, rights.idle_plain);
+        counts.idle_accelerated = combine(counts.idle_accelerated, rights.idle_accelerated);
         for right in &rights.slots {
-            if right.owned && rights.usable {
+            if right.owned && rights.access != SlotAccess::Closed {
                 counts.owned = combine(counts.owned, 1);
             }
             if matches!(right.state, RightState::Lent(_, _)) {
--- a/crates/bramley-core/src/slots/mod.rs
+++ b/crates/bramley-core/src/slots/mod.rs
@@ -9,4 +9,4 @@
 pub mod ledger;
 
 pub use division::owner_of_slot;
-pub use ledger::{LoanedSlot, RightState, SlotLedger, SlotNumber};
+pub use ledger::{LoanedSlot, RightState, SlotAccess, SlotLedger, SlotNumber};
--- a/crates/bramley-core/src/worker.rs
+++ b/crates/bramley-core/src/worker.rs
@@ -107,6 +107,18 @@
         (0_u32..).map(WorkerIndex).zip(&self.profiles)
     }
 
+    /// Returns the number of workers that were ever listed.
+    #[must_use]
+    pub const fn len(&self) -> usize {
+        self.profiles.len()
+    }
+
+    /// Tells whether no worker was ever listed.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.profiles.is_empty()
+    }
+
     /// Tells whether any worker is listed.
     #[must_use]
     pub fn has_listed(&self) -> bool {
--- /dev/null
+++ b/crates/bramley-core/tests/placement.rs
@@ -0,0 +1,181 @@
+//! Focused tests of queue orders, slot division and worker health.
+
+use std::time::Duration;
+
+use bramley_core::health::{HealthEvidence, HealthSign, HealthTable, HealthVerdict};
+use bramley_core::names::{HostName, TeamName, WorkerName};
+use bramley_core::queue::{JobOrder, OrderRegistry, QueueEntry, register_enabled};
+use bramley_core::slots::division::{owner_of_slot, rank_hosts};
+use bramley_core::units::{TicketSerial, UnixTime};
+use bramley_core::worker::WorkerIndex;
+use proptest::prelude::{prop_assert, prop_assert_eq, proptest};
+
+const START: UnixTime = UnixTime::from_millis(1_000_000);
+
+/// Multiple of its remaining work by which the fair order lets a job be passed.
+const STATED_AGEING_FACTOR: u32 = 4;
+
+fn order(name: &str) -> Box<dyn JobOrder> {
+    let mut registry = OrderRegistry::default();
+    register_enabled(&mut registry);
+    registry.create(name).expect("the order is registered")
+}
+
+fn entry(serial: u64, team: &str, weight: u32, seconds: u64, work_s: u64) -> QueueEntry {
+    QueueEntry {
+        serial: TicketSerial(serial),
+        team: TeamName::from(team),
+        weight,
+        submitted: START.after(Duration::from_secs(seconds)),
+        remaining: Duration::from_secs(work_s),
+    }
+}
+
+/// Serves the next job wholly and returns its serial.
+fn serve(order: &mut dyn JobOrder, work: Duration) -> u64 {
+    let serial = order.next().expect("a job waits");
+    order.charge(serial, work);
+    order.remove(serial);
+    serial.0
+}
+
+#[test]
+fn large_job_is_passed_only_by_jobs_of_the_stated_time() {
+    let mut order = order("fair");
+    let large = entry(1, "organisers", 1, 0, 10);
+    let bound = large
+        .submitted
+        .after(large.remaining * STATED_AGEING_FACTOR);
+    order.insert(large);
+    let mut second = 0;
+    loop {
+        second += 1;
+        let small = entry(1 + second, "organisers", 1, second, 1);
+        let submitted = small.submitted;
+        order.insert(small);
+        if serve(order.as_mut(), Duration::from_secs(1)) == 1 {
+            break;
+        }
+        assert!(submitted <= bound, "passed by a job of second {second}");
+    }
+}
+
+#[test]
+fn teams_share_by_weight_whatever_they_submit() {
+    let mut order = order("fair");
+    for serial in 0..400 {
+        order.insert(entry(serial, "busy", 1, 0, 1));
+    }
+    for serial in 1_000..1_400 {
+        order.insert(entry(serial, "favoured", 3, 0, 1));
+    }
+    let mut favoured = 0;
+    for _ in 0..200 {
+        if serve(order.as_mut(), Duration::from_secs(1)) >= 1_000 {
+            favoured += 1;
+        }
+    }
+    assert!((148..=152).contains(&favoured), "{favoured} of 200");
+}
+
+#[test]
+fn team_beyond_its_quota_is_passed_over_by_every_order() {
+    for name in ["fair", "fifo"] {
+        let mut order = order(name);
+        order.insert(entry(1, "first", 1, 0, 1));
+        order.insert(entry(2, "second", 1, 1, 1));
+        order.set_blocked(&TeamName::from("first"), true);
+        assert_eq!(order.next(), Some(TicketSerial(2)), "{name}");
+        order.set_blocked(&TeamName::from("first"), false);
+        assert_eq!(order.len(), 2, "{name}");
+    }
+}
+
+fn evidence(worker: u32, job: u64, team: &str, sign: HealthSign) -> HealthEvidence {
+    HealthEvidence {
+        worker: WorkerIndex(worker),
+        job: TicketSerial(job),
+        team: TeamName::from(team),
+        sign,
+    }
+}
+
+/// Lets ten workers run a job each of a team, so that the team is known to run well.
+fn well_fleet(table: &mut HealthTable) {
+    for worker in 0..10 {
+        let evidence = evidence(worker, u64::from(worker), "holds", HealthSign::Good);
+        let verdict = table.record(&evidence, 10, START);
+        assert_eq!(verdict, HealthVerdict::Unchanged);
+    }
+}
+
+#[test]
+fn worker_that_fails_different_jobs_is_ejected_and_restored() {
+    let mut table = HealthTable::default();
+    well_fleet(&mut table);
+    let mut failures = 0;
+    while !table.is_ejected(WorkerIndex(3)) {
+        failures += 1;
+        assert!(failures <= 8, "not ejected after {failures} failures");
+        let evidence = evidence(3, 100 + failures, "holds", HealthSign::Bad);
+        table.record(&evidence, 10, START);
+    }
+    let good = evidence(3, 200, "holds", HealthSign::Good);
+    assert_eq!(table.record(&good, 10, START), HealthVerdict::Restore);
+    assert!(!table.is_ejected(WorkerIndex(3)));
+}
+
+#[test]
+fn jobs_and_teams_that_fail_everywhere_eject_no_worker() {
+    let mut table = HealthTable::default();
+    well_fleet(&mut table);
+    for round in 0..50 {
+        for worker in 0..10 {
+            let one_job = evidence(worker, 1_000 + round, "holds", HealthSign::Bad);
+            let own_job = 10_000 + round * 10 + u64::from(worker);
+            let broken_team = evidence(worker, own_job, "broken", HealthSign::Bad);
+            table.record(&one_job, 10, START);
+            table.record(&broken_team, 10, START);
+        }
+    }
+    assert_eq!(table.counts().ejected, 0);
+}
+
+#[test]
+fn ejection_is_capped() {
+    let mut table = HealthTable::default();
+    for worker in 0..20 {
+        let job = u64::from(worker);
+        table.record(
+            &evidence(worker, job, "holds", HealthSign::Unreachable),
+            20,
+            START,
+        );
+    }
+    assert!(table.counts().ejected <= 6, "{:?}", table.counts());
+}
+
+proptest! {
+    #[test]
+    fn every_slot_has_one_owner_and_shares_are_even(
+        hosts in 1_usize..12,
+        slots in 1_u32..64,
+        worker in 0_u32..1_000,
+    ) {
+        let hosts: Vec<HostName> = (0..hosts)
+            .map(|host| HostName::from(format!("entry-{host}").as_str()))
+            .collect();
+        let worker = WorkerName::from(format!("worker-{worker}").as_str());
+        let ranked = rank_hosts(&worker, &hosts);
+        let mut counts = vec![0_u32; hosts.len()];
+        for slot in 0..slots {
+            let owner = owner_of_slot(&ranked, slot, 0);
+            prop_assert!(owner.is_some());
+            counts[owner.unwrap_or_default()] += 1;
+        }
+        let most = counts.iter().max().copied().unwrap_or(0);
+        let least = counts.iter().min().copied().unwrap_or(0);
+        prop_assert!(most - least <= 1);
+        prop_assert_eq!(counts.iter().sum::<u32>(), slots);
+    }
+}
--- a/crates/bramley-load/src/main.rs
+++ b/crates/bramley-load/src/main.rs
@@ -1,13 +1,16 @@
 //! Open-loop load and experiments with bramleydock.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use argh::FromArgs;
 use bramley_load::compare::compare_reports;
+use bramley_load::offer::offer_load;
 use bramley_load::plot::draw_reports;
-use bramley_load::report::RunReport;
+use bramley_load::report::{RunReport, rows_to_table};
 use bramley_load::scenario::Scenario;
+use bramley_load::slopes::{measure_all, to_markdown};
 use bramley_load::virtual_run::dispatcher::{POLICIES, PolicyDescriptor, find_policy};
 use bramley_load::virtual_run::run_scenario;
 
@@ -23,6 +26,8 @@
 enum LoadCommand {
     Virtual(VirtualOptions),
     Compare(CompareOptions),
+    Offer(OfferOptions),
+    Slopes(SlopesOptions),
 }
 
 /// Runs a scenario in virtual time.
@@ -61,12 +66,38 @@
     second: PathBuf,
 }
 
+/// Offers the load of a scenario over HTTP to running entry hosts.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "offer")]
+struct OfferOptions {
+    /// scenario file
+    #[argh(option)]
+    scenario: PathBuf,
+    /// address of an entry host; may be repeated
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+    /// offered load in percent instead of that of the file
+    #[argh(option)]
+    load: Option<u32>,
+}
+
+/// Measures how the kernel's cost grows with each dimension of a deployment.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "slopes")]
+struct SlopesOptions {
+    /// file for the tables in Markdown
+    #[argh(option)]
+    out: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     env_logger::init();
     let options: LoadOptions = argh::from_env();
     let outcome = match options.command {
         LoadCommand::Virtual(options) => run_virtual(&options),
         LoadCommand::Compare(options) => run_compare(&options),
+        LoadCommand::Offer(options) => run_offer(&options),
+        LoadCommand::Slopes(options) => run_slopes(&options),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -116,6 +147,29 @@
     Ok(())
 }
 
+fn run_offer(options: &OfferOptions) -> Result<(), String> {
+    let mut scenario: Scenario =
+        bramley_settings::load_file(&options.scenario).map_err(|error| error.to_string())?;
+    scenario.load_percent = options.load.unwrap_or(scenario.load_percent);
+    if options.entry.is_empty() {
+        return Err("name at least one entry host with --entry".to_owned());
+    }
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let report = runtime.block_on(offer_load(&scenario, &options.entry));
+    println!("crossed_answers={}", report.crossed_answers);
+    print!("{}", rows_to_table(&report.rows));
+    Ok(())
+}
+
+fn run_slopes(options: &SlopesOptions) -> Result<(), String> {
+    let text = to_markdown(&measure_all());
+    print!("{text}");
+    match &options.out {
+        Some(path) => write_file(path, &text),
+        None => Ok(()),
+    }
+}
+
 fn read_report(path: &Path) -> Result<RunReport, String> {
     let text =
         std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/crates/bramley-load/src/report.rs
+++ b/crates/bramley-load/src/report.rs
@@ -146,43 +146,51 @@
             self.failing_share_percent,
         )
         .expect("writing to a string");
+        text.push_str(&rows_to_table(&self.rows));
+        text
+    }
+}
+
+/// Returns the figures of workloads as a table.
+#[must_use]
+pub fn rows_to_table(rows: &[WorkloadRow]) -> String {
+    let mut text = String::new();
+    writeln!(
+        text,
+        "{:<24} {:>7} {:>7} {:>7} {:>6} {:>5} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
+        "team/class",
+        "offered",
+        "compl",
+        "refused",
+        "failed",
+        "late",
+        "mean",
+        "p50",
+        "p90",
+        "p99",
+        "p99.9",
+        "dl_p99",
+    )
+    .expect("writing to a string");
+    for row in rows {
         writeln!(
             text,
-            "{:<24} {:>7} {:>7} {:>7} {:>6} {:>5} {:>8} {:>8} {:>8} {:>8} {:>8} {:>8}",
-            "team/class",
-            "offered",
-            "compl",
-            "refused",
-            "failed",
-            "late",
-            "mean",
-            "p50",
-            "p90",
-            "p99",
-            "p99.9",
-            "dl_p99",
+            "{:<24} {:>7} {:>7} {:>7} {:>6} {:>5} {:>8.2} {:>8.2} {:>8.2} {:>8.2} {:>8.2} \
+             {:>8.2}",
+            format!("{}/{}", row.team, row.class),
+            row.offered,
+            row.complete,
+            row.refused,
+            row.failed,
+            row.late,
+            row.mean,
+            row.p50,
+            row.p90,
+            row.p99,
+            row.p999,
+            row.deadline_p99,
         )
         .expect("writing to a string");
-        for row in &self.rows {
-            writeln!(
-                text,
-                "{:<24} {:>7} {:>7} {:>7} {:>6} {:>5} {:>8.2} {:>8.2} {:>8.2} {:>8.2} {:>8.2} \
-                 {:>8.2}",
-                format!("{}/{}", row.team, row.class),
-                row.offered,
-                row.complete,
-                row.refused,
-                row.failed,
-                row.late,
-                row.mean,
-                row.p50,
-                row.p90,
-                row.p99,
-                row.p999,
-                row.deadline_p99,
-            )
-            .expect("writing to a string");
-        }
-        text
     }
+    text
 }
--- a/crates/bramley-load/src/scenario.rs
+++ b/crates/bramley-load/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Scenario files: the deployment, the load and the faults of a run.
 
 use bramley_settings::{CheckedSettings, FaultList};
+use rand::Rng;
 use serde::Deserialize;
 
 /// A run as its file describes it.
@@ -154,6 +155,14 @@
         1_000.0 * (high - low) / (high / low).ln()
     }
 
+    /// Draws the run time of a task in microseconds.
+    pub fn draw_run_us(&self, random: &mut impl Rng) -> u64 {
+        let low = f64::from(self.min_run_ms).ln();
+        let high = f64::from(self.max_run_ms.max(self.min_run_ms)).ln();
+        let exponent = low + (high - low) * random.random::<f64>();
+        (exponent.exp() * 1_000.0) as u64
+    }
+
     /// Returns the mean number of tasks of a job.
     #[must_use]
     pub fn mean_tasks(&self) -> f64 {
--- a/crates/bramley-load/src/virtual_run/driver.rs
+++ b/crates/bramley-load/src/virtual_run/driver.rs
@@ -348,7 +348,7 @@
         let mut tasks = Vec::with_capacity(count as usize);
         let mut runs_us = Vec::with_capacity(count as usize);
         for index in 0..count {
-            let run_us = self.draw_run_us(settings.min_run_ms, settings.max_run_ms);
+            let run_us = settings.draw_run_us(&mut self.random);
             runs_us.push(run_us);
             let plan = PayloadPlan {
                 run_us,
@@ -385,12 +385,6 @@
         self.schedule_in(self.scenario.caller_delay_us, event);
     }
 
-    fn draw_run_us(&mut self, min_ms: u32, max_ms: u32) -> u64 {
-        let (low, high) = (f64::from(min_ms).ln(), f64::from(max_ms.max(min_ms)).ln());
-        let exponent = low + (high - low) * self.random.random::<f64>();
-        (exponent.exp() * 1_000.0) as u64
-    }
-
     /// Picks a host as the platform's balancer does: at random among those that answer.
     fn pick_host(&mut self) -> usize {
         let lagged = UnixTime::from_micros((self.now.as_micros() - BALANCER_LAG_US).max(START_US));
