--- a/crates/bramley-load/src/slopes.rs
+++ b/crates/bramley-load/src/slopes.rs
@@ -8,6 +8,9 @@
 use std::time::{Duration, Instant};
 
 use crate::kernel_harness::{HarnessSize, KernelHarness};
+use crate::scenario::{DomainLayout, Scenario, Workload};
+use crate::virtual_run::dispatcher::POLICIES;
+use crate::virtual_run::run_scenario;
 
 /// Starts made before the clock runs.
 const WARMUP_STEPS: usize = 2_000;
@@ -27,6 +30,15 @@
 /// Bytes in a kibibyte, the unit of the memory figures of the operating system.
 const BYTES_PER_KIB: u64 = 1_024;
 
+/// Failure domains of the runs with several hosts.
+const DOMAIN_COUNT: usize = 3;
+
+/// Workers for each entry host in the runs with several hosts.
+const WORKERS_PER_HOST: usize = 7;
+
+/// Starts to which messages are related.
+const STARTS_PER_RATIO: f64 = 1_000.0;
+
 /// One step of a dimension.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SlopeStep {
@@ -151,6 +163,7 @@
             },
             KernelHarness::hear_peers,
         ),
+        loan_messages(&[6, 12, 24, 48, 99]),
         events(
             "teams",
             "ns for each configuration change",
@@ -229,6 +242,53 @@
     }
 }
 
+/// Counts messages about loans in virtual runs at 90 % load, with seven workers for each host.
+fn loan_messages(hosts: &[usize]) -> SlopeSeries {
+    let mut steps = Vec::new();
+    for hosts in hosts {
+        let domain = |number: usize| DomainLayout {
+            name: format!("domain-{number}"),
+            hosts: hosts / DOMAIN_COUNT,
+            workers: hosts / DOMAIN_COUNT * WORKERS_PER_HOST,
+        };
+        let scenario = Scenario {
+            name: "loan-messages".to_owned(),
+            duration_ms: 6_000,
+            warmup_ms: 1_000,
+            domains: (0..DOMAIN_COUNT).map(domain).collect(),
+            workloads: vec![
+                Workload {
+                    team: "holds".to_owned(),
+                    class: "hold".to_owned(),
+                    share_percent: 40,
+                    max_run_ms: 300,
+                    ..Workload::default()
+                },
+                Workload {
+                    team: "organisers".to_owned(),
+                    class: "allocation".to_owned(),
+                    share_percent: 60,
+                    min_tasks: 10,
+                    max_tasks: 100,
+                    ..Workload::default()
+                },
+            ],
+            ..Scenario::default()
+        };
+        let report = run_scenario(&scenario, &POLICIES[0]);
+        let messages = report.wasted.loans as f64 * STARTS_PER_RATIO;
+        steps.push(SlopeStep {
+            size: *hosts as f64,
+            cost: messages / report.useful_starts.max(1) as f64,
+        });
+    }
+    SlopeSeries {
+        dimension: "entry hosts, seven workers each",
+        unit: "loan messages for each 1,000 useful starts (virtual run)",
+        steps,
+    }
+}
+
 /// Measures the resident memory that one kernel takes as it keeps more and more outcomes.
 fn kept_tickets(sizes: &[usize]) -> SlopeSeries {
     let mut harness = KernelHarness::new(HarnessSize {
