Bound loan requests to a share of the starts

Change: a request costs credit, of which a thousand starts bring five requests and a second one, and at most 16 are saved.

--- a/crates/bramley-core/src/kernel/loans.rs
+++ b/crates/bramley-core/src/kernel/loans.rs
@@ -43,12 +43,69 @@
 /// Wait for an answer to a loan request.
 const ANSWER_WAIT: Duration = Duration::from_secs(1);
 
+/// Credit that one loan request costs.
+const REQUEST_COST: u64 = 1_000;
+
+/// Credit that each start brings: five requests for every thousand starts.
+const CREDIT_PER_START: u64 = 5;
+
+/// Credit that each second brings, so that a host that starts little can borrow too.
+const CREDIT_PER_SECOND: u64 = 1_000;
+
+/// Largest credit.
+const MAX_CREDIT: u64 = 16 * REQUEST_COST;
+
+/// Bounds loan requests to a share of the starts, whatever the number of hosts.
+#[derive(Debug)]
+struct LoanBudget {
+    credit: u64,
+    counted_starts: u64,
+    refilled_at: Option<UnixTime>,
+}
+
+impl Default for LoanBudget {
+    fn default() -> Self {
+        Self {
+            credit: MAX_CREDIT,
+            counted_starts: 0,
+            refilled_at: None,
+        }
+    }
+}
+
+impl LoanBudget {
+    fn refill(&mut self, starts: u64, now: UnixTime) {
+        let fresh = starts.saturating_sub(self.counted_starts);
+        self.counted_starts = starts;
+        let refilled_at = *self.refilled_at.get_or_insert(now);
+        let elapsed = now.since(refilled_at);
+        let millis = u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX);
+        let of_time = millis.saturating_mul(CREDIT_PER_SECOND) / 1_000;
+        self.refilled_at = Some(refilled_at.after(Duration::from_millis(millis)));
+        let of_starts = fresh.saturating_mul(CREDIT_PER_START);
+        let credit = self
+            .credit
+            .saturating_add(of_time)
+            .saturating_add(of_starts);
+        self.credit = credit.min(MAX_CREDIT);
+    }
+
+    const fn allows_request(&self) -> bool {
+        self.credit >= REQUEST_COST
+    }
+
+    const fn spend(&mut self) {
+        self.credit = self.credit.saturating_sub(REQUEST_COST);
+    }
+}
+
 /// Loan requests under way and waits between them.
 #[derive(Debug, Default)]
 pub struct LoanDesk {
     pending: FxHashMap<HostName, UnixTime>,
     ask_again: FxHashMap<HostName, UnixTime>,
     patience: QueuePatience,
+    budget: LoanBudget,
 }
 
 /// How long tasks have waited without a break.
@@ -123,7 +180,9 @@
         if demand.plain > 0 {
             demand.plain = demand.plain.max(MIN_SLOTS_PER_REQUEST);
         }
+        self.loans.budget.refill(self.counters.starts, now);
         while demand.plain + demand.accelerated > 0
+            && self.loans.budget.allows_request()
             && self.loans.pending_requests(now) < MAX_PENDING_REQUESTS
         {
             let Some(lender) = self.best_lender(demand.plain > 0, demand.accelerated > 0, now)
@@ -146,6 +205,7 @@
                 .pending
                 .insert(host.clone(), now.after(ANSWER_WAIT));
             self.counters.loan_requests += 1;
+            self.loans.budget.spend();
             actions.push(KernelAction::AskLoan {
                 lender: host,
                 plain,
