--- a/crates/bramley-load/src/main.rs
+++ b/crates/bramley-load/src/main.rs
@@ -7,6 +7,7 @@
 use argh::FromArgs;
 use bramley_load::compare::compare_reports;
 use bramley_load::offer::offer_load;
+use bramley_load::overhead::{OverheadPlan, measure_overhead};
 use bramley_load::plot::draw_reports;
 use bramley_load::report::{RunReport, rows_to_table};
 use bramley_load::scenario::Scenario;
@@ -27,6 +28,7 @@
     Virtual(VirtualOptions),
     Compare(CompareOptions),
     Offer(OfferOptions),
+    Overhead(OverheadOptions),
     Slopes(SlopesOptions),
 }
 
@@ -81,6 +83,39 @@
     load: Option<u32>,
 }
 
+/// Measures what an entry host adds to a call, against direct calls in the same run.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "overhead")]
+struct OverheadOptions {
+    /// address of the entry host
+    #[argh(option)]
+    entry: SocketAddr,
+    /// address of a worker that no entry host uses; may be repeated
+    #[argh(option)]
+    direct_worker: Vec<SocketAddr>,
+    /// team
+    #[argh(option)]
+    team: String,
+    /// task class
+    #[argh(option)]
+    class: String,
+    /// jobs and direct calls in a second, each; 500 by default
+    #[argh(option, default = "500")]
+    rate: u32,
+    /// tasks of each job; 1 by default
+    #[argh(option, default = "1")]
+    tasks: u32,
+    /// run time of each task in milliseconds; 1 by default
+    #[argh(option, default = "1")]
+    run_ms: u32,
+    /// length of the run in seconds; 10 by default
+    #[argh(option, default = "10")]
+    seconds: u32,
+    /// process of the entry host, to read its processor time
+    #[argh(option)]
+    process: Option<u32>,
+}
+
 /// Measures how the kernel's cost grows with each dimension of a deployment.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "slopes")]
@@ -97,6 +132,7 @@
         LoadCommand::Virtual(options) => run_virtual(&options),
         LoadCommand::Compare(options) => run_compare(&options),
         LoadCommand::Offer(options) => run_offer(&options),
+        LoadCommand::Overhead(options) => run_overhead(options),
         LoadCommand::Slopes(options) => run_slopes(&options),
     };
     match outcome {
@@ -161,6 +197,24 @@
     Ok(())
 }
 
+fn run_overhead(options: OverheadOptions) -> Result<(), String> {
+    let plan = OverheadPlan {
+        entry: options.entry,
+        direct_workers: options.direct_worker,
+        team: options.team,
+        class: options.class,
+        rate: options.rate.max(1),
+        tasks: options.tasks,
+        run_ms: options.run_ms,
+        seconds: options.seconds,
+        process_id: options.process,
+    };
+    let runtime = tokio::runtime::Runtime::new().map_err(|error| error.to_string())?;
+    let report = runtime.block_on(measure_overhead(plan))?;
+    println!("{}", report.to_text());
+    Ok(())
+}
+
 fn run_slopes(options: &SlopesOptions) -> Result<(), String> {
     let text = to_markdown(&measure_all());
     print!("{text}");
