Bind a caller's key once and for good

A key whose ticket was closed as not run was bound to a fresh ticket when the same key came again. The two cannot be told apart: a copy from the network looks like a retry of the caller. So a refusal is final for its key as it is for a ticket, and the caller takes a new key.

Weighed: answering refusals of keys as undetermined and binding again. That gives up a true "not run", which the callers want most.

--- a/crates/bramley-entry/src/keys.rs
+++ b/crates/bramley-entry/src/keys.rs
@@ -2,8 +2,11 @@
 //!
 //! A key is bound to a ticket by one write that creates it only if it is absent. Whoever loses
 //! the race, or loses the answer after the write took effect, reads back which ticket is bound
-//! and goes there. A ticket that its owner has closed as not run may be replaced by a newer one
-//! with compare-and-swap, because the owner never starts anything under it.
+//! and goes there.
+//!
+//! A key is never bound a second time. If its ticket was closed as not run, a delayed copy of
+//! the same request would run under a fresh ticket after its caller was told that it did not; the
+//! caller takes a new key instead.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,7 +14,7 @@
 use bramley_core::errors::{DispatchError, ErrorKind};
 use bramley_core::names::TeamName;
 use bramley_store::{StoreClient, StoreError};
-use bramley_wire::caller::{JobReply, JobRequest};
+use bramley_wire::caller::JobRequest;
 use bramley_wire::platform::{KeyValue, PutRequest};
 use bytes::Bytes;
 
@@ -32,20 +35,8 @@
         return EncodedAnswer::of_error("", error);
     }
     let path = format!("{KEY_FOLDER}/{}/{}", request.team, request.key);
-    let bound = match bind(state, &path, &request.team, 0).await {
-        Ok(bound) => bound,
-        Err(error) => return unbound(&error),
-    };
-    let answer = submit_bound(state, &request, &bound.value).await;
-    if !is_closed_as_not_run(&answer) {
-        return answer;
-    }
-    // The owner closed the earlier ticket for good, so the key may move on to a fresh one.
-    match bind(state, &path, &request.team, bound.revision).await {
-        Ok(rebound) if rebound.value != bound.value => {
-            submit_bound(state, &request, &rebound.value).await
-        }
-        Ok(_) => answer,
+    match bind(state, &path, &request.team).await {
+        Ok(bound) => submit_bound(state, &request, &bound.value).await,
         Err(error) => unbound(&error),
     }
 }
@@ -64,19 +55,14 @@
     routes::submit_ticket(state, bound, body, 0).await
 }
 
-/// Binds a key to a fresh ticket if its revision is `expected`, and returns what is bound.
-async fn bind(
-    state: &SharedState,
-    path: &str,
-    team: &str,
-    expected: u64,
-) -> Result<KeyValue, StoreError> {
+/// Binds a key to a fresh ticket if it is not bound yet, and returns what is bound.
+async fn bind(state: &SharedState, path: &str, team: &str) -> Result<KeyValue, StoreError> {
     let lifetime = Duration::from_millis(state.settings.limits.ticket_lifetime_ms);
     let expiry = state.clock.now().after(lifetime);
     let ticket = state.issuer.issue(TeamName::from(team), expiry).to_string();
     let request = PutRequest {
         value: ticket,
-        expected_revision: expected,
+        expected_revision: 0,
         // The binding outlives the ticket, so that no second ticket can be bound in its life.
         lease_ms: state.settings.limits.ticket_lifetime_ms.saturating_mul(2),
     };
@@ -112,16 +98,6 @@
     }
 }
 
-/// Tells whether an answer states that its ticket was closed before any task started.
-fn is_closed_as_not_run(answer: &EncodedAnswer) -> bool {
-    let Ok(reply) = serde_json::from_slice::<JobReply>(&answer.body) else {
-        return false;
-    };
-    reply
-        .failure
-        .is_some_and(|failure| failure.code == ErrorKind::RefusedEarlier.answer_row().code)
-}
-
 fn unbound(error: &StoreError) -> EncodedAnswer {
     log::warn!("event=key_not_bound error=\"{error}\"");
     let detail = "the key could not be bound; repeat the request with the same key";
--- a/crates/bramley-entry/tests/failures.rs
+++ b/crates/bramley-entry/tests/failures.rs
@@ -331,6 +331,32 @@
     assert_started_at_most_once(&starts);
 }
 
+#[tokio::test]
+async fn a_refused_key_stays_refused() {
+    let deployment = TestDeployment::start("refused_key", &DOMAINS, 1, 1).await;
+    let late = JobRequest {
+        key: "phone-18".to_owned(),
+        deadline_unix_ms: 1,
+        ..echo_job("", 1, 10)
+    };
+    let (_, refused) = deployment.submit(0, &late).await;
+    let failure = refused.failure.expect("a failure");
+    assert_eq!(
+        (failure.code.as_str(), failure.execution.as_str()),
+        ("deadline_passed", "not_run")
+    );
+    // A delayed copy must not run after its caller was told that it did not.
+    let copy = JobRequest {
+        deadline_unix_ms: 0,
+        ..late
+    };
+    for host in [0, 1] {
+        let (_, refused) = deployment.submit(host, &copy).await;
+        assert_eq!(failure_code(&refused), "refused_earlier");
+    }
+    assert!(deployment.starts().await.is_empty());
+}
+
 #[tokio::test]
 async fn a_leaving_worker_gets_no_new_work_after_the_bound_even_in_an_outage() {
     let deployment = TestDeployment::start("leaving", &DOMAINS[..1], 2, 2).await;
