--- a/crates/bramley-core/tests/outcomes.rs
+++ b/crates/bramley-core/tests/outcomes.rs
@@ -421,7 +421,7 @@
     let submit = bench.submit(1, &balance_check());
     let start = bench.only_start();
     bench.end(&start, AttemptEnd::Unknown);
-    bench.wait(Duration::from_millis(60));
+    bench.wait(KernelSettings::default().slot_rest);
     let retry = bench.only_start();
     bench.end(&retry, REFUSED_START);
     bench.cancel(1);
