--- a/crates/bramley-core/tests/membership_runs/exchange.rs
+++ b/crates/bramley-core/tests/membership_runs/exchange.rs
@@ -180,10 +180,10 @@
         }
     }
 
-    /// Tells whether a process has run without a pause since `since`.
+    /// Tells whether a process has run without a pause since before `since`.
     pub fn ran_since(&self, host: usize, since: UnixTime) -> bool {
         let process = self.hosts[host].process.as_ref();
-        process.is_some_and(|process| process.started_at <= since && process.frozen_until <= since)
+        process.is_some_and(|process| process.started_at < since && process.frozen_until <= since)
     }
 
     /// Hands an event to a host's kernel, unless it is down or paused, and does the actions.
