--- a/crates/bramley-core/src/membership/signs.rs
+++ b/crates/bramley-core/src/membership/signs.rs
@@ -14,39 +14,12 @@
 use super::counts::MembershipCounts;
 use super::record::WorkerNews;
 use super::settings::MembershipSettings;
+use super::worker_entry::WorkerEntry;
 use crate::names::WorkerName;
 use crate::units::UnixTime;
 
 /// Number of messages that carry a new sign.
-const SIGN_SENDS: u32 = 12;
-
-/// The sign that a worker gave itself.
-#[derive(Clone, Copy, Debug)]
-struct OwnSign {
-    /// Newest list revision known when the sign came; only a newer list may end it.
-    base_revision: u64,
-    /// Time from which a newer list may end the sign.
-    hold_until: UnixTime,
-}
-
-/// What is known about one worker.
-#[derive(Clone, Debug)]
-struct WorkerEntry {
-    revision: u64,
-    listed_leaving: bool,
-    own_sign: Option<OwnSign>,
-    /// Time until which signs passed on by siblings are taken as echoes of an ended sign.
-    echo_until: UnixTime,
-    /// Time at which a leaving worker is forgotten.
-    forget_at: UnixTime,
-    sends_left: u32,
-}
-
-impl WorkerEntry {
-    const fn is_leaving(&self) -> bool {
-        self.listed_leaving || self.own_sign.is_some()
-    }
-}
+const SIGN_SENDS: u32 = 8;
 
 /// A worker that started to leave, came back or was seen live for the first time.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -132,22 +105,29 @@
         settings: &MembershipSettings,
         now: UnixTime,
     ) {
-        self.apply_own_sign(worker, settings, now);
+        let ended_sign = match self.entries.get(worker) {
+            Some(entry) => entry.ended_sign,
+            None => UnixTime::default(),
+        };
+        let next_given = ended_sign.after(Duration::from_millis(1));
+        let given = UnixTime::from_millis(now.as_millis()).max(next_given);
+        let base_revision = self.seen_revision;
+        self.apply_own_sign(worker, given, base_revision, settings, now);
     }
 
     /// Takes in a sign that a sibling passed on.
     pub fn take_news(&mut self, news: &WorkerNews, settings: &MembershipSettings, now: UnixTime) {
-        if news.revision > 0 {
+        self.seen_revision = self.seen_revision.max(news.revision);
+        if !news.is_own_sign() {
             self.apply_listed(&news.worker, news.leaving, news.revision, settings, now);
-            self.seen_revision = self.seen_revision.max(news.revision);
             return;
         }
-        let is_echo = self
+        let has_ended = self
             .entries
             .get(&news.worker)
-            .is_some_and(|entry| now < entry.echo_until);
-        if news.leaving && !is_echo {
-            self.apply_own_sign(&news.worker, settings, now);
+            .is_some_and(|entry| news.given <= entry.ended_sign);
+        if news.leaving && !has_ended {
+            self.apply_own_sign(&news.worker, news.given, news.revision, settings, now);
         }
     }
 
@@ -185,7 +165,7 @@
         }
         let mut news = Vec::with_capacity(picked.len());
         for worker in picked {
-            push_news(&mut news, &worker, &self.entries[&worker]);
+            self.entries[&worker].push_news(&worker, &mut news);
         }
         news
     }
@@ -240,26 +220,7 @@
         let is_new = !self.entries.contains_key(worker);
         let entry = self.entry(worker, settings, now);
         let was_leaving = entry.is_leaving();
-        let comes_back = entry.listed_leaving && !leaving && revision > entry.revision;
-        if revision > entry.revision {
-            entry.revision = revision;
-            entry.listed_leaving = leaving;
-        } else if revision == entry.revision {
-            // Two hosts may read one revision differently only by a fault; leaving is safe.
-            entry.listed_leaving |= leaving;
-        } else {
-            return;
-        }
-        if let Some(sign) = entry.own_sign
-            && !leaving
-            && revision > sign.base_revision
-        {
-            let hold_passed = sign.hold_until <= now || settings.faults.obey_lagging_list;
-            if comes_back || hold_passed {
-                entry.own_sign = None;
-                entry.echo_until = now.after(sign_hold(settings));
-            }
-        }
+        entry.apply_listed(leaving, revision, settings, now);
         self.note_change(worker, was_leaving, settings, now);
         if is_new && !leaving {
             self.changes.push(WorkerChange {
@@ -272,17 +233,14 @@
     fn apply_own_sign(
         &mut self,
         worker: &WorkerName,
+        given: UnixTime,
+        base_revision: u64,
         settings: &MembershipSettings,
         now: UnixTime,
     ) {
-        let base_revision = self.seen_revision;
         let entry = self.entry(worker, settings, now);
         let was_leaving = entry.is_leaving();
-        if entry.own_sign.is_none() {
-            entry.own_sign = Some(OwnSign {
-                base_revision,
-                hold_until: now.after(sign_hold(settings)),
-            });
+        if entry.apply_own_sign(given, base_revision, settings, now) {
             entry.sends_left = SIGN_SENDS;
         }
         self.note_change(worker, was_leaving, settings, now);
@@ -297,14 +255,7 @@
         let forget_at = now.after(settings.ticket_lifetime());
         self.entries
             .entry(worker.clone())
-            .or_insert_with(|| WorkerEntry {
-                revision: 0,
-                listed_leaving: false,
-                own_sign: None,
-                echo_until: now,
-                forget_at,
-                sends_left: 0,
-            })
+            .or_insert_with(|| WorkerEntry::new(forget_at))
     }
 
     fn note_change(
@@ -329,26 +280,3 @@
         });
     }
 }
-
-const fn sign_hold(settings: &MembershipSettings) -> Duration {
-    Duration::from_millis(settings.worker_sign_hold_ms)
-}
-
-/// Adds what a message tells about one worker: its own sign, the newest listed state, or both.
-fn push_news(news: &mut Vec<WorkerNews>, worker: &WorkerName, entry: &WorkerEntry) {
-    if entry.own_sign.is_some() {
-        news.push(WorkerNews {
-            worker: worker.clone(),
-            leaving: true,
-            revision: 0,
-        });
-    }
-    let is_listed = entry.revision > 0;
-    if is_listed && (entry.listed_leaving || entry.own_sign.is_none()) {
-        news.push(WorkerNews {
-            worker: worker.clone(),
-            leaving: entry.listed_leaving,
-            revision: entry.revision,
-        });
-    }
-}
