--- a/crates/bramley-try/src/run.rs
+++ b/crates/bramley-try/src/run.rs
@@ -201,8 +201,9 @@
     async fn take_step(&mut self, step: RunStep) -> io::Result<()> {
         let detail = match step {
             RunStep::Configure => {
-                self.deployment.store_generation(2).await?;
+                // The time counts from before the write, which hosts may see before it returns.
                 self.watch.await_generation(2);
+                self.deployment.store_generation(2).await?;
                 "configuration_stored generation=2".to_owned()
             }
             RunStep::LoseHost => {
--- a/crates/bramley-try/src/watch.rs
+++ b/crates/bramley-try/src/watch.rs
@@ -70,7 +70,7 @@
 }
 
 impl HostWatch {
-    /// Begins to wait for a generation that was just stored.
+    /// Begins to wait for a generation that is about to be stored.
     pub fn await_generation(&mut self, generation: u64) {
         let stored = Instant::now();
         self.awaited = Some(AwaitedGeneration {
