--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -2,13 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
-use rustc_hash::FxHashSet;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::configuration::DeploymentConfiguration;
 use crate::names::{HostName, WorkerName};
 use crate::slots::division::rank_hosts;
-use crate::slots::owner_of_slot;
+use crate::slots::{SlotAccess, owner_of_slot};
 use crate::teams::TeamDirectory;
 use crate::units::UnixTime;
 use crate::worker::{WorkerIndex, WorkerProfile, WorkerState};
@@ -20,12 +21,19 @@
 /// Slots of one worker that are used at most, whatever the platform lists.
 const MAX_WORKER_SLOTS: u32 = 4_096;
 
+/// Time for which a leaving sign holds against a list that still shows the worker as live.
+///
+/// A worker may change its mind before the list ever shows it as leaving. If the list is only
+/// late, the worker's next refusal renews the sign.
+const LEAVING_SIGN_LIFE: Duration = Duration::from_secs(60);
+
 /// What is known of peers and of ejected workers.
 #[derive(Debug, Default)]
 pub struct FleetView {
     peers: Vec<PeerView>,
     probes: BTreeMap<WorkerIndex, UnixTime>,
-    signed_leaving: FxHashSet<WorkerName>,
+    /// Workers that signed that they are leaving, with the time until which the sign holds.
+    signed_leaving: FxHashMap<WorkerName, UnixTime>,
 }
 
 impl FleetView {
@@ -77,11 +85,12 @@
     ///
     /// An empty list is ignored once workers are known: a platform that lost its list must not
     /// stop the deployment.
-    pub(super) fn on_workers_listed(&mut self, profiles: Vec<WorkerProfile>) {
+    pub(super) fn on_workers_listed(&mut self, profiles: Vec<WorkerProfile>, now: UnixTime) {
         if profiles.is_empty() && self.workers.has_listed() {
             self.counters.ignored_worker_lists += 1;
             return;
         }
+        self.fleet.signed_leaving.retain(|_, until| *until > now);
         let mut listed = FxHashSet::default();
         for mut profile in profiles {
             self.apply_sign(&mut profile);
@@ -108,7 +117,7 @@
 
     /// Keeps a leaving sign until the lagging list shows that the platform knows of it.
     fn apply_sign(&mut self, profile: &mut WorkerProfile) {
-        if !self.fleet.signed_leaving.contains(&profile.name) {
+        if !self.fleet.signed_leaving.contains_key(&profile.name) {
             return;
         }
         match profile.state {
@@ -120,8 +129,9 @@
     }
 
     /// Stops new starts on a worker that is leaving.
-    pub(super) fn on_worker_leaving(&mut self, name: &WorkerName) {
-        self.fleet.signed_leaving.insert(name.clone());
+    pub(super) fn on_worker_leaving(&mut self, name: &WorkerName, now: UnixTime) {
+        let until = now.after(LEAVING_SIGN_LIFE);
+        self.fleet.signed_leaving.insert(name.clone(), until);
         let Some(index) = self.workers.find(name.as_str()) else {
             return;
         };
@@ -219,11 +229,18 @@
         self.slots.set_worker(index, accelerators, &owned);
     }
 
-    /// Lets tasks start on a worker if it is live and not ejected, or if its probe is due.
+    /// Sets how far tasks may start on a worker: not at all unless it is live, and one at a time
+    /// while an ejected worker is probed.
     pub(super) fn refresh_usable(&mut self, index: WorkerIndex) {
         let live = self.workers.get(index).state == WorkerState::Live;
-        let usable = live && !self.fleet.awaits_probe(index);
-        self.slots.set_usable(index, usable);
+        let access = if !live || self.fleet.awaits_probe(index) {
+            SlotAccess::Closed
+        } else if self.health.is_ejected(index) {
+            SlotAccess::Probing
+        } else {
+            SlotAccess::Open
+        };
+        self.slots.set_access(index, access);
     }
 
     /// Lets tasks start again on ejected workers whose probes are due.
--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod answers;
 mod attempts;
+mod demand;
 mod dispatch;
 pub mod event;
 mod fleet;
@@ -43,6 +44,7 @@
 
 use self::action::KernelAction;
 use self::attempts::AttemptTable;
+use self::demand::DemandMeter;
 use self::event::KernelEvent;
 use self::fleet::FleetView;
 use self::loans::LoanDesk;
@@ -80,6 +82,7 @@
     quotas: QuotaLedger,
     health: HealthTable,
     estimates: RunTimeTable,
+    demand: DemandMeter,
     budget: RetryBudget,
     counters: KernelCounters,
     monitor: InvariantMonitor,
@@ -118,6 +121,7 @@
             quotas: QuotaLedger::default(),
             health: HealthTable::default(),
             estimates: RunTimeTable::default(),
+            demand: DemandMeter::default(),
             budget,
             counters: KernelCounters::default(),
             monitor: InvariantMonitor::default(),
@@ -149,8 +153,8 @@
             KernelEvent::AttemptEnded { attempt, end } => {
                 self.on_attempt_ended(attempt, end, now, actions);
             }
-            KernelEvent::WorkersListed(profiles) => self.on_workers_listed(profiles),
-            KernelEvent::WorkerLeaving(name) => self.on_worker_leaving(&name),
+            KernelEvent::WorkersListed(profiles) => self.on_workers_listed(profiles, now),
+            KernelEvent::WorkerLeaving(name) => self.on_worker_leaving(&name, now),
             KernelEvent::WorkerLive(name) => self.on_worker_live(&name),
             KernelEvent::PeersChanged(peers) => self.on_peers_changed(peers),
             KernelEvent::Configured(configuration) => self.on_configured(&configuration),
@@ -226,6 +230,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now.after(self.settings.sweep_interval);
             self.book.forget_expired(now);
+            self.demand.forget_inactive(now);
             self.return_idle_loans(now, actions);
         }
     }
--- a/crates/bramley-core/src/kernel/settings.rs
+++ b/crates/bramley-core/src/kernel/settings.rs
@@ -15,6 +15,8 @@
     pub forget_answers: bool,
     /// Leaves the tickets of refused submissions open.
     pub forget_closed_tickets: bool,
+    /// Reports tasks that wait for a retry as not run.
+    pub report_retried_as_not_run: bool,
     /// Reports sent tasks of failed jobs as not run.
     pub report_sent_as_not_run: bool,
     /// Sends a task again after an unknown outcome although it is not idempotent.
@@ -40,8 +42,10 @@
     pub loan_idle_limit: Duration,
     /// Least time between two loan requests to one host.
     pub loan_request_interval: Duration,
-    /// Rest of a slot after a refused start or an unknown outcome.
+    /// Rest of a slot after an unknown outcome.
     pub slot_rest: Duration,
+    /// Rest of a slot after a refused start: another host is using it.
+    pub refused_slot_rest: Duration,
     /// Additional starts that retries may cause, in percent of first starts.
     pub retry_percent: u32,
     /// Interval of the sweeps that forget expired outcomes and give idle loans back.
@@ -60,8 +64,9 @@
             queue_order: "fair".to_owned(),
             loan_term: Duration::from_secs(2),
             loan_idle_limit: Duration::from_millis(100),
-            loan_request_interval: Duration::from_millis(20),
+            loan_request_interval: Duration::from_millis(100),
             slot_rest: Duration::from_millis(50),
+            refused_slot_rest: Duration::from_millis(200),
             retry_percent: 10,
             sweep_interval: Duration::from_millis(100),
             faults: KernelFaults::default(),
