Operators' page, compared with the program by a test

Cause: operators had no page on the programs, settings, log events, metrics, dump fields and error kinds, and such a page goes stale unless it is checked.

Ruled out: generating the page, because meaning and advice are written by hand; the test only asks that nothing is missing and that the rows of error kinds are right.

--- /dev/null
+++ b/crates/bramley-entry/tests/operations_page.rs
@@ -0,0 +1,143 @@
+//! Compares the operators' page with the program.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use bramley_core::errors::ANSWER_TABLE;
+use bramley_entry::EntryDaemon;
+use bramley_settings::EntrySettings;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
+
+/// Asserts that the page names every word in backticks.
+fn assert_named(kind: &str, words: &BTreeSet<String>) {
+    assert!(!words.is_empty(), "some {kind} was found");
+    let missing: Vec<&String> = words
+        .iter()
+        .filter(|word| !PAGE.contains(&format!("`{word}`")))
+        .collect();
+    assert!(
+        missing.is_empty(),
+        "{kind} that the page lacks: {missing:?}"
+    );
+}
+
+/// Collects the field names of a JSON value at all depths.
+fn collect_fields(value: &Value, fields: &mut BTreeSet<String>) {
+    match value {
+        Value::Object(object) => {
+            for (name, inner) in object {
+                fields.insert(name.clone());
+                collect_fields(inner, fields);
+            }
+        }
+        Value::Array(values) => {
+            for inner in values {
+                collect_fields(inner, fields);
+            }
+        }
+        Value::Null | Value::Bool(_) | Value::Number(_) | Value::String(_) => {}
+    }
+}
+
+/// Collects the words that follow `event=` in the sources of a folder.
+fn collect_events(folder: &Path, events: &mut BTreeSet<String>) {
+    for entry in std::fs::read_dir(folder).expect("the folder can be read") {
+        let path = entry.expect("the entry can be read").path();
+        if path.is_dir() {
+            collect_events(&path, events);
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).expect("the source can be read");
+        for rest in text.split("event=").skip(1) {
+            let end = rest.find(|letter: char| !letter.is_ascii_lowercase() && letter != '_');
+            events.insert(rest[..end.unwrap_or(rest.len())].to_owned());
+        }
+    }
+}
+
+fn idle_settings() -> EntrySettings {
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    EntrySettings {
+        host: "north-0".to_owned(),
+        failure_domain: "north".to_owned(),
+        caller_address: any_port,
+        peer_address: any_port,
+        control_address: any_port,
+        ..EntrySettings::default()
+    }
+}
+
+async fn get(address: SocketAddr, path: &str) -> String {
+    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
+    let uri = format!("http://{address}{path}").parse().expect("a URI");
+    let response = client.get(uri).await.expect("the daemon answers");
+    let body = response.into_body().collect().await.expect("a body");
+    String::from_utf8(body.to_bytes().to_vec()).expect("text")
+}
+
+#[test]
+fn every_log_event_is_on_the_page() {
+    let mut events = BTreeSet::new();
+    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    collect_events(&sources, &mut events);
+    assert_named("log events", &events);
+}
+
+#[test]
+fn every_setting_is_on_the_page() {
+    let settings = serde_json::to_value(EntrySettings::default()).expect("settings are JSON");
+    let mut fields = BTreeSet::new();
+    collect_fields(&settings, &mut fields);
+    assert_named("settings", &fields);
+}
+
+#[test]
+fn every_error_kind_is_on_the_page_with_its_row() {
+    for row in ANSWER_TABLE {
+        let line = format!(
+            "| `{}` | {} | {} | {} |",
+            row.code,
+            row.status,
+            row.retry.as_str(),
+            row.execution.as_str()
+        );
+        assert!(PAGE.contains(&line), "the page lacks {line:?}");
+    }
+}
+
+#[tokio::test]
+async fn every_metric_and_dump_field_is_on_the_page() {
+    let daemon = EntryDaemon::start(idle_settings())
+        .await
+        .expect("the daemon starts");
+    let metrics = get(daemon.caller_address(), "/metrics").await;
+    let names = metrics
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE "))
+        .filter_map(|line| line.split(' ').next())
+        .map(str::to_owned)
+        .collect();
+    assert_named("metrics", &names);
+
+    let dump = get(daemon.caller_address(), "/state").await;
+    let dump: Value = serde_json::from_str(&dump).expect("the dump is JSON");
+    let mut fields = BTreeSet::new();
+    collect_fields(&dump["kernel"]["counters"], &mut fields);
+    let counters: BTreeSet<String> = fields
+        .iter()
+        .map(|name| format!("bramley_{name}"))
+        .collect();
+    assert_named("counters", &counters);
+    let mut dump = dump;
+    dump["kernel"]["counters"] = Value::Null;
+    let mut fields = BTreeSet::new();
+    collect_fields(&dump, &mut fields);
+    assert_named("dump fields", &fields);
+}
