One retry backoff; counts, kernel time and lines to trace submissions

Cause: the platform loops had a retry wait of their own next to that of bramley-store; the counts of the configuration and of the membership kernel, failures of the platform and the time in the dispatch kernel could not be seen; submissions could be traced only at debug level.

- platform_loop uses RetryBackoff.
- bramley_kernel_seconds and bramley_store_failures are new.
- Info lines job_submitted and job_answered at the owner of a ticket, job_forwarded at a host that hands a request on.
- The test of the operators' page also checks that each metric it names exists.

Ruled out: logging each task; a job has up to 500.

The cost of the lines of the log was not measured.

--- a/crates/bramley-entry/src/caller/routes.rs
+++ b/crates/bramley-entry/src/caller/routes.rs
@@ -4,16 +4,18 @@
 use std::time::Duration;
 
 use bramley_core::errors::{DispatchError, ErrorKind};
+use bramley_core::job::JobAnswer;
 use bramley_core::ownership::{TicketRoute, route_ticket};
 use bramley_core::ticket::JobTicket;
 use bramley_wire::caller::{JobReference, JobRequest, TicketReply, TicketRequest};
 use bramley_wire::peer::ForwardRequest;
 use bytes::Bytes;
 use hyper::StatusCode;
+use tokio::time::Instant;
 
 use crate::caller::replies::EncodedAnswer;
 use crate::caller::requests::{check_reference, check_ticket_request, make_job, parse_message};
-use crate::kernel_loop::SubmitRequest;
+use crate::kernel_loop::{JobReplyState, SubmitRequest};
 use crate::keys;
 use crate::shared::SharedState;
 
@@ -116,34 +118,63 @@
     }
 }
 
+/// Submits a job that this incarnation issued the ticket of, and logs how it was answered.
 async fn submit_here(
     state: &SharedState,
     ticket: &JobTicket,
     request: JobRequest,
 ) -> EncodedAnswer {
+    let begun = Instant::now();
     let text = request.ticket.clone();
-    let result = async {
-        state.issuer.check(ticket)?;
-        let spec = make_job(request, &state.settings)?;
-        let digest = spec.digest();
-        log::debug!(
-            "event=job_submitted ticket={text} tasks={}",
-            spec.tasks.len()
-        );
-        let job = SubmitRequest {
-            serial: ticket.serial,
-            expiry: ticket.expiry,
-            spec,
-            digest,
-        };
-        state.kernel.submit(job).await
-    };
-    match result.await {
+    let result = submit_checked(state, ticket, request).await;
+    log::info!(
+        "event=job_answered ticket={text} host={} {} ms={}",
+        state.host,
+        describe_result(&result),
+        begun.elapsed().as_millis()
+    );
+    match result {
         Ok(reply) => EncodedAnswer::of_state(&text, &reply),
         Err(error) => EncodedAnswer::of_error(&text, error),
     }
 }
 
+/// Returns the outcome and the error code of an answer for the log.
+fn describe_result(result: &Result<JobReplyState, DispatchError>) -> String {
+    let kind = match result {
+        Ok(JobReplyState::Running) => return "outcome=running code=none".to_owned(),
+        Ok(JobReplyState::Answered(answer)) => match answer.as_ref() {
+            JobAnswer::Complete(_) => return "outcome=complete code=none".to_owned(),
+            JobAnswer::Failed(failure) => failure.error.kind,
+        },
+        Err(error) => error.kind,
+    };
+    format!("outcome=failed code={}", kind.answer_row().code)
+}
+
+async fn submit_checked(
+    state: &SharedState,
+    ticket: &JobTicket,
+    request: JobRequest,
+) -> Result<JobReplyState, DispatchError> {
+    state.issuer.check(ticket)?;
+    let text = request.ticket.clone();
+    let spec = make_job(request, &state.settings)?;
+    let digest = spec.digest();
+    log::info!(
+        "event=job_submitted ticket={text} host={} tasks={}",
+        state.host,
+        spec.tasks.len()
+    );
+    let job = SubmitRequest {
+        serial: ticket.serial,
+        expiry: ticket.expiry,
+        spec,
+        digest,
+    };
+    state.kernel.submit(job).await
+}
+
 /// Asks for the state of a job or cancels it, here or at the owner of its ticket.
 pub async fn refer(
     state: &SharedState,
@@ -230,6 +261,11 @@
         hops: hops + 1,
     };
     state.metrics.forwards.inc();
+    log::info!(
+        "event=job_forwarded ticket={ticket} host={} owner={address} operation={}",
+        state.host,
+        operation.as_str()
+    );
     match state.peers.forward(address, request).await {
         Ok(reply) => reply,
         Err(status) => {
--- a/crates/bramley-entry/src/daemon.rs
+++ b/crates/bramley-entry/src/daemon.rs
@@ -385,7 +385,8 @@
         }
     }
 
-    fn report_load(&mut self, kernel: &DispatchKernel) {
+    fn report_batch(&mut self, kernel: &DispatchKernel, busy_time: Duration) {
+        self.state.metrics.add_kernel_time(busy_time);
         let counts = kernel.right_counts();
         self.state.load.write(MemberLoad {
             idle_slots: counts.idle_plain,
--- a/crates/bramley-entry/src/dump.rs
+++ b/crates/bramley-entry/src/dump.rs
@@ -1,7 +1,8 @@
 //! State dump of a process.
 
+use bramley_core::configuration::ConfigurationCounts;
 use bramley_core::kernel::snapshot::KernelDump;
-use bramley_core::membership::MemberSnapshot;
+use bramley_core::membership::{MemberSnapshot, MembershipCounts};
 use bramley_core::names::HostName;
 use bramley_core::units::IncarnationId;
 use serde::Serialize;
@@ -25,6 +26,10 @@
     pub control_messages: u64,
     /// Bytes of control messages sent and received.
     pub control_bytes: u64,
+    /// Offers of configurations by outcome.
+    pub configuration: ConfigurationCounts,
+    /// What the membership kernel did.
+    pub membership: MembershipCounts,
     /// Known entry hosts.
     pub members: Vec<MemberSnapshot>,
     /// Dispatch kernel; absent if the process is ending.
@@ -35,6 +40,7 @@
 pub async fn dump_state(state: &SharedState) -> String {
     let kernel = state.kernel.dump().await.ok();
     let (control_messages, control_bytes) = state.metrics.control_counts();
+    let counts = state.control_counts.load();
     let mut members = state.members.load().members.clone();
     members.sort_by(|left, right| left.record.host.cmp(&right.record.host));
     let dump = ProcessDump {
@@ -45,6 +51,8 @@
         generation: state.configuration.load().generation,
         control_messages,
         control_bytes,
+        configuration: counts.configuration,
+        membership: counts.membership.clone(),
         members,
         kernel,
     };
--- a/crates/bramley-entry/src/kernel_loop.rs
+++ b/crates/bramley-entry/src/kernel_loop.rs
@@ -80,8 +80,8 @@
     /// Starts carrying out an action that needs input or output; it must not wait.
     fn run(&mut self, action: KernelAction);
 
-    /// Learns the number of idle slots and waiting tasks after a batch of events.
-    fn report_load(&mut self, kernel: &DispatchKernel);
+    /// Learns the state of the kernel after a batch of events, and the time that the batch took.
+    fn report_batch(&mut self, kernel: &DispatchKernel, busy_time: Duration);
 }
 
 /// Sends messages to the kernel's task.
@@ -212,7 +212,6 @@
     borrowers: HashMap<ReplyToken, oneshot::Sender<LoanGrant>>,
     last_token: u64,
     actions: Vec<KernelAction>,
-    busy_time: Duration,
 }
 
 impl<Runner: ActionRunner> KernelLoop<Runner> {
@@ -233,7 +232,6 @@
             borrowers: HashMap::new(),
             last_token: 0,
             actions: Vec::new(),
-            busy_time: Duration::ZERO,
         }
     }
 
@@ -255,8 +253,7 @@
                 self.take(message);
             }
             self.handle(KernelEvent::Ticked);
-            self.runner.report_load(&self.kernel);
-            self.busy_time += begun.elapsed();
+            self.runner.report_batch(&self.kernel, begun.elapsed());
         }
     }
 
--- a/crates/bramley-entry/src/member_loop.rs
+++ b/crates/bramley-entry/src/member_loop.rs
@@ -17,7 +17,7 @@
 
 use crate::peers::convert::{news_from_wire, news_to_wire};
 use crate::platform_loop::adopt_workers;
-use crate::shared::{ConfigurationSnapshot, MemberDirectory, SharedState};
+use crate::shared::{ConfigurationSnapshot, ControlCounts, MemberDirectory, SharedState};
 
 /// Messages that may wait for the membership's task.
 const CHANNEL_MESSAGES: usize = 4_096;
@@ -165,7 +165,8 @@
             let now = self.state.clock.now();
             let actions = self.kernel.on_tick(now);
             self.carry_out(actions).await;
-            self.publish(now).await;
+            self.publish_members(now).await;
+            self.publish_counts();
             self.state.metrics.add_control_time(begun.elapsed());
         }
     }
@@ -335,8 +336,17 @@
         }
     }
 
+    /// Replaces the counts that the state dump and the metrics show.
+    fn publish_counts(&self) {
+        let counts = ControlCounts {
+            configuration: self.configuration.counts(),
+            membership: self.kernel.counts().clone(),
+        };
+        self.state.control_counts.store(Arc::new(counts));
+    }
+
     /// Replaces the member directory and tells the dispatch kernel of the peers.
-    async fn publish(&mut self, now: UnixTime) {
+    async fn publish_members(&mut self, now: UnixTime) {
         if now < self.next_peer_report {
             return;
         }
--- a/crates/bramley-entry/src/metrics.rs
+++ b/crates/bramley-entry/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 use prost::Message;
+use serde::Serialize;
+use serde_json::Value;
 
 use crate::shared::SharedState;
 
@@ -32,6 +34,7 @@
     control_messages: Counter,
     control_bytes: Counter,
     control_seconds: Counter<f64, AtomicU64>,
+    kernel_seconds: Counter<f64, AtomicU64>,
     job_seconds: Histogram,
     answered_ok: Counter,
     answered_error: Counter,
@@ -45,6 +48,7 @@
             control_messages: Counter::default(),
             control_bytes: Counter::default(),
             control_seconds: Counter::default(),
+            kernel_seconds: Counter::default(),
             job_seconds: Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS)),
             answered_ok: Counter::default(),
             answered_error: Counter::default(),
@@ -65,6 +69,11 @@
         self.control_seconds.inc_by(time.as_secs_f64());
     }
 
+    /// Adds time spent in the dispatch kernel.
+    pub fn add_kernel_time(&self, time: Duration) {
+        self.kernel_seconds.inc_by(time.as_secs_f64());
+    }
+
     /// Records the answer to a submission.
     pub fn observe_job(&self, time: Duration, status: StatusCode) {
         self.job_seconds.observe(time.as_secs_f64());
@@ -88,37 +97,9 @@
         let mut registry = Registry::with_prefix(PREFIX);
         self.register_own(&mut registry);
         register_kernel(&mut registry, dump);
-        register_gauge(
-            &mut registry,
-            "configuration_generation",
-            "Generation of the configuration in force",
-            state.configuration.load().generation,
-        );
-        let store = state.store.counts().snapshot();
-        register_counter(
-            &mut registry,
-            "store_reads",
-            "Reads of the platform",
-            store.reads,
-        );
-        register_counter(
-            &mut registry,
-            "store_writes",
-            "Writes to the platform",
-            store.writes,
-        );
-        register_counter(
-            &mut registry,
-            "store_watches",
-            "Watches at the platform",
-            store.watches,
-        );
-        register_counter(
-            &mut registry,
-            "store_bytes",
-            "Bytes exchanged with the platform",
-            store.sent_bytes + store.received_bytes,
-        );
+        register_configuration(&mut registry, state);
+        register_membership(&mut registry, state);
+        register_store(&mut registry, state);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &registry) {
             log::error!("event=metrics_failed error=\"{error}\"");
@@ -147,6 +128,11 @@
             "Time spent on membership and configuration",
             self.control_seconds.clone(),
         );
+        registry.register(
+            "kernel_seconds",
+            "Time spent in the dispatch kernel",
+            self.kernel_seconds.clone(),
+        );
         registry.register(
             "job_seconds",
             "Time from a submission to its answer",
@@ -215,11 +201,68 @@
         "Violated invariants",
         violations,
     );
-    // The counters describe themselves by their field names.
-    if let Ok(serde_json::Value::Object(fields)) = serde_json::to_value(&dump.counters) {
+    register_fields(registry, "", "Count of the dispatch kernel", &dump.counters);
+}
+
+fn register_configuration(registry: &mut Registry, state: &SharedState) {
+    register_gauge(
+        registry,
+        "configuration_generation",
+        "Generation of the configuration in force",
+        state.configuration.load().generation,
+    );
+    register_fields(
+        registry,
+        "configuration_",
+        "Offers of configurations by outcome",
+        &state.control_counts.load().configuration,
+    );
+}
+
+fn register_membership(registry: &mut Registry, state: &SharedState) {
+    let counts = state.control_counts.load();
+    register_gauge(
+        registry,
+        "membership_violations",
+        "Violated invariants of the membership kernel",
+        counts.membership.violations(),
+    );
+    register_fields(
+        registry,
+        "membership_",
+        "Count of the membership kernel",
+        &counts.membership,
+    );
+}
+
+fn register_store(registry: &mut Registry, state: &SharedState) {
+    let store = state.store.counts().snapshot();
+    let counts = [
+        ("store_reads", "Reads of the platform", store.reads),
+        ("store_writes", "Writes to the platform", store.writes),
+        ("store_watches", "Watches at the platform", store.watches),
+        (
+            "store_failures",
+            "Calls to the platform without a usable answer",
+            store.failures,
+        ),
+        (
+            "store_bytes",
+            "Bytes exchanged with the platform",
+            store.sent_bytes + store.received_bytes,
+        ),
+    ];
+    for (name, help, count) in counts {
+        register_counter(registry, name, help, count);
+    }
+}
+
+/// Registers counters that describe themselves by their field names.
+fn register_fields(registry: &mut Registry, prefix: &str, help: &str, counters: &impl Serialize) {
+    if let Ok(Value::Object(fields)) = serde_json::to_value(counters) {
         for (name, value) in fields {
             let count = value.as_u64().unwrap_or_default();
-            register_counter(registry, &name, "Count of the dispatch kernel", count);
+            register_counter(registry, &format!("{prefix}{name}"), help, count);
         }
     }
 }
--- a/crates/bramley-entry/src/platform_loop.rs
+++ b/crates/bramley-entry/src/platform_loop.rs
@@ -6,6 +6,7 @@
 use bramley_core::kernel::event::KernelEvent;
 use bramley_core::names::{DomainName, RackName, WorkerName};
 use bramley_core::worker::{WorkerProfile, WorkerState};
+use bramley_store::{BackoffSettings, RetryBackoff};
 use bramley_wire::platform::{WorkerList, WorkerRecord};
 use rand::Rng;
 
@@ -15,48 +16,25 @@
 /// Longest time that one watch of the configuration waits.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
 
-/// First wait after a failed call.
-const FIRST_RETRY_WAIT: Duration = Duration::from_millis(200);
-
-/// Longest wait after failed calls.
-const LONGEST_RETRY_WAIT: Duration = Duration::from_secs(5);
+/// Bounds of the wait after failed calls, which is spread at random so that hosts do not come
+/// together.
+const RETRY_BOUNDS: BackoffSettings = BackoffSettings {
+    first_delay_ms: 200,
+    max_delay_ms: 5_000,
+};
 
 /// Word of the platform for a worker that takes no new work.
 const LEAVING: &str = "leaving";
 
-/// Exponential wait between failed calls, spread at random so that hosts do not come together.
-#[derive(Debug)]
-struct RetryWait {
-    next: Duration,
-}
-
-impl RetryWait {
-    const fn new() -> Self {
-        Self {
-            next: FIRST_RETRY_WAIT,
-        }
-    }
-
-    const fn reset(&mut self) {
-        self.next = FIRST_RETRY_WAIT;
-    }
-
-    async fn sleep(&mut self) {
-        let factor = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(self.next.mul_f64(factor)).await;
-        self.next = (self.next * 2).min(LONGEST_RETRY_WAIT);
-    }
-}
-
 /// Watches the stored configuration and offers what it finds.
 pub async fn follow_configuration(state: Arc<SharedState>, members: MemberHandle) {
     let key = state.settings.configuration_key.clone();
-    let mut wait = RetryWait::new();
+    let mut backoff = RetryBackoff::new(RETRY_BOUNDS);
     let mut revision = 0;
     loop {
         match state.store.watch(&key, revision, WATCH_WAIT).await {
             Ok(value) => {
-                wait.reset();
+                backoff.reset();
                 if value.revision != revision && !value.value.is_empty() {
                     members
                         .offer_configuration(value.value, "store".to_owned())
@@ -66,7 +44,8 @@
             }
             Err(error) => {
                 log::debug!("event=configuration_watch_failed error=\"{error}\"");
-                wait.sleep().await;
+                let delay = backoff.next_delay(&mut rand::rng());
+                tokio::time::sleep(delay).await;
             }
         }
     }
@@ -75,17 +54,18 @@
 /// Polls the platform's list of workers.
 pub async fn follow_workers(state: Arc<SharedState>, members: MemberHandle) {
     let interval = Duration::from_millis(state.settings.timing.worker_list_poll_ms);
-    let mut wait = RetryWait::new();
+    let mut backoff = RetryBackoff::new(RETRY_BOUNDS);
     loop {
         match state.store.workers().await {
             Ok(list) => {
-                wait.reset();
+                backoff.reset();
                 adopt_workers(&state, &members, list, "platform").await;
                 tokio::time::sleep(spread(interval)).await;
             }
             Err(error) => {
                 log::debug!("event=worker_list_failed error=\"{error}\"");
-                wait.sleep().await;
+                let delay = backoff.next_delay(&mut rand::rng());
+                tokio::time::sleep(delay).await;
             }
         }
     }
--- a/crates/bramley-entry/src/shared.rs
+++ b/crates/bramley-entry/src/shared.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use bramley_core::configuration::DeploymentConfiguration;
-use bramley_core::membership::{MemberLoad, MemberSnapshot};
+use bramley_core::configuration::{ConfigurationCounts, DeploymentConfiguration};
+use bramley_core::membership::{MemberLoad, MemberSnapshot, MembershipCounts};
 use bramley_core::names::HostName;
 use bramley_core::ownership::OwnerCandidate;
 use bramley_core::ticket::TicketIssuer;
@@ -53,6 +53,15 @@
     }
 }
 
+/// Counts of the membership's task since the start of the process.
+#[derive(Clone, Debug, Default)]
+pub struct ControlCounts {
+    /// Offers of configurations by outcome.
+    pub configuration: ConfigurationCounts,
+    /// What the membership kernel did.
+    pub membership: MembershipCounts,
+}
+
 /// Load of this process, written by the kernel's task and read by the membership's.
 #[derive(Debug, Default)]
 pub struct LoadGauge {
@@ -103,6 +112,8 @@
     pub store: StoreClient,
     /// Members, replaced as a whole by the membership loop.
     pub members: ArcSwap<MemberDirectory>,
+    /// Counts of configuration and membership, replaced by the membership loop.
+    pub control_counts: ArcSwap<ControlCounts>,
     /// Configuration, replaced as a whole when a newer one comes into force.
     pub configuration: ArcSwap<ConfigurationSnapshot>,
     /// Newest worker list of the platform; its revision only rises.
@@ -138,6 +149,7 @@
             worker_client,
             store,
             members: ArcSwap::default(),
+            control_counts: ArcSwap::default(),
             configuration: ArcSwap::default(),
             workers: ArcSwap::default(),
             load: LoadGauge::default(),
--- a/crates/bramley-entry/tests/operations_page.rs
+++ b/crates/bramley-entry/tests/operations_page.rs
@@ -118,7 +118,7 @@
         .await
         .expect("the daemon starts");
     let metrics = get(daemon.caller_address(), "/metrics").await;
-    let names = metrics
+    let names: BTreeSet<String> = metrics
         .lines()
         .filter_map(|line| line.strip_prefix("# TYPE "))
         .filter_map(|line| line.split(' ').next())
@@ -128,16 +128,37 @@
 
     let dump = get(daemon.caller_address(), "/state").await;
     let dump: Value = serde_json::from_str(&dump).expect("the dump is JSON");
-    let mut fields = BTreeSet::new();
-    collect_fields(&dump["kernel"]["counters"], &mut fields);
-    let counters: BTreeSet<String> = fields
-        .iter()
-        .map(|name| format!("bramley_{name}"))
-        .collect();
-    assert_named("counters", &counters);
     let mut dump = dump;
-    dump["kernel"]["counters"] = Value::Null;
+    for (counts, prefix) in [
+        (dump["configuration"].take(), "bramley_configuration_"),
+        (dump["membership"].take(), "bramley_membership_"),
+        (dump["kernel"]["counters"].take(), "bramley_"),
+    ] {
+        // Counts stand in the page under the names of their metrics.
+        let mut fields = BTreeSet::new();
+        collect_fields(&counts, &mut fields);
+        let counters: BTreeSet<String> = fields
+            .iter()
+            .map(|name| format!("{prefix}{name}"))
+            .collect();
+        assert!(
+            counters.is_subset(&names),
+            "{counters:?} are metrics as well"
+        );
+        assert_named("counters", &counters);
+    }
     let mut fields = BTreeSet::new();
     collect_fields(&dump, &mut fields);
     assert_named("dump fields", &fields);
+    assert_known_metrics(&names);
+}
+
+/// Asserts that the daemon has every metric that the page names.
+fn assert_known_metrics(names: &BTreeSet<String>) {
+    for rest in PAGE.split("`bramley_").skip(1) {
+        let word = rest.split('`').next().unwrap_or_default();
+        let name = format!("bramley_{}", word.trim_end_matches("_total"));
+        let is_prefix = word.is_empty() || word.ends_with('_');
+        assert!(is_prefix || names.contains(&name), "no metric {name}");
+    }
 }
