--- a/crates/bramley-entry/tests/operations_page.rs
+++ b/crates/bramley-entry/tests/operations_page.rs
@@ -1,17 +1,16 @@
 //! Compares the operators' page with the program.
 
+mod support;
+
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::path::Path;
 
 use bramley_core::errors::ANSWER_TABLE;
-use bramley_entry::EntryDaemon;
 use bramley_settings::EntrySettings;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Empty};
-use hyper_util::client::legacy::Client;
-use hyper_util::rt::TokioExecutor;
+use hyper::Method;
 use serde_json::Value;
+use support::TestDeployment;
 
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
 
@@ -62,26 +61,6 @@
     }
 }
 
-fn idle_settings() -> EntrySettings {
-    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-    EntrySettings {
-        host: "north-0".to_owned(),
-        failure_domain: "north".to_owned(),
-        caller_address: any_port,
-        peer_address: any_port,
-        control_address: any_port,
-        ..EntrySettings::default()
-    }
-}
-
-async fn get(address: SocketAddr, path: &str) -> String {
-    let client = Client::builder(TokioExecutor::new()).build_http::<Empty<Bytes>>();
-    let uri = format!("http://{address}{path}").parse().expect("a URI");
-    let response = client.get(uri).await.expect("the daemon answers");
-    let body = response.into_body().collect().await.expect("a body");
-    String::from_utf8(body.to_bytes().to_vec()).expect("text")
-}
-
 #[test]
 fn every_log_event_is_on_the_page() {
     let mut events = BTreeSet::new();
@@ -114,10 +93,13 @@
 
 #[tokio::test]
 async fn every_metric_and_dump_field_is_on_the_page() {
-    let daemon = EntryDaemon::start(idle_settings())
-        .await
-        .expect("the daemon starts");
-    let metrics = get(daemon.caller_address(), "/metrics").await;
+    // Two hosts and a worker, so that the lists in the dump have elements.
+    let deployment = TestDeployment::start("operations_page", &["north"], 1, 2).await;
+    let address = deployment.entries[0].callers();
+    let (_, metrics) = deployment
+        .call_raw(Method::GET, address, "/metrics", Bytes::new())
+        .await;
+    let metrics = String::from_utf8(metrics.to_vec()).expect("metrics are text");
     let names: BTreeSet<String> = metrics
         .lines()
         .filter_map(|line| line.strip_prefix("# TYPE "))
@@ -126,9 +108,7 @@
         .collect();
     assert_named("metrics", &names);
 
-    let dump = get(daemon.caller_address(), "/state").await;
-    let dump: Value = serde_json::from_str(&dump).expect("the dump is JSON");
-    let mut dump = dump;
+    let mut dump = deployment.state(0).await;
     for (counts, prefix) in [
         (dump["configuration"].take(), "bramley_configuration_"),
         (dump["membership"].take(), "bramley_membership_"),
