--- a/crates/bramley-core/tests/membership_runs/exchange.rs
+++ b/crates/bramley-core/tests/membership_runs/exchange.rs
@@ -38,6 +38,8 @@
     pub duplicated: u64,
     pub reordered: u64,
     pub blocked: u64,
+    /// Bytes sent and received, by host.
+    pub host_bytes: Vec<u64>,
 }
 
 /// One running process.
@@ -113,7 +115,10 @@
             now: UnixTime::from_millis(1_800_000_000_000),
             hosts: Vec::new(),
             faults: NetworkFaults::default(),
-            counts: ExchangeCounts::default(),
+            counts: ExchangeCounts {
+                host_bytes: vec![0; hosts],
+                ..ExchangeCounts::default()
+            },
             rng: StdRng::seed_from_u64(seed),
             observed: Vec::new(),
             measure: |_| 0,
@@ -175,10 +180,10 @@
         }
     }
 
-    /// Tells whether a process has run without a pause since `since`.
+    /// Tells whether a process has run without a pause since before `since`.
     pub fn ran_since(&self, host: usize, since: UnixTime) -> bool {
         let process = self.hosts[host].process.as_ref();
-        process.is_some_and(|process| process.started_at <= since && process.frozen_until <= since)
+        process.is_some_and(|process| process.started_at < since && process.frozen_until <= since)
     }
 
     /// Hands an event to a host's kernel, unless it is down or paused, and does the actions.
@@ -359,7 +364,10 @@
         news: &HeartbeatNews,
     ) {
         self.counts.messages += 1;
-        self.counts.bytes += (self.measure)(news) as u64 + OVERHEAD_BYTES;
+        let bytes = (self.measure)(news) as u64 + OVERHEAD_BYTES;
+        self.counts.bytes += bytes;
+        self.counts.host_bytes[from] += bytes;
+        self.counts.host_bytes[to] += bytes;
         if !self.is_linked(self.hosts[from].domain, self.hosts[to].domain) {
             self.counts.blocked += 1;
             return;
