Callers with a body over the limit read the refusal

Cause: the server answered 413 and closed the connection while the caller was still sending. Closing with unread data resets the connection, so that the caller could lose the answer.

Now up to 64 MiB of the rest are read and dropped, within the time allowed for a body, before the connection is closed; memory stays bounded by the limit of a body.

Ruled out: Expect: 100-continue, which callers need not use; refusing by Content-Length alone, which leaves the same unread data.

The new test sends 40 bodies from 5 to 44 MiB.

--- a/crates/bramley-entry/src/caller/server.rs
+++ b/crates/bramley-entry/src/caller/server.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::caller::replies::{AnswerBody, EncodedAnswer};
@@ -28,6 +29,9 @@
 /// Time within which a caller must send the body of a request.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 
+/// Bytes of a body that is too large that are read before the connection is closed.
+const MAX_DISCARDED_BYTES: usize = 64 << 20;
+
 /// Wait after a failure to accept a connection, such as too many open files.
 const ACCEPT_WAIT: Duration = Duration::from_millis(50);
 
@@ -79,7 +83,7 @@
 }
 
 async fn answer(state: &Arc<SharedState>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let begun = tokio::time::Instant::now();
+    let begun = Instant::now();
     let method = request.method().clone();
     let path = request.uri().path().to_owned();
     if method == Method::GET {
@@ -146,15 +150,19 @@
     plain(StatusCode::OK, "text/plain", "ok\n".to_owned())
 }
 
+/// Reads the body of a request, of at most the bytes that the settings allow.
 async fn read_body(
     state: &SharedState,
     request: Request<Incoming>,
 ) -> Result<Bytes, DispatchError> {
     let limit = state.settings.limits.max_body_bytes as usize;
-    let body = Limited::new(request.into_body(), limit);
-    match tokio::time::timeout(BODY_LIMIT, body.collect()).await {
+    let deadline = Instant::now() + BODY_LIMIT;
+    let mut incoming = request.into_body();
+    let body = Limited::new(&mut incoming, limit);
+    match timeout_at(deadline, body.collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            discard_rest(incoming, deadline).await;
             let detail = format!("at most {limit} bytes");
             Err(DispatchError::new(ErrorKind::BodyTooLarge, detail))
         }
@@ -169,6 +177,19 @@
     }
 }
 
+/// Reads and drops the rest of a body that is too large.
+///
+/// Closing a connection with unread data resets it, and the caller may then lose the answer.
+async fn discard_rest(mut body: Incoming, deadline: Instant) {
+    let mut discarded_bytes = 0;
+    while discarded_bytes < MAX_DISCARDED_BYTES {
+        let Ok(Some(Ok(frame))) = timeout_at(deadline, body.frame()).await else {
+            return;
+        };
+        discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
+    }
+}
+
 fn not_found() -> Response<AnswerBody> {
     let error = DispatchError::new(ErrorKind::NotFound, "no such resource");
     EncodedAnswer::of_error("", error).into_response()
--- a/crates/bramley-entry/tests/bad_input.rs
+++ b/crates/bramley-entry/tests/bad_input.rs
@@ -133,6 +133,17 @@
     assert_eq!(deployment.starts().await.len(), 0);
 }
 
+#[tokio::test]
+async fn a_caller_with_a_body_over_the_limit_reads_the_refusal() {
+    let deployment = TestDeployment::start("body_too_large", &["north"], 1, 1).await;
+    // The answer could be lost to a reset of the connection, which does not happen each time.
+    for mebibytes in 5..45 {
+        let (status, text) = refusal(&deployment, "/v1/jobs", vec![b' '; mebibytes << 20]).await;
+        assert_eq!(status, StatusCode::PAYLOAD_TOO_LARGE, "{text}");
+    }
+    assert_eq!(deployment.starts().await.len(), 0);
+}
+
 #[tokio::test]
 async fn silent_callers_hold_up_nobody() {
     let deployment = TestDeployment::start("silent_callers", &["north"], 1, 1).await;
