Split the drivers of both kernels into modules with one job

Cause: kernel_loop.rs held the channel, the task and the kernel's construction, daemon.rs also held the runner of actions and the loans, member_loop.rs also its channel.

Now dispatch/ has channel, construction, kernel_loop, loans and runner; member_channel stands next to member_loop. No behaviour changes.

--- a/crates/bramley-entry/src/caller/replies.rs
+++ b/crates/bramley-entry/src/caller/replies.rs
@@ -11,7 +11,7 @@
 use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use crate::kernel_loop::JobReplyState;
+use crate::dispatch::channel::JobReplyState;
 
 /// Body of every HTTP answer.
 pub type AnswerBody = Full<Bytes>;
--- a/crates/bramley-entry/src/caller/routes.rs
+++ b/crates/bramley-entry/src/caller/routes.rs
@@ -15,7 +15,7 @@
 
 use crate::caller::replies::EncodedAnswer;
 use crate::caller::requests::{check_reference, check_ticket_request, make_job, parse_message};
-use crate::kernel_loop::{JobReplyState, SubmitRequest};
+use crate::dispatch::channel::{JobReplyState, SubmitRequest};
 use crate::keys;
 use crate::shared::SharedState;
 
--- a/crates/bramley-entry/src/daemon.rs
+++ b/crates/bramley-entry/src/daemon.rs
@@ -5,37 +5,33 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bramley_core::kernel::DispatchKernel;
-use bramley_core::kernel::action::KernelAction;
-use bramley_core::kernel::event::{AttemptEnd, KernelEvent, LoanReply, NamedSlot};
-use bramley_core::membership::{
-    MemberLoad, MemberRecord, MemberState, MembershipKernel, MembershipSettings,
-};
+use bramley_core::kernel::event::KernelEvent;
+use bramley_core::membership::{MemberRecord, MemberState, MembershipKernel, MembershipSettings};
 use bramley_core::names::{DomainName, HostName};
 use bramley_core::ticket::TicketIssuer;
 use bramley_core::units::{IncarnationId, UnixTime};
 use bramley_settings::EntrySettings;
 use bramley_store::{StoreClient, StoreSettings};
 use bramley_wire::peer::peer_server::PeerServer;
-use bramley_wire::peer::{BorrowRequest, ReturnRequest};
 use rand::Rng;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
 use tokio_util::sync::{CancellationToken, DropGuard};
 use tonic::transport::server::TcpIncoming;
 
 use crate::caller::server;
 use crate::clock::ProcessClock;
 use crate::control;
-use crate::kernel_loop::{ActionRunner, KernelInbox, KernelLoop, kernel_channel, make_kernel};
-use crate::member_loop::{MemberHandle, MemberInbox, MemberLoop, member_channel};
+use crate::dispatch::channel::{KernelInbox, kernel_channel};
+use crate::dispatch::construction::make_kernel;
+use crate::dispatch::kernel_loop::KernelLoop;
+use crate::dispatch::runner::TaskRunner;
+use crate::member_channel::{MemberHandle, MemberInbox, member_channel};
+use crate::member_loop::MemberLoop;
 use crate::peers::client::MAX_MESSAGE_BYTES;
-use crate::peers::convert::{slots_from_wire, slots_to_wire};
 use crate::peers::server::PeerService;
 use crate::platform_loop;
 use crate::shared::SharedState;
-use crate::worker_client::AttemptTimes;
 
 /// Interval at which a planned stop looks whether all work is done.
 const DRAIN_POLL: Duration = Duration::from_millis(10);
@@ -319,141 +315,3 @@
         Ok(())
     }
 }
-
-/// Carries out what the dispatch kernel asks for.
-#[derive(Debug)]
-struct TaskRunner {
-    state: Arc<SharedState>,
-    members: MemberHandle,
-    all: CancellationToken,
-}
-
-impl ActionRunner for TaskRunner {
-    fn run(&mut self, action: KernelAction) {
-        match action {
-            KernelAction::Start(start) => {
-                let times = AttemptTimes {
-                    silent_after: self.state.clock.instant_of(start.silent_after),
-                    answer_by: self.state.clock.instant_of(start.start_before),
-                };
-                let state = Arc::clone(&self.state);
-                let members = self.members.clone();
-                self.spawn(async move {
-                    let (attempt, worker) = (start.attempt, start.worker.clone());
-                    let outcome = state.worker_client.start(*start, times).await;
-                    if matches!(outcome.end, AttemptEnd::Unknown) {
-                        log::warn!(
-                            "event=outcome_unknown worker={worker} attempt={}",
-                            attempt.0
-                        );
-                    }
-                    state
-                        .kernel
-                        .report(KernelEvent::AttemptEnded {
-                            attempt,
-                            end: outcome.end,
-                        })
-                        .await;
-                    if outcome.leaving {
-                        members.worker_sign(worker).await;
-                    }
-                });
-            }
-            // The attempt's own deadline closes its connection at the same time.
-            KernelAction::Abandon(_) => {}
-            KernelAction::Stop { address, task } => {
-                let state = Arc::clone(&self.state);
-                self.spawn(async move { state.worker_client.stop(address, task).await });
-            }
-            KernelAction::AskLoan {
-                lender,
-                plain,
-                accelerated,
-            } => {
-                let state = Arc::clone(&self.state);
-                self.spawn(async move { ask_loan(&state, lender, plain, accelerated).await });
-            }
-            KernelAction::ReturnLoan { lender, slots } => {
-                let state = Arc::clone(&self.state);
-                self.spawn(async move { return_loan(&state, &lender, &slots).await });
-            }
-            KernelAction::Reply { .. }
-            | KernelAction::ReplyRunning(_)
-            | KernelAction::GrantLoan { .. } => {
-                log::error!("event=unexpected_action");
-            }
-        }
-    }
-
-    fn report_batch(&mut self, kernel: &DispatchKernel, busy_time: Duration) {
-        self.state.metrics.add_kernel_time(busy_time);
-        let counts = kernel.right_counts();
-        self.state.load.write(MemberLoad {
-            idle_slots: counts.idle_plain,
-            idle_accelerator_slots: counts.idle_accelerated,
-            queued_tasks: u32::try_from(kernel.waiting_tasks()).unwrap_or(u32::MAX),
-        });
-    }
-}
-
-impl TaskRunner {
-    fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
-        let all = self.all.clone();
-        tokio::spawn(async move {
-            tokio::select! {
-                () = future => {}
-                () = all.cancelled() => {}
-            }
-        });
-    }
-}
-
-async fn ask_loan(state: &SharedState, lender: HostName, plain: u32, accelerated: u32) {
-    let sent = Instant::now();
-    let mut slots = Vec::new();
-    let mut until = UnixTime::default();
-    let address = state.members.load().address_of(&lender);
-    if let Some(address) = address {
-        let request = BorrowRequest {
-            host: state.host.as_str().to_owned(),
-            incarnation: state.issuer.incarnation().to_string(),
-            count: plain,
-            accelerator_count: accelerated,
-        };
-        state.metrics.count_control_message(&request);
-        if let Ok(reply) = state.peers.borrow_slots(address, request).await {
-            state.metrics.count_control_message(&reply);
-            slots = slots_from_wire(&reply.slots);
-            // Counted from the sending, the loan ends here before it ends at the lender.
-            let term = Duration::from_millis(u64::from(reply.term_ms));
-            until = state.clock.now().before(sent.elapsed()).after(term);
-        }
-    }
-    state
-        .kernel
-        .report(KernelEvent::LoanAnswered(LoanReply {
-            lender,
-            slots,
-            until,
-        }))
-        .await;
-}
-
-async fn return_loan(state: &SharedState, lender: &HostName, slots: &[NamedSlot]) {
-    let Some(address) = state.members.load().address_of(lender) else {
-        return;
-    };
-    let request = ReturnRequest {
-        host: state.host.as_str().to_owned(),
-        incarnation: state.issuer.incarnation().to_string(),
-        slots: slots_to_wire(slots),
-    };
-    state.metrics.count_control_message(&request);
-    if let Err(status) = state.peers.return_slots(address, request).await {
-        // The lender takes the slots back at the end of the loan.
-        log::debug!(
-            "event=return_failed lender={lender} code={:?}",
-            status.code()
-        );
-    }
-}
--- /dev/null
+++ b/crates/bramley-entry/src/dispatch/runner.rs
@@ -0,0 +1,109 @@
+//! Carries out what the dispatch kernel asks for.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bramley_core::kernel::DispatchKernel;
+use bramley_core::kernel::action::{KernelAction, TaskStart};
+use bramley_core::kernel::event::{AttemptEnd, KernelEvent};
+use bramley_core::membership::MemberLoad;
+use tokio_util::sync::CancellationToken;
+
+use super::kernel_loop::ActionRunner;
+use super::loans::{ask_loan, return_loan};
+use crate::member_channel::MemberHandle;
+use crate::shared::SharedState;
+use crate::worker_client::AttemptTimes;
+
+/// Carries out what the dispatch kernel asks for.
+#[derive(Debug)]
+pub struct TaskRunner {
+    /// State of the process.
+    pub state: Arc<SharedState>,
+    /// Way to the membership's task.
+    pub members: MemberHandle,
+    /// Ends everything that was started.
+    pub all: CancellationToken,
+}
+
+impl ActionRunner for TaskRunner {
+    fn run(&mut self, action: KernelAction) {
+        match action {
+            KernelAction::Start(start) => {
+                let state = Arc::clone(&self.state);
+                let members = self.members.clone();
+                self.spawn(async move { run_attempt(&state, &members, *start).await });
+            }
+            // The attempt's own deadline closes its connection at the same time.
+            KernelAction::Abandon(_) => {}
+            KernelAction::Stop { address, task } => {
+                let state = Arc::clone(&self.state);
+                self.spawn(async move { state.worker_client.stop(address, task).await });
+            }
+            KernelAction::AskLoan {
+                lender,
+                plain,
+                accelerated,
+            } => {
+                let state = Arc::clone(&self.state);
+                self.spawn(async move { ask_loan(&state, lender, plain, accelerated).await });
+            }
+            KernelAction::ReturnLoan { lender, slots } => {
+                let state = Arc::clone(&self.state);
+                self.spawn(async move { return_loan(&state, &lender, &slots).await });
+            }
+            KernelAction::Reply { .. }
+            | KernelAction::ReplyRunning(_)
+            | KernelAction::GrantLoan { .. } => {
+                log::error!("event=unexpected_action");
+            }
+        }
+    }
+
+    fn report_batch(&mut self, kernel: &DispatchKernel, busy_time: Duration) {
+        self.state.metrics.add_kernel_time(busy_time);
+        let counts = kernel.right_counts();
+        self.state.load.write(MemberLoad {
+            idle_slots: counts.idle_plain,
+            idle_accelerator_slots: counts.idle_accelerated,
+            queued_tasks: u32::try_from(kernel.waiting_tasks()).unwrap_or(u32::MAX),
+        });
+    }
+}
+
+impl TaskRunner {
+    fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
+        let all = self.all.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = future => {}
+                () = all.cancelled() => {}
+            }
+        });
+    }
+}
+
+/// Sends a task to its worker and reports how the attempt ended.
+async fn run_attempt(state: &SharedState, members: &MemberHandle, start: TaskStart) {
+    let times = AttemptTimes {
+        silent_after: state.clock.instant_of(start.silent_after),
+        answer_by: state.clock.instant_of(start.start_before),
+    };
+    let attempt = start.attempt;
+    let worker = start.worker.clone();
+    let outcome = state.worker_client.start(start, times).await;
+    if matches!(outcome.end, AttemptEnd::Unknown) {
+        log::warn!(
+            "event=outcome_unknown worker={worker} attempt={}",
+            attempt.0
+        );
+    }
+    let ended = KernelEvent::AttemptEnded {
+        attempt,
+        end: outcome.end,
+    };
+    state.kernel.report(ended).await;
+    if outcome.leaving {
+        members.worker_sign(worker).await;
+    }
+}
--- a/crates/bramley-entry/src/lib.rs
+++ b/crates/bramley-entry/src/lib.rs
@@ -7,9 +7,10 @@
 //! - [`clock`] derives the present time.
 //! - [`control`] serves the operators' command.
 //! - [`daemon`] starts and stops everything.
+//! - [`dispatch`] drives the dispatch kernel.
 //! - [`dump`] holds the state dump of a process.
-//! - [`kernel_loop`] drives the dispatch kernel.
 //! - [`keys`] binds callers' own keys to tickets.
+//! - [`member_channel`] carries messages to the task of the membership kernel.
 //! - [`member_loop`] drives the membership kernel.
 //! - [`metrics`] counts for operators.
 //! - [`peers`] talks to other entry processes.
@@ -22,9 +23,10 @@
 pub mod clock;
 pub mod control;
 pub mod daemon;
+pub mod dispatch;
 pub mod dump;
-pub mod kernel_loop;
 pub mod keys;
+pub mod member_channel;
 pub mod member_loop;
 pub mod metrics;
 pub mod peers;
--- a/crates/bramley-entry/src/member_loop.rs
+++ b/crates/bramley-entry/src/member_loop.rs
@@ -9,108 +9,19 @@
 use bramley_core::membership::{
     HeartbeatNews, MemberSnapshot, MemberState, MembershipAction, MembershipKernel,
 };
-use bramley_core::names::{DomainName, WorkerName};
+use bramley_core::names::DomainName;
 use bramley_core::ownership::OwnerCandidate;
 use bramley_core::units::UnixTime;
-use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
+use crate::member_channel::{MemberHandle, MemberInbox, MemberMessage};
 use crate::peers::convert::{news_from_wire, news_to_wire};
 use crate::platform_loop::adopt_workers;
 use crate::shared::{ConfigurationSnapshot, ControlCounts, MemberDirectory, SharedState};
 
-/// Messages that may wait for the membership's task.
-const CHANNEL_MESSAGES: usize = 4_096;
-
 /// Least time between two reports of the peers' load to the dispatch kernel.
 const PEER_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Workers of the own failure domain by state, as one list of the platform names them.
-#[derive(Debug)]
-pub struct ListedWorkers {
-    /// Revision of the list.
-    pub revision: u64,
-    /// Live workers.
-    pub live: Vec<WorkerName>,
-    /// Leaving workers.
-    pub leaving: Vec<WorkerName>,
-}
-
-#[derive(Debug)]
-enum MemberMessage {
-    Exchange(Box<HeartbeatNews>, oneshot::Sender<HeartbeatNews>),
-    Reply(Box<HeartbeatNews>),
-    SendFailed(SocketAddr),
-    FetchFailed(SocketAddr),
-    Offer { text: String, source: String },
-    WorkersListed(ListedWorkers),
-    WorkerSign(WorkerName),
-    BeginLeaving,
-    SayGone(oneshot::Sender<()>),
-}
-
-/// Sends messages to the membership's task.
-#[derive(Clone, Debug)]
-pub struct MemberHandle {
-    sender: mpsc::Sender<MemberMessage>,
-}
-
-/// Receiving end of a [`MemberHandle`].
-#[derive(Debug)]
-pub struct MemberInbox {
-    receiver: mpsc::Receiver<MemberMessage>,
-}
-
-/// Makes the two ends of the channel to the membership's task.
-#[must_use]
-pub fn member_channel() -> (MemberHandle, MemberInbox) {
-    let (sender, receiver) = mpsc::channel(CHANNEL_MESSAGES);
-    (MemberHandle { sender }, MemberInbox { receiver })
-}
-
-impl MemberHandle {
-    /// Takes a heartbeat in and returns the own news, or `None` if the process is ending.
-    pub async fn exchange(&self, news: HeartbeatNews) -> Option<HeartbeatNews> {
-        let (reply, answer) = oneshot::channel();
-        self.send(MemberMessage::Exchange(Box::new(news), reply))
-            .await;
-        answer.await.ok()
-    }
-
-    /// Offers a stored configuration; `source` is named in the log.
-    pub async fn offer_configuration(&self, text: String, source: String) {
-        self.send(MemberMessage::Offer { text, source }).await;
-    }
-
-    /// Reports the workers of the own failure domain as the platform lists them.
-    pub async fn workers_listed(&self, workers: ListedWorkers) {
-        self.send(MemberMessage::WorkersListed(workers)).await;
-    }
-
-    /// Reports that a worker said itself that it is leaving.
-    pub async fn worker_sign(&self, worker: WorkerName) {
-        self.send(MemberMessage::WorkerSign(worker)).await;
-    }
-
-    /// Tells the other hosts that a planned stop has begun.
-    pub async fn begin_leaving(&self) {
-        self.send(MemberMessage::BeginLeaving).await;
-    }
-
-    /// Tells the other hosts that nothing can be started here any more; waits until it is sent.
-    pub async fn say_gone(&self) {
-        let (reply, answer) = oneshot::channel();
-        self.send(MemberMessage::SayGone(reply)).await;
-        // A closed channel means that the task has ended, so there is nothing to wait for.
-        let _sent = answer.await;
-    }
-
-    async fn send(&self, message: MemberMessage) {
-        // The task only ends with the process, when messages matter no more.
-        let _closed = self.sender.send(message).await;
-    }
-}
-
 /// The task that owns the membership kernel and the configuration.
 #[derive(Debug)]
 pub struct MemberLoop {
--- a/crates/bramley-entry/src/peers/server.rs
+++ b/crates/bramley-entry/src/peers/server.rs
@@ -13,7 +13,8 @@
 use tonic::{Request, Response, Status};
 
 use crate::caller::routes::{self, TicketOperation};
-use crate::member_loop::MemberHandle;
+use crate::dispatch::channel::LendRequest;
+use crate::member_channel::MemberHandle;
 use crate::peers::convert::{news_from_wire, news_to_wire, slots_from_wire, slots_to_wire};
 use crate::shared::SharedState;
 
@@ -83,11 +84,15 @@
     ) -> Result<Response<BorrowReply>, Status> {
         let request = request.into_inner();
         self.state.metrics.count_control_message(&request);
-        let borrower = HostName::from(request.host.as_str());
+        let lend_request = LendRequest {
+            borrower: HostName::from(request.host.as_str()),
+            plain: request.count,
+            accelerated: request.accelerator_count,
+        };
         let granted = self
             .state
             .kernel
-            .lend(borrower, request.count, request.accelerator_count)
+            .lend(lend_request)
             .await
             .map_err(|error| Status::unavailable(error.to_string()))?;
         let term = granted.until.since(self.state.clock.now());
--- a/crates/bramley-entry/src/platform_loop.rs
+++ b/crates/bramley-entry/src/platform_loop.rs
@@ -10,7 +10,7 @@
 use bramley_wire::platform::{WorkerList, WorkerRecord};
 use rand::Rng;
 
-use crate::member_loop::{ListedWorkers, MemberHandle};
+use crate::member_channel::{ListedWorkers, MemberHandle};
 use crate::shared::SharedState;
 
 /// Longest time that one watch of the configuration waits.
--- a/crates/bramley-entry/src/shared.rs
+++ b/crates/bramley-entry/src/shared.rs
@@ -16,7 +16,7 @@
 use bramley_wire::platform::WorkerList;
 
 use crate::clock::ProcessClock;
-use crate::kernel_loop::KernelHandle;
+use crate::dispatch::channel::KernelHandle;
 use crate::metrics::EntryMetrics;
 use crate::peers::client::PeerClients;
 use crate::worker_client::WorkerClient;
