Read the worker list only when its revision has changed

Cause: docs/measurements/idle.sh showed that polling the whole list each second cost a host 7.9 KB/s with 50 listed workers and 109 KB/s with 700, against 8 KB/s for all control. The platform's list now carries its revision as an entity tag, and a host that has the revision gets no body. Ruled out: polling less often, which delays leaving signs.

--- a/crates/bramley-entry/src/platform_loop.rs
+++ b/crates/bramley-entry/src/platform_loop.rs
@@ -56,10 +56,13 @@
     let interval = Duration::from_millis(state.settings.timing.worker_list_poll_ms);
     let mut backoff = RetryBackoff::new(RETRY_BOUNDS);
     loop {
-        match state.store.workers().await {
+        let known = state.workers.load().revision;
+        match state.store.workers(known).await {
             Ok(list) => {
                 backoff.reset();
-                adopt_workers(&state, &members, list, "platform").await;
+                if let Some(list) = list {
+                    adopt_workers(&state, &members, list, "platform").await;
+                }
                 tokio::time::sleep(spread(interval)).await;
             }
             Err(error) => {
--- a/crates/bramley-stand-ins/src/platform/calls.rs
+++ b/crates/bramley-stand-ins/src/platform/calls.rs
@@ -7,6 +7,7 @@
     KeyValue, PlatformSwitch, PutReply, PutRequest, WorkerList, WorkerRecord, WorkerStateChange,
 };
 use hyper::body::Incoming;
+use hyper::header::{ETAG, HeaderValue, IF_NONE_MATCH};
 use hyper::{Method, Request, StatusCode};
 use serde_json::json as json_value;
 use tokio::sync::watch;
@@ -196,12 +197,23 @@
         Ok(reply)
     }
 
-    async fn list_workers(&self) -> WholeResponse {
+    /// Answers with the list, or without a body if the caller has its revision already.
+    async fn list_workers(&self, request: &Request<Incoming>) -> WholeResponse {
         if let Err(refusal) = self.admit(CallKind::WorkerList).await {
             return refusal_response(refusal);
         }
         let list = self.lock().table.visible(Instant::now());
-        json(StatusCode::OK, &list)
+        let tag = format!("\"{}\"", list.revision);
+        let known = request.headers().get(IF_NONE_MATCH);
+        let mut response = if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+            text(StatusCode::NOT_MODIFIED, "")
+        } else {
+            json(StatusCode::OK, &list)
+        };
+        if let Ok(value) = HeaderValue::from_str(&tag) {
+            response.headers_mut().insert(ETAG, value);
+        }
+        response
     }
 
     async fn set_switch(&self, request: Request<Incoming>) -> WholeResponse {
@@ -272,7 +284,7 @@
             return self.answer_key(key.to_owned(), request).await;
         }
         let response = match (method, path.as_str()) {
-            (Method::GET, "/workers") => self.list_workers().await,
+            (Method::GET, "/workers") => self.list_workers(&request).await,
             // The calls below steer the stand-in and are answered during an outage too.
             (Method::POST, "/workers") => self.set_workers(request).await,
             (Method::POST, "/workers/state") => self.set_worker_state(request).await,
--- a/crates/bramley-store/src/client.rs
+++ b/crates/bramley-store/src/client.rs
@@ -7,7 +7,7 @@
 use bramley_wire::platform::{KeyValue, PutReply, PutRequest, WorkerList};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{CONTENT_TYPE, RETRY_AFTER};
+use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
@@ -131,17 +131,30 @@
         self.send(call).await
     }
 
-    /// Reads the platform's lagging list of workers.
+    /// Reads the platform's lagging list of workers, or returns `None` if its revision is still
+    /// `known`.
     ///
     /// # Errors
     ///
     /// Returns a [`StoreError`] if no usable answer comes.
-    pub async fn workers(&self) -> Result<WorkerList, StoreError> {
-        let call = PlatformCall::read(String::from("/workers"));
-        self.send(call).await
+    pub async fn workers(&self, known: u64) -> Result<Option<WorkerList>, StoreError> {
+        let call = PlatformCall {
+            known_revision: Some(known),
+            ..PlatformCall::read(String::from("/workers"))
+        };
+        self.send_conditional(call).await
     }
 
     async fn send<T: DeserializeOwned>(&self, call: PlatformCall) -> Result<T, StoreError> {
+        let value = self.send_conditional(call).await?;
+        value.ok_or_else(|| StoreError::UnreadableAnswer(String::from("an answer without a value")))
+    }
+
+    /// Sends a call whose answer may say that nothing has changed.
+    async fn send_conditional<T: DeserializeOwned>(
+        &self,
+        call: PlatformCall,
+    ) -> Result<Option<T>, StoreError> {
         self.counts
             .record_call(call.kind, call.path.len() + call.body.len());
         let result = self.exchange(call).await;
@@ -151,7 +164,10 @@
         result
     }
 
-    async fn exchange<T: DeserializeOwned>(&self, call: PlatformCall) -> Result<T, StoreError> {
+    async fn exchange<T: DeserializeOwned>(
+        &self,
+        call: PlatformCall,
+    ) -> Result<Option<T>, StoreError> {
         let time_limit = Duration::from_millis(self.settings.answer_timeout_ms) + call.extra_wait;
         let deadline = Instant::now() + time_limit;
         let request = self.build_request(call)?;
@@ -165,6 +181,9 @@
         };
         check_refusal(&response)?;
         let status = response.status();
+        if status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
         let body = match timeout_at(deadline, self.read_body(response)).await {
             Ok(body) => body?,
             Err(_) => return Err(StoreError::AnswerLost(String::from("half an answer"))),
@@ -173,15 +192,20 @@
             return Err(reject(status, &body));
         }
         serde_json::from_slice(&body)
+            .map(Some)
             .map_err(|error| StoreError::UnreadableAnswer(error.to_string()))
     }
 
     fn build_request(&self, call: PlatformCall) -> Result<Request<Full<Bytes>>, StoreError> {
         let uri = format!("http://{}{}", self.settings.address, call.path);
-        Request::builder()
+        let mut builder = Request::builder()
             .method(call.method)
             .uri(uri)
-            .header(CONTENT_TYPE, "application/json")
+            .header(CONTENT_TYPE, "application/json");
+        if let Some(revision) = call.known_revision {
+            builder = builder.header(IF_NONE_MATCH, format!("\"{revision}\""));
+        }
+        builder
             .body(Full::new(call.body))
             .map_err(|error| StoreError::Unreachable(error.to_string()))
     }
@@ -207,6 +231,8 @@
     body: Bytes,
     /// Time that the platform may wait beyond the usual limit.
     extra_wait: Duration,
+    /// Revision that is known already and need not be sent again.
+    known_revision: Option<u64>,
 }
 
 impl PlatformCall {
@@ -217,6 +243,7 @@
             path,
             body: Bytes::new(),
             extra_wait: Duration::ZERO,
+            known_revision: None,
         }
     }
 }
