Teams start tasks in their own failure domains only

Cause: a team's failure_domains were checked by the document check and then ignored by the kernel, which placed, borrowed and admitted as if every domain were allowed.

- places.rs numbers each distinct set of domains; TaskNeeds carries the number, so that the tasks of one place wait in their own lane.
- Admission refuses as never runnable what no listed worker of the place can run; its estimate counts the slots of the place.
A host outside the place counts half of what its peers there report idle, as they lend half.
- Placement takes workers of the place only.
The new invariant NoStartOutsidePlace asks the configuration, not the numbers of places.
- Lanes that differ only in their places take turns by work sent for their weight.
Ruled out: the order by needs alone, which serves a restricted team wholly before the others wherever they overlap.
- Loans: demand is kept by place; a host asks peers whose domain the waiting work may use, though its own slots are idle elsewhere, and lends idle slots that its own waiting work cannot use.
A host without any slot of the place asks at once instead of after the patience of the queue.
- A change of a team's domains moves its waiting tasks.
A team that is removed keeps its last place.

Three smaller faults: - dispatch walked every lane at each event. It now returns if no slot is idle and walks the lanes that have a task to send; the demand by place is kept up to date instead of being summed. - Idle counts of peers are added with saturation. - Plain tasks were accepted where all slots carry accelerators and never placed. They are now refused as never runnable. Ruled out: letting them use those slots, since idle counts, loans and demand would then have to treat the two kinds as one for some places only.

--- a/crates/bramley-core/src/invariants.rs
+++ b/crates/bramley-core/src/invariants.rs
@@ -18,12 +18,14 @@
     SlotRunsOneTask,
     /// No task is sent to a worker that is leaving.
     NoStartOnLeavingWorker,
+    /// No task is sent to a failure domain that its team does not name.
+    NoStartOutsidePlace,
     /// Kept outcomes stay within their bounds.
     OutcomesWithinBounds,
 }
 
 /// Number of invariants.
-const INVARIANT_COUNT: usize = 7;
+const INVARIANT_COUNT: usize = 8;
 
 /// Counts violations of invariants.
 #[derive(Clone, Debug, Default, Serialize)]
--- a/crates/bramley-core/src/job.rs
+++ b/crates/bramley-core/src/job.rs
@@ -8,6 +8,7 @@
 use crate::digest::BodyDigest;
 use crate::errors::{AnswerRow, DispatchError, ErrorKind, ExecutionClaim, RetryAdvice};
 use crate::names::{ClassName, TeamName};
+use crate::places::PlaceId;
 use crate::task::{TaskInput, TaskPhase, TaskRecord, TaskReport};
 use crate::units::{TicketSerial, UnixTime};
 
@@ -144,6 +145,8 @@
     pub inputs: Vec<TaskInput>,
     /// Phases of the tasks.
     pub phases: Vec<TaskPhase>,
+    /// Failure domains whose workers may run the tasks.
+    pub place: PlaceId,
     /// Expected run time of one task.
     pub expected_run: Duration,
     /// Number of tasks that ran to their end.
@@ -172,6 +175,7 @@
             idempotent: spec.idempotent && spec.tasks.len() == 1,
             inputs: spec.tasks,
             phases,
+            place: PlaceId::EVERYWHERE,
             expected_run: Duration::ZERO,
             finished: 0,
             under_way: 0,
--- a/crates/bramley-core/src/kernel/admission.rs
+++ b/crates/bramley-core/src/kernel/admission.rs
@@ -9,7 +9,6 @@
 use crate::errors::{DispatchError, ErrorKind};
 use crate::job::JobSpec;
 use crate::queue::{QueueEntry, WorkAhead};
-use crate::task::TaskInput;
 use crate::units::{TicketSerial, UnixTime};
 use crate::worker::TaskNeeds;
 
@@ -83,11 +82,12 @@
     }
 
     fn check_runnable(&self, spec: &JobSpec) -> Result<(), DispatchError> {
-        let needs: BTreeSet<TaskNeeds> = spec.tasks.iter().map(|task| task.needs()).collect();
+        let place = self.places.place_of(&spec.team);
+        let needs: BTreeSet<TaskNeeds> = spec.tasks.iter().map(|task| task.needs(place)).collect();
         for need in needs {
-            if !self.workers.any_fits(need) {
+            if !self.workers.any_fits(need, &self.places) {
                 let detail = format!(
-                    "no worker has {} accelerators and {} MiB",
+                    "no worker in the team's failure domains has a slot with {} accelerators and {} MiB",
                     need.accelerators, need.memory_mib
                 );
                 return Err(DispatchError::new(ErrorKind::NeverRunnable, detail));
@@ -112,7 +112,9 @@
         }
         let ahead = self.waiting.len() + spec.tasks.len();
         if ahead > self.settings.max_waiting_tasks {
-            let wait = self.spread(self.drain_time(ahead));
+            let counts = self.slots.counts();
+            let slots = counts.owned + counts.borrowed;
+            let wait = self.spread(self.drain_time(ahead, slots));
             return Err(DispatchError::retry(ErrorKind::QueueFull, "", wait));
         }
         let finish = self.expected_response(spec, now);
@@ -145,9 +147,11 @@
             remaining: expected_run.saturating_mul(tasks),
         };
         // A job with tasks of different needs ends with its slowest lane; the first stands for all.
-        let needs = spec.tasks.first().map(TaskInput::needs).unwrap_or_default();
-        let counts = self.slots.counts();
-        let slots = f64::from((counts.owned + counts.borrowed).max(1));
+        let place = self.places.place_of(&spec.team);
+        let first = spec.tasks.first();
+        let needs = first.map(|task| task.needs(place)).unwrap_or_default();
+        let counts = self.counts_at(place);
+        let slots = f64::from(self.slots_at(place).max(1));
         let (work, slots) = match self.waiting.work_ahead(needs, &entry) {
             WorkAhead::OfAll(work) => (work, slots),
             WorkAhead::OfTeam(work) => {
@@ -162,10 +166,9 @@
         wait + expected_run
     }
 
-    /// Returns the expected time in which the slots at hand run a number of tasks.
-    pub(super) fn drain_time(&self, tasks: usize) -> Duration {
-        let counts = self.slots.counts();
-        let slots = u64::from((counts.owned + counts.borrowed).max(1));
+    /// Returns the expected time in which a number of slots run a number of tasks.
+    pub(super) fn drain_time(&self, tasks: usize, slots: u32) -> Duration {
+        let slots = u64::from(slots.max(1));
         let mean = u64::try_from(self.estimates.overall_mean().as_micros()).unwrap_or(u64::MAX);
         Duration::from_micros(mean.saturating_mul(tasks as u64) / slots)
     }
--- a/crates/bramley-core/src/kernel/answers.rs
+++ b/crates/bramley-core/src/kernel/answers.rs
@@ -244,7 +244,7 @@
             return;
         };
         job.phases[task.index as usize] = TaskPhase::Queued(record);
-        let needs = job.inputs[task.index as usize].needs();
+        let needs = job.inputs[task.index as usize].needs(job.place);
         let entry = job.queue_entry(1);
         self.push_waiting(needs, &[task.index], entry);
     }
--- a/crates/bramley-core/src/kernel/dispatch.rs
+++ b/crates/bramley-core/src/kernel/dispatch.rs
@@ -16,6 +16,7 @@
 use super::action::{KernelAction, TaskStart};
 use super::attempts::AttemptRecord;
 use super::quota::QuotaChange;
+use super::waiting::ReadyLanes;
 
 /// Multiple of the expected run time for which a borrowed slot must stay ours.
 const LOAN_RUN_FACTOR: u32 = 2;
@@ -38,15 +39,39 @@
         if self.waiting.len() == 0 {
             return;
         }
-        for needs in self.waiting.needs() {
-            while let Some(serial) = self.waiting.next(needs) {
-                if !self.send_next(needs, serial, now, actions) {
-                    break;
-                }
+        let counts = self.slots.counts();
+        if counts.idle_plain == 0 && counts.idle_accelerated == 0 {
+            return;
+        }
+        for lanes in self.waiting.ready_lanes() {
+            self.dispatch_lanes(lanes, now, actions);
+        }
+    }
+
+    /// Sends the waiting tasks of one size, in turn between their places.
+    fn dispatch_lanes(
+        &mut self,
+        mut lanes: ReadyLanes,
+        now: UnixTime,
+        actions: &mut Vec<KernelAction>,
+    ) {
+        while let Some((needs, serial)) = self.waiting.next(&lanes) {
+            if !self.has_idle(needs) || !self.send_next(needs, serial, now, actions) {
+                lanes.retain(|other| *other != needs);
             }
         }
     }
 
+    /// Tells whether any slot of the kind that a task needs is idle.
+    const fn has_idle(&self, needs: TaskNeeds) -> bool {
+        let counts = self.slots.counts();
+        if needs.accelerators > 0 {
+            counts.idle_accelerated > 0
+        } else {
+            counts.idle_plain > 0
+        }
+    }
+
     /// Sends the next task of a job; returns `false` if no slot fits.
     fn send_next(
         &mut self,
@@ -94,6 +119,7 @@
         let fitting: SmallVec<[WorkerIndex; 4]> = self
             .slots
             .candidates(accelerated)
+            .filter(|worker| self.places.allows(needs.place, self.slots.domain(*worker)))
             .filter(|worker| self.workers.get(*worker).fits(needs))
             .filter(|worker| self.slots.idle_on(*worker, accelerated) >= count)
             .filter(|worker| single || self.slots.access(*worker) == SlotAccess::Open)
@@ -155,6 +181,16 @@
             .check(InvariantKind::NoStartOnLeavingWorker, live, || {
                 format!("worker {}", profile.name)
             });
+        // Asks the configuration rather than the numbers of places that chose the worker.
+        let declared = self.teams.team(team.as_str());
+        let allowed = declared.is_none_or(|team| {
+            let domains = &team.failure_domains;
+            domains.is_empty() || domains.contains(&profile.domain)
+        });
+        self.monitor
+            .check(InvariantKind::NoStartOutsidePlace, allowed, || {
+                format!("team {team} on worker {}", profile.name)
+            });
         actions.push(KernelAction::Start(Box::new(TaskStart {
             attempt,
             task,
--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -96,9 +96,11 @@
             self.apply_sign(&mut profile);
             profile.slots = profile.slots.min(MAX_WORKER_SLOTS);
             let accepted_slots = profile.slots;
+            let domain = self.places.number_domain(&profile.domain);
             let index = self.workers.upsert(profile);
             listed.insert(index);
             self.divide(index, accepted_slots);
+            self.slots.set_domain(index, domain);
             self.refresh_usable(index);
         }
         let missing: Vec<WorkerIndex> = self
@@ -176,6 +178,8 @@
     /// Puts a configuration into force.
     pub(super) fn on_configured(&mut self, configuration: &Arc<DeploymentConfiguration>) {
         self.teams = TeamDirectory::new(Arc::clone(configuration));
+        self.places.configure(configuration);
+        self.move_waiting_jobs();
         self.reconfigure_quotas();
     }
 
--- a/crates/bramley-core/src/kernel/loans.rs
+++ b/crates/bramley-core/src/kernel/loans.rs
@@ -14,7 +14,9 @@
 
 use super::DispatchKernel;
 use super::action::KernelAction;
-use super::event::{LoanReply, LoanRequest, NamedSlot};
+use super::event::{LoanReply, LoanRequest, NamedSlot, PeerView};
+use super::places::PlaceDemand;
+use super::waiting::SlotDemand;
 
 /// Loan requests that may be under way at once.
 const MAX_PENDING_REQUESTS: usize = 2;
@@ -131,6 +133,17 @@
     }
 }
 
+/// Returns the number of a peer's idle slots of the kinds in demand.
+const fn usable_idle(peer: &PeerView, demand: SlotDemand) -> u32 {
+    let plain = if demand.plain > 0 { peer.idle_slots } else { 0 };
+    let accelerated = if demand.accelerated > 0 {
+        peer.idle_accelerator_slots
+    } else {
+        0
+    };
+    plain.saturating_add(accelerated)
+}
+
 impl LoanDesk {
     fn may_ask(&self, host: &HostName, now: UnixTime) -> bool {
         let waiting = self
@@ -163,32 +176,29 @@
     /// Asks other hosts for slots while tasks wait and no slot is idle.
     pub(super) fn ask_for_loans(&mut self, now: UnixTime, actions: &mut Vec<KernelAction>) {
         self.loans.ask_again.retain(|_, time| *time > now);
-        let counts = self.slots.counts();
-        let mut demand = self.waiting.demand();
-        if counts.idle_plain > 0 {
-            demand.plain = 0;
-        }
-        if counts.idle_accelerated > 0 {
-            demand.accelerated = 0;
+        let mut unmet = self.unmet_demands();
+        self.loans.patience = self.loans.patience.advance(!unmet.is_empty(), now);
+        if unmet.is_empty() {
+            return;
         }
-        let wanted = demand.plain + demand.accelerated;
-        self.loans.patience = self.loans.patience.advance(wanted > 0, now);
-        let slow = self.drain_time(wanted as usize) >= MIN_BORROW_WAIT;
+        let slow = unmet.iter().any(|part| self.is_slow(part));
         if !slow && self.loans.patience != QueuePatience::Over {
             return;
         }
-        if demand.plain > 0 {
-            demand.plain = demand.plain.max(MIN_SLOTS_PER_REQUEST);
+        for part in &mut unmet {
+            if part.demand.plain > 0 {
+                part.demand.plain = part.demand.plain.max(MIN_SLOTS_PER_REQUEST);
+            }
         }
         self.loans.budget.refill(self.counters.starts, now);
-        while demand.plain + demand.accelerated > 0
-            && self.loans.budget.allows_request()
+        while self.loans.budget.allows_request()
             && self.loans.pending_requests(now) < MAX_PENDING_REQUESTS
         {
-            let Some(lender) = self.best_lender(demand.plain > 0, demand.accelerated > 0, now)
-            else {
+            let Some(lender) = self.best_lender(&unmet, now) else {
                 break;
             };
+            let domain = self.fleet.peers()[lender].domain.clone();
+            let demand = self.demand_in(&unmet, &domain);
             let peer = &mut self.fleet.peers_mut()[lender];
             let plain = demand.plain.min(peer.idle_slots).min(MAX_SLOTS_PER_REQUEST);
             let accelerated = demand
@@ -199,8 +209,8 @@
             peer.idle_slots -= plain;
             peer.idle_accelerator_slots -= accelerated;
             let host = peer.host.clone();
-            demand.plain -= plain;
-            demand.accelerated -= accelerated;
+            let asked = SlotDemand { plain, accelerated };
+            self.settle_demands(&mut unmet, &domain, asked);
             self.loans
                 .pending
                 .insert(host.clone(), now.after(ANSWER_WAIT));
@@ -222,27 +232,41 @@
         (share / LENDER_IDLE_DIVISOR).clamp(1, MAX_LENDER_IDLE_FLOOR)
     }
 
-    /// Picks the reachable peer with most idle slots, in the own failure domain if possible.
-    fn best_lender(&self, plain: bool, accelerated: bool, now: UnixTime) -> Option<usize> {
-        let usable_idle = |position: usize| {
-            let peer = &self.fleet.peers()[position];
-            let plain_idle = if plain { peer.idle_slots } else { 0 };
-            let accelerated_idle = if accelerated {
-                peer.idle_accelerator_slots
-            } else {
-                0
-            };
-            plain_idle + accelerated_idle
-        };
-        let floor = if accelerated {
-            1
-        } else {
-            self.lender_idle_floor()
-        };
+    /// Tells whether the slots at hand run the waiting tasks of a place so late that borrowing is
+    /// worth its messages.
+    fn is_slow(&self, part: &PlaceDemand) -> bool {
+        let counts = self.counts_at(part.place);
+        let slots = counts.owned.saturating_add(counts.borrowed);
+        let tasks = part.demand.plain.saturating_add(part.demand.accelerated);
+        slots == 0 || self.drain_time(tasks as usize, slots) >= MIN_BORROW_WAIT
+    }
+
+    /// Returns the number of idle slots that a peer must report to be asked for these demands.
+    fn floor_for(&self, unmet: &[PlaceDemand], peer: &PeerView) -> u32 {
+        for part in unmet {
+            let lacks = part.demand != SlotDemand::default();
+            if !lacks || !self.places.allows_name(part.place, &peer.domain) {
+                continue;
+            }
+            // A few slots are worth asking for where the host has none of its own.
+            let outside = !self.places.allows_name(part.place, &self.identity.domain);
+            if outside || part.demand.accelerated > 0 {
+                return 1;
+            }
+        }
+        self.lender_idle_floor()
+    }
+
+    /// Picks the reachable peer with most idle slots that meet the demands, in the own failure
+    /// domain if possible.
+    fn best_lender(&self, unmet: &[PlaceDemand], now: UnixTime) -> Option<usize> {
         let mut best: Option<(usize, (bool, u32))> = None;
         for (position, peer) in self.fleet.peers().iter().enumerate() {
-            let idle = usable_idle(position);
-            if !peer.reachable || idle < floor || !self.loans.may_ask(&peer.host, now) {
+            if !peer.reachable || !self.loans.may_ask(&peer.host, now) {
+                continue;
+            }
+            let idle = usable_idle(peer, self.demand_in(unmet, &peer.domain));
+            if idle < self.floor_for(unmet, peer) {
                 continue;
             }
             let score = (peer.domain == self.identity.domain, idle);
@@ -262,7 +286,7 @@
     ) {
         let until = now.after(self.settings.loan_term);
         let counts = self.slots.counts();
-        let demand = self.waiting.demand();
+        let demand = self.own_demand();
         let mut lent = Vec::new();
         if demand.plain == 0 && !self.draining {
             let plain = request.plain.min(counts.idle_plain.div_ceil(2));
--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -18,6 +18,7 @@
 pub mod event;
 mod fleet;
 mod loans;
+mod places;
 mod quota;
 mod retry;
 pub mod settings;
@@ -36,6 +37,7 @@
 use crate::invariants::InvariantMonitor;
 use crate::names::{DomainName, HostName};
 use crate::outcomes::OutcomeBook;
+use crate::places::PlaceTable;
 use crate::queue::{OrderRegistry, register_enabled};
 use crate::slots::SlotLedger;
 use crate::teams::TeamDirectory;
@@ -76,6 +78,7 @@
     waiting: WaitingTasks,
     attempts: AttemptTable,
     workers: WorkerTable,
+    places: PlaceTable,
     fleet: FleetView,
     slots: SlotLedger,
     loans: LoanDesk,
@@ -115,6 +118,7 @@
             waiting,
             attempts: AttemptTable::default(),
             workers: WorkerTable::default(),
+            places: PlaceTable::default(),
             fleet: FleetView::default(),
             slots: SlotLedger::default(),
             loans: LoanDesk::default(),
--- a/crates/bramley-core/src/kernel/submissions.rs
+++ b/crates/bramley-core/src/kernel/submissions.rs
@@ -100,6 +100,7 @@
 
     fn accept(&mut self, mut job: Box<ActiveJob>, terms: OutcomeEntryTerms) {
         let serial = job.serial;
+        job.place = self.places.place_of(&job.team);
         job.expected_run = self.expected_run(&job);
         self.counters.accepted_jobs += 1;
         self.counters.accepted_tasks += job.inputs.len() as u64;
@@ -129,11 +130,7 @@
     }
 
     fn enqueue_all(&mut self, job: &ActiveJob) {
-        let mut groups: BTreeMap<TaskNeeds, Vec<u32>> = BTreeMap::new();
-        for (index, input) in (0_u32..).zip(&job.inputs) {
-            groups.entry(input.needs()).or_default().push(index);
-        }
-        for (needs, indices) in groups {
+        for (needs, indices) in job.waiting_groups() {
             let entry = job.queue_entry(indices.len());
             self.push_waiting(needs, &indices, entry);
         }
@@ -337,12 +334,26 @@
         }
     }
 
+    /// Returns the tasks that wait, by their needs.
+    pub(super) fn waiting_groups(&self) -> BTreeMap<TaskNeeds, Vec<u32>> {
+        let mut groups: BTreeMap<TaskNeeds, Vec<u32>> = BTreeMap::new();
+        for ((index, phase), input) in (0_u32..).zip(&self.phases).zip(&self.inputs) {
+            if let TaskPhase::Queued(_) = phase {
+                groups
+                    .entry(input.needs(self.place))
+                    .or_default()
+                    .push(index);
+            }
+        }
+        groups
+    }
+
     /// Returns the distinct needs of the tasks that wait.
     pub(super) fn waiting_needs(&self) -> BTreeSet<TaskNeeds> {
         let mut needs = BTreeSet::new();
         for (phase, input) in self.phases.iter().zip(&self.inputs) {
             if let TaskPhase::Queued(_) = phase {
-                needs.insert(input.needs());
+                needs.insert(input.needs(self.place));
             }
         }
         needs
--- a/crates/bramley-core/src/lib.rs
+++ b/crates/bramley-core/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`names`] holds the shared immutable names.
 //! - [`outcomes`] keeps the books of submissions.
 //! - [`ownership`] finds the incarnation that a ticket names.
+//! - [`places`] numbers the sets of failure domains that teams may use.
 //! - [`queue`] orders waiting jobs by plug-in policies.
 //! - [`slots`] divides, lends and books the slots of workers.
 //! - [`task`] holds the life cycle of a task.
@@ -36,6 +37,7 @@
 pub mod names;
 pub mod outcomes;
 pub mod ownership;
+pub mod places;
 pub mod queue;
 pub mod slots;
 pub mod task;
--- a/crates/bramley-core/src/slots/ledger.rs
+++ b/crates/bramley-core/src/slots/ledger.rs
@@ -6,6 +6,7 @@
 use smallvec::SmallVec;
 
 use crate::names::HostName;
+use crate::places::DomainIndex;
 use crate::units::{AttemptId, UnixTime};
 use crate::worker::WorkerIndex;
 
@@ -87,6 +88,7 @@
 struct WorkerRights {
     slots: Vec<SlotRight>,
     accelerators: u32,
+    domain: DomainIndex,
     access: SlotAccess,
     busy: u32,
     idle_plain: u32,
@@ -121,6 +123,8 @@
     idle_accelerated: BTreeSet<(u32, WorkerIndex)>,
     timers: BTreeMap<UnixTime, SmallVec<[LoanedSlot; 4]>>,
     counts: RightCounts,
+    /// Counts of each failure domain, by its number.
+    domain_counts: Vec<RightCounts>,
 }
 
 impl SlotLedger {
@@ -160,6 +164,30 @@
         self.relist(worker);
     }
 
+    /// Returns the counts of rights in the failure domains for which `allows` holds.
+    pub fn counts_in(&self, allows: impl Fn(DomainIndex) -> bool) -> RightCounts {
+        let mut total = RightCounts::default();
+        for (domain, counts) in (0_u32..).zip(&self.domain_counts) {
+            if allows(DomainIndex(domain)) {
+                total.combine(*counts, u32::saturating_add);
+            }
+        }
+        total
+    }
+
+    /// Sets the failure domain of a worker.
+    pub fn set_domain(&mut self, worker: WorkerIndex, domain: DomainIndex) {
+        self.unlist(worker);
+        self.workers[worker.0 as usize].domain = domain;
+        self.relist(worker);
+    }
+
+    /// Returns the failure domain of a worker.
+    #[must_use]
+    pub fn domain(&self, worker: WorkerIndex) -> DomainIndex {
+        self.workers[worker.0 as usize].domain
+    }
+
     /// Sets how far new tasks may start on a worker.
     pub fn set_access(&mut self, worker: WorkerIndex, access: SlotAccess) {
         if worker.0 as usize >= self.workers.len() {
@@ -555,20 +583,47 @@
 
     fn count(&mut self, worker: WorkerIndex, combine: impl Fn(u32, u32) -> u32) {
         let rights = &self.workers[worker.0 as usize];
-        let counts = &mut self.counts;
-        counts.busy = combine(counts.busy, rights.busy);
-        counts.idle_plain = combine(counts.idle_plain, rights.idle_plain);
-        counts.idle_accelerated = combine(counts.idle_accelerated, rights.idle_accelerated);
-        for right in &rights.slots {
-            if right.owned && rights.access != SlotAccess::Closed {
-                counts.owned = combine(counts.owned, 1);
+        let part = rights.counts();
+        let domain = rights.domain.0 as usize;
+        if self.domain_counts.len() <= domain {
+            self.domain_counts
+                .resize(domain + 1, RightCounts::default());
+        }
+        self.counts.combine(part, &combine);
+        self.domain_counts[domain].combine(part, &combine);
+    }
+}
+
+impl RightCounts {
+    fn combine(&mut self, part: Self, combine: impl Fn(u32, u32) -> u32) {
+        self.idle_plain = combine(self.idle_plain, part.idle_plain);
+        self.idle_accelerated = combine(self.idle_accelerated, part.idle_accelerated);
+        self.busy = combine(self.busy, part.busy);
+        self.owned = combine(self.owned, part.owned);
+        self.lent = combine(self.lent, part.lent);
+        self.borrowed = combine(self.borrowed, part.borrowed);
+    }
+}
+
+impl WorkerRights {
+    fn counts(&self) -> RightCounts {
+        let mut counts = RightCounts {
+            idle_plain: self.idle_plain,
+            idle_accelerated: self.idle_accelerated,
+            busy: self.busy,
+            ..RightCounts::default()
+        };
+        for right in &self.slots {
+            if right.owned && self.access != SlotAccess::Closed {
+                counts.owned += 1;
             }
             if matches!(right.state, RightState::Lent(_, _)) {
-                counts.lent = combine(counts.lent, 1);
+                counts.lent += 1;
             }
             if right.loan.is_some() {
-                counts.borrowed = combine(counts.borrowed, 1);
+                counts.borrowed += 1;
             }
         }
+        counts
     }
 }
--- a/crates/bramley-core/src/task.rs
+++ b/crates/bramley-core/src/task.rs
@@ -7,6 +7,7 @@
 
 use std::sync::Arc;
 
+use crate::places::PlaceId;
 use crate::units::AttemptId;
 use crate::worker::TaskNeeds;
 
@@ -24,12 +25,13 @@
 }
 
 impl TaskInput {
-    /// Returns the needs that decide where the task can run.
+    /// Returns the needs of the task; its team decides the place.
     #[must_use]
-    pub const fn needs(&self) -> TaskNeeds {
+    pub const fn needs(&self, place: PlaceId) -> TaskNeeds {
         TaskNeeds {
             accelerators: self.accelerators,
             memory_mib: self.memory_mib,
+            place,
         }
     }
 }
--- a/crates/bramley-core/src/worker.rs
+++ b/crates/bramley-core/src/worker.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::names::{DomainName, RackName, WorkerName};
+use crate::places::{PlaceId, PlaceTable};
 
 /// Position of a worker in the [`WorkerTable`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -52,15 +53,31 @@
     pub accelerators: u32,
     /// Memory in mebibytes; 0 means unstated.
     pub memory_mib: u32,
+    /// Failure domains whose workers may run it.
+    pub place: PlaceId,
+}
+
+impl TaskNeeds {
+    /// Returns the same needs at another place.
+    #[must_use]
+    pub const fn at(self, place: PlaceId) -> Self {
+        Self { place, ..self }
+    }
 }
 
 impl WorkerProfile {
-    /// Tells whether the worker is large enough for a task.
+    /// Tells whether the worker is large enough for a task, whatever the task's place.
+    ///
+    /// A task without accelerators needs a slot without one: slots with accelerators are kept for
+    /// the tasks that cannot run on others.
     #[must_use]
     pub const fn fits(&self, needs: TaskNeeds) -> bool {
-        let accelerators_fit = needs.accelerators <= self.accelerators
-            && (needs.accelerators <= self.slots || needs.accelerators == 0);
-        accelerators_fit && self.slots > 0 && needs.memory_mib <= self.memory_mib
+        let slots_fit = if needs.accelerators == 0 {
+            self.slots > self.accelerators
+        } else {
+            needs.accelerators <= self.accelerators && needs.accelerators <= self.slots
+        };
+        slots_fit && needs.memory_mib <= self.memory_mib
     }
 }
 
@@ -127,11 +144,13 @@
             .any(|profile| profile.state != WorkerState::Removed)
     }
 
-    /// Tells whether any listed worker is large enough for a task.
+    /// Tells whether any listed worker at the place of a task is large enough for it.
     #[must_use]
-    pub fn any_fits(&self, needs: TaskNeeds) -> bool {
-        self.profiles
-            .iter()
-            .any(|profile| profile.state != WorkerState::Removed && profile.fits(needs))
+    pub fn any_fits(&self, needs: TaskNeeds, places: &PlaceTable) -> bool {
+        self.profiles.iter().any(|profile| {
+            profile.state != WorkerState::Removed
+                && profile.fits(needs)
+                && places.allows_name(needs.place, &profile.domain)
+        })
     }
 }
--- a/crates/bramley-load/src/virtual_run/baseline.rs
+++ b/crates/bramley-load/src/virtual_run/baseline.rs
@@ -13,6 +13,7 @@
 use bramley_core::kernel::action::{KernelAction, TaskStart};
 use bramley_core::kernel::event::{AttemptEnd, KernelEvent, PeerView};
 use bramley_core::names::{HostName, WorkerName};
+use bramley_core::places::PlaceId;
 use bramley_core::slots::division::{owner_of_slot, rank_hosts};
 use bramley_core::units::{AttemptId, TaskKey, TicketSerial, UnixTime};
 use bramley_core::worker::{WorkerProfile, WorkerState};
@@ -111,7 +112,7 @@
     ) {
         let fits = |worker: &BaselineWorker| {
             let mut tasks = submission.spec.tasks.iter();
-            tasks.all(|task| worker.profile.fits(task.needs()))
+            tasks.all(|task| worker.profile.fits(task.needs(PlaceId::EVERYWHERE)))
         };
         if !self.workers.iter().any(fits) || submission.spec.deadline <= now {
             let error = DispatchError::new(ErrorKind::NeverRunnable, "");
