--- a/crates/bramley-core/src/kernel/admission.rs
+++ b/crates/bramley-core/src/kernel/admission.rs
@@ -8,6 +8,7 @@
 use crate::configuration::TeamConfiguration;
 use crate::errors::{DispatchError, ErrorKind};
 use crate::job::JobSpec;
+use crate::places::PlaceId;
 use crate::queue::{QueueEntry, WorkAhead};
 use crate::units::{TicketSerial, UnixTime};
 use crate::worker::TaskNeeds;
@@ -86,10 +87,7 @@
         let needs: BTreeSet<TaskNeeds> = spec.tasks.iter().map(|task| task.needs(place)).collect();
         for need in needs {
             if !self.workers.any_fits(need, &self.places) {
-                let detail = format!(
-                    "no worker in the team's failure domains has a slot with {} accelerators and {} MiB",
-                    need.accelerators, need.memory_mib
-                );
+                let detail = missing_worker(need);
                 return Err(DispatchError::new(ErrorKind::NeverRunnable, detail));
             }
         }
@@ -180,3 +178,17 @@
         base.mul_f64(self.random.random_range(1.0..2.0))
     }
 }
+
+/// Says which worker would be needed.
+fn missing_worker(needs: TaskNeeds) -> String {
+    let slots = match needs.accelerators {
+        0 => "a slot without an accelerator".to_owned(),
+        count => format!("{count} accelerators"),
+    };
+    let place = if needs.place == PlaceId::EVERYWHERE {
+        ""
+    } else {
+        " in the team's failure domains"
+    };
+    format!("no worker{place} has {slots} and {} MiB", needs.memory_mib)
+}
