--- a/docs/measurements/overhead.sh
+++ b/docs/measurements/overhead.sh
@@ -42,7 +42,7 @@
     "classes": [{"name": "short", "expected_run_ms": 10, "answer_within_ms": 30000}]}]
 }
 J
-"$bin/bramleyctl" --platform "$platform" apply "$folder/configuration.jsonc"
+"$bin/bramleyctl" apply --platform "$platform" "$folder/configuration.jsonc" >/dev/null
 cat >"$folder/entry.jsonc" <<J
 {
   "host": "north-1", "failure_domain": "north", "platform_address": "$platform",
