--- a/crates/bramley-core/src/kernel/answers.rs
+++ b/crates/bramley-core/src/kernel/answers.rs
@@ -219,7 +219,9 @@
         };
         job.phases[task.index as usize] = TaskPhase::Finished(record);
         job.finished += 1;
-        if job.is_complete() {
+        let (team, complete) = (job.team.clone(), job.is_complete());
+        self.quotas.close(&team, 1);
+        if complete {
             self.complete_job(task.serial, actions);
         }
     }
--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -16,7 +16,6 @@
 
 use super::DispatchKernel;
 use super::event::PeerView;
-use super::quota::QuotaChange;
 
 /// Slots of one worker that are used at most, whatever the platform lists.
 const MAX_WORKER_SLOTS: u32 = 4_096;
@@ -154,9 +153,8 @@
     }
 
     /// Takes a new view of the peers and divides the slots anew if their set changed.
-    pub(super) fn on_peers_changed(&mut self, peers: Vec<PeerView>) {
+    pub(super) fn on_peers_changed(&mut self, peers: Vec<PeerView>, now: UnixTime) {
         let former = self.sharing_hosts();
-        let former_total = self.host_count();
         self.fleet.peers = peers;
         if self.sharing_hosts() != former {
             let workers: Vec<(WorkerIndex, u32)> = self
@@ -168,36 +166,17 @@
                 self.divide(index, slots);
             }
         }
-        if self.host_count() != former_total {
-            self.reconfigure_quotas();
-        }
+        self.refresh_quotas(now);
     }
 
     /// Puts a configuration into force.
-    pub(super) fn on_configured(&mut self, configuration: &Arc<DeploymentConfiguration>) {
+    pub(super) fn on_configured(
+        &mut self,
+        configuration: &Arc<DeploymentConfiguration>,
+        now: UnixTime,
+    ) {
         self.teams = TeamDirectory::new(Arc::clone(configuration));
-        self.reconfigure_quotas();
-    }
-
-    fn reconfigure_quotas(&mut self) {
-        let Some(configuration) = self.teams.configuration() else {
-            return;
-        };
-        let hosts = self.host_count();
-        for (team, change) in self.quotas.configure(configuration, hosts) {
-            self.waiting
-                .set_blocked(&team, change == QuotaChange::Reached);
-        }
-    }
-
-    /// Returns the number of hosts between which quotas are divided.
-    fn host_count(&self) -> usize {
-        1 + self
-            .fleet
-            .peers
-            .iter()
-            .filter(|peer| peer.shares_slots)
-            .count()
+        self.refresh_quotas(now);
     }
 
     /// Returns the hosts of the own failure domain that divide its slots, in order of name.
--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -19,10 +19,12 @@
 mod fleet;
 mod loans;
 mod quota;
+mod quota_demand;
 mod retry;
 pub mod settings;
 pub mod snapshot;
 mod submissions;
+mod team_limits;
 mod waiting;
 
 use std::collections::BTreeSet;
@@ -108,7 +110,6 @@
         let budget = RetryBudget::new(settings.retry_percent);
         Self {
             identity,
-            settings,
             teams: TeamDirectory::default(),
             book: OutcomeBook::default(),
             deadlines: BTreeSet::new(),
@@ -118,11 +119,12 @@
             fleet: FleetView::default(),
             slots: SlotLedger::default(),
             loans: LoanDesk::default(),
-            quotas: QuotaLedger::default(),
+            quotas: QuotaLedger::new(settings.quota_hold),
             health: HealthTable::default(),
             estimates: RunTimeTable::default(),
             demand: DemandMeter::default(),
             budget,
+            settings,
             counters: KernelCounters::default(),
             monitor: InvariantMonitor::default(),
             draining: false,
@@ -156,8 +158,9 @@
             KernelEvent::WorkersListed(profiles) => self.on_workers_listed(profiles, now),
             KernelEvent::WorkerLeaving(name) => self.on_worker_leaving(&name, now),
             KernelEvent::WorkerLive(name) => self.on_worker_live(&name),
-            KernelEvent::PeersChanged(peers) => self.on_peers_changed(peers),
-            KernelEvent::Configured(configuration) => self.on_configured(&configuration),
+            KernelEvent::PeersChanged(peers) => self.on_peers_changed(peers, now),
+            KernelEvent::Configured(configuration) => self.on_configured(&configuration, now),
+            KernelEvent::DemandsHeard(demands) => self.on_demands_heard(demands, now),
             KernelEvent::LoanAsked(request) => self.on_loan_asked(&request, now, actions),
             KernelEvent::LoanAnswered(reply) => self.on_loan_answered(reply, now),
             KernelEvent::LoanReturned { borrower, slots } => {
@@ -231,6 +234,7 @@
             self.next_sweep = now.after(self.settings.sweep_interval);
             self.book.forget_expired(now);
             self.demand.forget_inactive(now);
+            self.refresh_quotas(now);
             self.return_idle_loans(now, actions);
         }
     }
--- a/crates/bramley-entry/src/kernel_loop.rs
+++ b/crates/bramley-entry/src/kernel_loop.rs
@@ -406,6 +406,7 @@
             .clone()
             .unwrap_or(defaults.queue_order),
         loan_term: Duration::from_millis(settings.timing.loan_term_ms),
+        configured_hosts: count_hosts(settings),
         ..KernelSettings::default()
     };
     let identity = KernelIdentity {
@@ -415,3 +416,14 @@
     };
     DispatchKernel::new(identity, kernel_settings)
 }
+
+/// Counts the configured hosts; the own address may stand among the siblings.
+fn count_hosts(settings: &bramley_settings::EntrySettings) -> usize {
+    let mut hosts = 1;
+    for sibling in &settings.siblings {
+        if *sibling != settings.peer_address {
+            hosts += 1;
+        }
+    }
+    hosts
+}
--- a/crates/bramley-entry/src/shared.rs
+++ b/crates/bramley-entry/src/shared.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use bramley_core::configuration::DeploymentConfiguration;
-use bramley_core::membership::{MemberLoad, MemberSnapshot};
+use bramley_core::membership::{MemberLoad, MemberSnapshot, TeamDemand};
 use bramley_core::names::HostName;
 use bramley_core::ownership::OwnerCandidate;
 use bramley_core::ticket::TicketIssuer;
@@ -107,6 +107,8 @@
     pub configuration: ArcSwap<ConfigurationSnapshot>,
     /// Newest worker list of the platform; its revision only rises.
     pub workers: ArcSwap<WorkerList>,
+    /// Team demands as of the dispatch kernel's last refresh, which heartbeats tell.
+    pub demands: ArcSwap<Vec<TeamDemand>>,
     /// Present load, which heartbeats tell.
     pub load: LoadGauge,
     /// Metrics.
@@ -141,6 +143,7 @@
             configuration: ArcSwap::default(),
             workers: ArcSwap::default(),
             load: LoadGauge::default(),
+            demands: ArcSwap::default(),
             metrics: EntryMetrics::default(),
             draining: AtomicBool::new(false),
         }
--- a/crates/bramley-load/src/virtual_run/baseline.rs
+++ b/crates/bramley-load/src/virtual_run/baseline.rs
@@ -382,6 +382,7 @@
             KernelEvent::Queried { .. }
             | KernelEvent::Configured(_)
             | KernelEvent::LoanAsked(_)
+            | KernelEvent::DemandsHeard(_)
             | KernelEvent::LoanAnswered(_)
             | KernelEvent::LoanReturned { .. }
             | KernelEvent::DrainStarted
