--- a/crates/bramley-core/src/kernel/quota_demand.rs
+++ b/crates/bramley-core/src/kernel/quota_demand.rs
@@ -58,6 +58,10 @@
 
     /// Enters the present demand and returns the smallest one of the hold time.
     pub fn sample(&mut self, tasks: u32, now: UnixTime, hold: Duration) -> u32 {
+        // The last value was told until now, however long ago it was entered.
+        if let Some((until, _)) = self.samples.back_mut() {
+            *until = now.after(hold);
+        }
         while self.samples.front().is_some_and(|(until, _)| *until < now) {
             self.samples.pop_front();
         }
--- a/crates/bramley-core/src/kernel/settings.rs
+++ b/crates/bramley-core/src/kernel/settings.rs
@@ -74,7 +74,7 @@
             refused_slot_rest: Duration::from_millis(200),
             retry_percent: 10,
             sweep_interval: Duration::from_millis(100),
-            quota_hold: Duration::from_secs(12),
+            quota_hold: Duration::from_secs(18),
             configured_hosts: 1,
             faults: KernelFaults::default(),
         }
--- a/crates/bramley-core/src/membership/kernel.rs
+++ b/crates/bramley-core/src/membership/kernel.rs
@@ -395,7 +395,12 @@
     }
 
     fn pick_demands(&mut self) -> Vec<TeamDemand> {
-        let count = self.demands.len().min(self.settings.max_demands);
+        let most = if self.table.entries().count() <= self.settings.small_members {
+            self.settings.small_max_demands
+        } else {
+            self.settings.max_demands
+        };
+        let count = self.demands.len().min(most);
         let mut picked = Vec::with_capacity(count);
         for _ in 0..count {
             self.next_demand %= self.demands.len();
--- a/crates/bramley-core/src/membership/settings.rs
+++ b/crates/bramley-core/src/membership/settings.rs
@@ -30,6 +30,10 @@
     pub max_worker_news: usize,
     /// Largest number of team demands in one message.
     pub max_demands: usize,
+    /// Largest number of team demands in one message of a small deployment.
+    pub small_max_demands: usize,
+    /// Largest number of other members, ended ones included, in a small deployment.
+    pub small_members: usize,
     /// Time for which a heard team demand counts, in milliseconds.
     pub demand_life_ms: u64,
     /// Failed sendings in a row after which a host is suspect.
@@ -90,7 +94,9 @@
             max_member_rumours: 3,
             max_worker_news: 64,
             max_demands: 4,
-            demand_life_ms: 10_000,
+            small_max_demands: 12,
+            small_members: 16,
+            demand_life_ms: 16_000,
             failed_sends_limit: 2,
             domain_silence_rounds: 3,
             cross_silence_rounds: 4,
--- a/crates/bramley-core/tests/quota_runs/mod.rs
+++ b/crates/bramley-core/tests/quota_runs/mod.rs
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Lets time pass in which no host does anything.
+    pub fn freeze(&mut self, span: Duration) {
+        self.now = self.now.after(span);
+    }
+
     /// Does steps without lost messages.
     pub fn run(&mut self, steps: usize) {
         let mut rng = ChaCha8Rng::seed_from_u64(1);
--- a/crates/bramley-core/tests/quotas.rs
+++ b/crates/bramley-core/tests/quotas.rs
@@ -23,11 +23,17 @@
 const SHARE: u32 = QUOTA / HOSTS as u32;
 
 /// Steps after which a lasting demand has its part: the hold time and two exchanges.
-const SETTLING_STEPS: usize = 28;
+const SETTLING_STEPS: usize = 40;
 
 /// Largest sum of limits: half of the quota above it, and one task for each host by rounding.
 const STATED_BOUND: u32 = QUOTA + QUOTA / 2 + HOSTS as u32;
 
+/// Bound that counts only the hosts with an equal share as those that may miss a demand.
+fn exact_bound(limits: &[u32]) -> u32 {
+    let equal = limits.iter().filter(|limit| **limit == SHARE).count() as u32;
+    QUOTA + HOSTS as u32 + equal * QUOTA / (2 * HOSTS as u32)
+}
+
 #[test]
 fn demand_at_one_host_gets_most_of_the_quota() {
     let mut bench = QuotaBench::new(QUOTA);
@@ -67,6 +73,19 @@
     assert!(sum <= QUOTA + HOSTS as u32, "{:?}", bench.limits());
 }
 
+#[test]
+fn larger_demand_after_a_freeze_is_not_claimed_at_once() {
+    let mut bench = QuotaBench::new(QUOTA);
+    bench.submit(0, TEAM, 1);
+    bench.submit(3, TEAM, 100);
+    bench.run(SETTLING_STEPS);
+    assert_eq!(bench.limits(), [6, 5, 5, 35, 5, 5]);
+    bench.freeze(Duration::from_secs(60));
+    bench.submit(0, TEAM, 400);
+    bench.run(4);
+    assert_eq!(bench.limits()[0], 6);
+}
+
 #[test]
 fn host_that_starts_while_cut_off_keeps_an_equal_share() {
     let settings = KernelSettings {
@@ -110,6 +129,8 @@
             bench.step(&mut rng);
             let sum = bench.limits().iter().sum();
             assert!(sum <= STATED_BOUND, "seed {seed}: {:?}", bench.limits());
+            let bound = exact_bound(&bench.limits());
+            assert!(sum <= bound, "seed {seed}: {:?}", bench.limits());
             most = most.max(sum);
             largest_limit = largest_limit.max(bench.limits()[0]);
         }
