Virtual runs end loans at the time that the lender stated

The driver told each borrower a term of two seconds, whatever the lender had granted, so that a changed loan_term left lender and borrower with different ends: with a term of 1 s 0.09 to 0.12 messages for each start were wasted, most of them refused starts, and the figures of such tries were void. The term now comes from the grant and counts from the request, as between real hosts.

--- a/crates/bramley-load/src/virtual_run/driver.rs
+++ b/crates/bramley-load/src/virtual_run/driver.rs
@@ -452,13 +452,19 @@
                 plain,
                 accelerated,
             } => self.ask_loan(host, &lender, plain, accelerated),
-            KernelAction::GrantLoan { token, slots, .. } => {
+            KernelAction::GrantLoan {
+                token,
+                slots,
+                until,
+            } => {
                 self.tally.wasted.loans += 1;
                 let (borrower, lender, asked_at) = self.loans[token.0 as usize];
+                // The borrower counts the term from its request, as its clock is another one.
+                let term = until.since(self.now);
                 let reply = LoanReply {
                     lender: self.hosts[lender].name.clone(),
                     slots,
-                    until: asked_at.after(Duration::from_secs(2)),
+                    until: asked_at.after(term),
                 };
                 if let Some(delay_us) = self.delay_to_host(lender, borrower) {
                     let event = RunEvent::ToHost(borrower, KernelEvent::LoanAnswered(reply));
