Fair order: a job may be passed for a sixteenth of its work, not four times

Cause: a job's remaining work is the sum over all its tasks, which run beside each other, but the rank compared it with the clock. A job of 500 tasks of 0.55 s could be passed for 1,100 s, so that ageing never took effect, and admission, which plans a job at the rank it has when it arrives, let in jobs that later ones overtook until their deadline.

The test's bound is stricter by the same change; its large job is larger, so that it is still passed by some jobs, and the test now fails if none passes.

--- a/crates/bramley-core/src/queue/fair.rs
+++ b/crates/bramley-core/src/queue/fair.rs
@@ -2,8 +2,8 @@
 //!
 //! Teams are served in the order of their virtual time, which advances by the work sent divided
 //! by the team's weight (start-time fair queueing). Within a team a job's rank is its acceptance
-//! time plus a multiple of its remaining work, so that small jobs pass large ones but no job is
-//! passed by one that came more than that multiple of its own work later.
+//! time plus a part of its remaining work, so that small jobs pass large ones but no job is passed
+//! by one that came later by more than that part of its own work.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -14,8 +14,11 @@
 use crate::names::TeamName;
 use crate::units::{TicketSerial, UnixTime};
 
-/// Multiple of its remaining work by which a job may be passed.
-const AGEING_FACTOR: u32 = 4;
+/// Part of its remaining work, as one over this number, for which a job may be passed.
+///
+/// Work is the sum over all tasks, which run beside each other: without the division a job of
+/// hundreds of tasks would be passed for many times the time that it takes.
+const AGEING_DIVISOR: u32 = 16;
 
 /// Jobs of a team that are looked at one by one to find the work ahead of a new job.
 const MAX_JOBS_SCANNED: usize = 64;
@@ -58,9 +61,7 @@
 }
 
 fn rank_of(entry: &QueueEntry) -> UnixTime {
-    entry
-        .submitted
-        .after(entry.remaining.saturating_mul(AGEING_FACTOR))
+    entry.submitted.after(entry.remaining / AGEING_DIVISOR)
 }
 
 impl FairOrder {
--- a/crates/bramley-core/tests/placement.rs
+++ b/crates/bramley-core/tests/placement.rs
@@ -12,8 +12,9 @@
 
 const START: UnixTime = UnixTime::from_millis(1_000_000);
 
-/// Multiple of its remaining work by which the fair order lets a job be passed.
-const STATED_AGEING_FACTOR: u32 = 4;
+/// Part of its remaining work, as one over this number, for which the fair order lets a job be
+/// passed.
+const STATED_AGEING_DIVISOR: u32 = 16;
 
 fn order(name: &str) -> Box<dyn JobOrder> {
     let mut registry = OrderRegistry::default();
@@ -42,10 +43,10 @@
 #[test]
 fn large_job_is_passed_only_by_jobs_of_the_stated_time() {
     let mut order = order("fair");
-    let large = entry(1, "organisers", 1, 0, 10);
+    let large = entry(1, "organisers", 1, 0, 160);
     let bound = large
         .submitted
-        .after(large.remaining * STATED_AGEING_FACTOR);
+        .after(large.remaining / STATED_AGEING_DIVISOR);
     order.insert(large);
     let mut second = 0;
     loop {
@@ -58,6 +59,7 @@
         }
         assert!(submitted <= bound, "passed by a job of second {second}");
     }
+    assert!(second > 1, "no small job passed the large one");
 }
 
 #[test]
