--- a/crates/bramley-load/src/overhead.rs
+++ b/crates/bramley-load/src/overhead.rs
@@ -1,7 +1,8 @@
 //! What an entry process adds to a call, and the processor time that it spends on each start.
 //!
 //! Jobs go to an entry host and, at the same rate in the same run, single calls go directly to
-//! workers that no entry host uses. Latencies count from the intended time of sending.
+//! workers that no entry host uses. Arrivals are open-loop, but latencies count from the actual
+//! time of sending: timers tick in milliseconds here, more than what is to be measured.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -259,6 +260,7 @@
         ..JobRequest::default()
     };
     sleep_until(at).await;
+    let sent = Instant::now();
     let reply: Option<JobReply> = caller.post(plan.entry, "/v1/jobs", &request).await;
     let succeeded = reply.is_some_and(|reply| reply.outcome == "complete");
     let tasks = u64::from(plan.tasks);
@@ -266,7 +268,7 @@
         direct: false,
         succeeded,
         tasks,
-        micros: micros_since(at),
+        micros: micros_since(sent),
     }
 }
 
@@ -286,13 +288,14 @@
         ..StartRequest::default()
     };
     sleep_until(at).await;
+    let sent = Instant::now();
     let reply: Option<StartReply> = caller.post(worker, "/tasks", &request).await;
     let succeeded = reply.is_some_and(|reply| reply.status == "finished");
     ExchangeSample {
         direct: true,
         succeeded,
         tasks: 0,
-        micros: micros_since(at),
+        micros: micros_since(sent),
     }
 }
 
@@ -300,8 +303,8 @@
     format!(r#"{{"run_ms":{},"echo":"x","fail":false}}"#, plan.run_ms)
 }
 
-fn micros_since(at: Instant) -> u64 {
-    u64::try_from(at.elapsed().as_micros()).unwrap_or(u64::MAX)
+fn micros_since(sent: Instant) -> u64 {
+    u64::try_from(sent.elapsed().as_micros()).unwrap_or(u64::MAX)
 }
 
 /// Reads the processor time that a process has used so far.
