Cut connections when a daemon is dropped; ask another host after an offer that is not obeyed

After a fetched configuration was refused, the next host was asked only at the fetch's deadline. Also: two error texts said the same thing twice.

--- a/crates/bramley-core/src/ticket.rs
+++ b/crates/bramley-core/src/ticket.rs
@@ -84,10 +84,7 @@
         if self.team.as_str() == team {
             return Ok(());
         }
-        Err(DispatchError::new(
-            ErrorKind::WrongTeam,
-            "the ticket was issued to another team",
-        ))
+        Err(DispatchError::new(ErrorKind::WrongTeam, ""))
     }
 }
 
@@ -177,10 +174,7 @@
         if genuine == blake3::Hash::from(widen(ticket.seal)) {
             return Ok(());
         }
-        Err(DispatchError::new(
-            ErrorKind::InvalidTicket,
-            "the ticket was not issued here",
-        ))
+        Err(DispatchError::new(ErrorKind::InvalidTicket, ""))
     }
 
     fn compute_seal(&self, ticket: &JobTicket) -> [u8; SEAL_BYTES] {
--- a/crates/bramley-entry/src/caller/server.rs
+++ b/crates/bramley-entry/src/caller/server.rs
@@ -37,8 +37,13 @@
 
 /// Serves callers until `stop` is cancelled, then lets open requests finish.
 ///
-/// Returns when every connection is closed.
-pub async fn serve(listener: TcpListener, state: Arc<SharedState>, stop: CancellationToken) {
+/// Returns when every connection is closed. Once `end` is cancelled, the connections are cut.
+pub async fn serve(
+    listener: TcpListener,
+    state: Arc<SharedState>,
+    stop: CancellationToken,
+    end: CancellationToken,
+) {
     let graceful = GracefulShutdown::new();
     loop {
         let accepted = tokio::select! {
@@ -46,7 +51,7 @@
             () = stop.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => serve_connection(stream, &state, &graceful),
+            Ok((stream, _)) => serve_connection(stream, &state, &graceful, end.clone()),
             Err(error) => {
                 log::warn!("event=accept_failed error=\"{error}\"");
                 tokio::time::sleep(ACCEPT_WAIT).await;
@@ -57,7 +62,12 @@
     graceful.shutdown().await;
 }
 
-fn serve_connection(stream: TcpStream, state: &Arc<SharedState>, graceful: &GracefulShutdown) {
+fn serve_connection(
+    stream: TcpStream,
+    state: &Arc<SharedState>,
+    graceful: &GracefulShutdown,
+    end: CancellationToken,
+) {
     if let Err(error) = prepare(&stream) {
         log::debug!("event=connection_setup_failed error=\"{error}\"");
     }
@@ -72,8 +82,13 @@
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
     tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!("event=caller_connection_ended error=\"{error}\"");
+        tokio::select! {
+            result = connection => {
+                if let Err(error) = result {
+                    log::debug!("event=caller_connection_ended error=\"{error}\"");
+                }
+            }
+            () = end.cancelled() => {}
         }
     });
 }
--- a/crates/bramley-entry/src/daemon.rs
+++ b/crates/bramley-entry/src/daemon.rs
@@ -120,6 +120,7 @@
             caller_listener,
             Arc::clone(&state),
             tokens.listeners.clone(),
+            tokens.all.clone(),
         ));
         log::info!(
             "event=started host={} incarnation={} callers={caller_address} peers={peer_address} control={control_address}",
--- a/crates/bramley-entry/src/member_channel.rs
+++ b/crates/bramley-entry/src/member_channel.rs
@@ -1,5 +1,6 @@
 //! The channel to the membership's task.
 
+use std::fmt;
 use std::net::SocketAddr;
 
 use bramley_core::membership::HeartbeatNews;
@@ -20,6 +21,24 @@
     pub leaving: Vec<WorkerName>,
 }
 
+/// Where an offered configuration comes from.
+#[derive(Clone, Copy, Debug)]
+pub enum OfferSource {
+    /// The platform's key-value service.
+    Store,
+    /// The entry host with this address.
+    Sibling(SocketAddr),
+}
+
+impl fmt::Display for OfferSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("store"),
+            Self::Sibling(address) => write!(f, "{address}"),
+        }
+    }
+}
+
 /// What threads ask of the membership's task.
 #[derive(Debug)]
 pub(crate) enum MemberMessage {
@@ -27,7 +46,7 @@
     Reply(Box<HeartbeatNews>),
     SendFailed(SocketAddr),
     FetchFailed(SocketAddr),
-    Offer { text: String, source: String },
+    Offer { text: String, source: OfferSource },
     WorkersListed(ListedWorkers),
     WorkerSign(WorkerName),
     BeginLeaving,
@@ -63,7 +82,7 @@
     }
 
     /// Offers a stored configuration; `source` is named in the log.
-    pub async fn offer_configuration(&self, text: String, source: String) {
+    pub async fn offer_configuration(&self, text: String, source: OfferSource) {
         self.send(MemberMessage::Offer { text, source }).await;
     }
 
--- a/crates/bramley-entry/src/member_loop.rs
+++ b/crates/bramley-entry/src/member_loop.rs
@@ -14,7 +14,7 @@
 use bramley_core::units::UnixTime;
 use tokio_util::sync::CancellationToken;
 
-use crate::member_channel::{MemberHandle, MemberInbox, MemberMessage};
+use crate::member_channel::{MemberHandle, MemberInbox, MemberMessage, OfferSource};
 use crate::peers::convert::{news_from_wire, news_to_wire};
 use crate::platform_loop::adopt_workers;
 use crate::shared::{ConfigurationSnapshot, ControlCounts, MemberDirectory, SharedState};
@@ -96,7 +96,7 @@
             MemberMessage::Reply(news) => self.kernel.on_news(&news, now),
             MemberMessage::SendFailed(address) => self.kernel.on_send_failed(address, now),
             MemberMessage::FetchFailed(address) => self.kernel.on_fetch_failed(address, now),
-            MemberMessage::Offer { text, source } => self.take_offer(&text, &source, now).await,
+            MemberMessage::Offer { text, source } => self.take_offer(&text, source, now).await,
             MemberMessage::WorkersListed(workers) => {
                 self.kernel
                     .on_worker_list(workers.revision, &workers.live, &workers.leaving, now)
@@ -121,7 +121,7 @@
     async fn take_offer(
         &mut self,
         text: &str,
-        source: &str,
+        source: OfferSource,
         now: UnixTime,
     ) -> Vec<MembershipAction> {
         match self.configuration.offer(text) {
@@ -149,7 +149,11 @@
                 log::warn!(
                     "event=configuration_not_obeyed source={source} in_force={present} outcome=\"{outcome:?}\""
                 );
-                Vec::new()
+                match source {
+                    OfferSource::Store => Vec::new(),
+                    // Another host may offer a better one.
+                    OfferSource::Sibling(address) => self.kernel.on_fetch_failed(address, now),
+                }
             }
         }
     }
@@ -225,7 +229,7 @@
                     }
                     MemberMessage::Offer {
                         text: reply.document,
-                        source: address.to_string(),
+                        source: OfferSource::Sibling(address),
                     }
                 }
                 Err(_) => MemberMessage::FetchFailed(address),
--- a/crates/bramley-entry/src/platform_loop.rs
+++ b/crates/bramley-entry/src/platform_loop.rs
@@ -10,7 +10,7 @@
 use bramley_wire::platform::{WorkerList, WorkerRecord};
 use rand::Rng;
 
-use crate::member_channel::{ListedWorkers, MemberHandle};
+use crate::member_channel::{ListedWorkers, MemberHandle, OfferSource};
 use crate::shared::SharedState;
 
 /// Longest time that one watch of the configuration waits.
@@ -37,7 +37,7 @@
                 backoff.reset();
                 if value.revision != revision && !value.value.is_empty() {
                     members
-                        .offer_configuration(value.value, "store".to_owned())
+                        .offer_configuration(value.value, OfferSource::Store)
                         .await;
                 }
                 revision = value.revision;
