--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -41,7 +41,7 @@
 use crate::outcomes::OutcomeBook;
 use crate::places::PlaceTable;
 use crate::queue::{OrderRegistry, register_enabled};
-use crate::slots::SlotLedger;
+use crate::slots::{RightCounts, SlotLedger};
 use crate::teams::TeamDirectory;
 use crate::units::{TicketSerial, UnixTime};
 use crate::worker::WorkerTable;
@@ -225,7 +225,7 @@
 
     /// Returns the counts of slot rights.
     #[must_use]
-    pub const fn right_counts(&self) -> crate::slots::ledger::RightCounts {
+    pub const fn right_counts(&self) -> RightCounts {
         self.slots.counts()
     }
 
--- a/crates/bramley-core/src/kernel/places.rs
+++ b/crates/bramley-core/src/kernel/places.rs
@@ -3,7 +3,7 @@
 use crate::job::JobRecord;
 use crate::names::DomainName;
 use crate::places::PlaceId;
-use crate::slots::ledger::RightCounts;
+use crate::slots::RightCounts;
 
 use super::DispatchKernel;
 use super::waiting::SlotDemand;
--- a/crates/bramley-core/src/kernel/snapshot.rs
+++ b/crates/bramley-core/src/kernel/snapshot.rs
@@ -5,7 +5,7 @@
 use crate::health::HealthCounts;
 use crate::invariants::InvariantMonitor;
 use crate::names::{HostName, WorkerName};
-use crate::slots::ledger::RightCounts;
+use crate::slots::RightCounts;
 use crate::worker::WorkerState;
 
 use super::DispatchKernel;
