--- a/crates/bramley-load/src/virtual_run/driver.rs
+++ b/crates/bramley-load/src/virtual_run/driver.rs
@@ -2,20 +2,18 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bramley_core::configuration::{ClassConfiguration, DeploymentConfiguration, TeamConfiguration};
-use bramley_core::job::{JobAnswer, JobSpec, ReplyToken};
+use bramley_core::job::{JobSpec, ReplyToken};
 use bramley_core::kernel::KernelIdentity;
 use bramley_core::kernel::action::{KernelAction, TaskStart};
 use bramley_core::kernel::event::{
     AttemptEnd, JobSubmission, KernelEvent, LoanReply, LoanRequest, PeerView,
 };
-use bramley_core::names::{ClassName, DomainName, HostName, RackName, TeamName, WorkerName};
+use bramley_core::names::{ClassName, DomainName, HostName, RackName, TeamName};
 use bramley_core::task::{NotStartedProof, TaskInput};
-use bramley_core::units::{AttemptId, TaskKey, TicketSerial, UnixTime};
+use bramley_core::units::{AttemptId, TicketSerial, UnixTime};
 use bramley_core::worker::{WorkerProfile, WorkerState};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,7 +21,9 @@
 use crate::report::RunReport;
 use crate::scenario::{FaultKind, Scenario};
 
+use super::deployment::{configure, worker_address, worker_name, worker_position};
 use super::dispatcher::{Dispatcher, PolicyDescriptor};
+use super::events::{RunEvent, TimedEvent};
 use super::fake_worker::{FakeWorker, PayloadPlan, RunOutcome, StartVerdict};
 use super::network::NetworkModel;
 use super::tally::{JobTrack, RunTally};
@@ -61,46 +61,6 @@
 /// Mark on the token of a cancellation, whose answer no caller waits for.
 const CANCEL_MARK: u64 = 1 << 63;
 
-#[derive(Debug)]
-enum RunEvent {
-    Arrival(usize),
-    ToHost(usize, KernelEvent),
-    ToWorker(usize, usize, Box<TaskStart>),
-    ToStop(usize, usize, TaskKey),
-    RunEnd(usize, u64, RunOutcome, Arc<str>),
-    ToCaller(ReplyToken, Arc<JobAnswer>),
-    Heartbeat(usize),
-    List,
-    CancelWave(usize),
-}
-
-#[derive(Debug)]
-struct TimedEvent {
-    at: UnixTime,
-    order: u64,
-    event: RunEvent,
-}
-
-impl PartialEq for TimedEvent {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for TimedEvent {}
-
-impl PartialOrd for TimedEvent {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for TimedEvent {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at, self.order).cmp(&(other.at, other.order))
-    }
-}
-
 #[derive(Debug)]
 struct HostState {
     dispatcher: Box<dyn Dispatcher>,
@@ -146,63 +106,6 @@
     run.tally.report(scenario, policy.name, violations)
 }
 
-fn worker_name(position: usize) -> WorkerName {
-    WorkerName::from(format!("worker-{position:03}").as_str())
-}
-
-fn worker_address(position: usize) -> SocketAddr {
-    let number = u16::try_from(position).expect("fewer than 65,536 workers");
-    let [high, low] = number.to_be_bytes();
-    SocketAddr::from(([10, 0, high, low], 7000))
-}
-
-fn worker_position(address: SocketAddr) -> usize {
-    match address.ip() {
-        std::net::IpAddr::V4(ip) => {
-            let [_, _, high, low] = ip.octets();
-            usize::from(u16::from_be_bytes([high, low]))
-        }
-        std::net::IpAddr::V6(_) => 0,
-    }
-}
-
-fn configure(scenario: &Scenario) -> DeploymentConfiguration {
-    let mut teams: Vec<TeamConfiguration> = Vec::new();
-    for workload in &scenario.workloads {
-        let class = ClassConfiguration {
-            name: ClassName::from(workload.class.as_str()),
-            expected_run_ms: workload.declared_ms,
-            answer_within_ms: workload.answer_within_ms,
-            ..ClassConfiguration::default()
-        };
-        let known = teams
-            .iter_mut()
-            .find(|team| team.name.as_str() == workload.team);
-        if let Some(team) = known {
-            team.classes.push(class);
-            continue;
-        }
-        teams.push(TeamConfiguration {
-            name: TeamName::from(workload.team.as_str()),
-            max_running_tasks: workload.max_running_tasks,
-            max_job_tasks: 500,
-            weight: workload.weight,
-            classes: vec![class],
-            ..TeamConfiguration::default()
-        });
-    }
-    DeploymentConfiguration {
-        deployment: scenario.name.clone(),
-        failure_domains: scenario
-            .domains
-            .iter()
-            .map(|domain| DomainName::from(domain.name.as_str()))
-            .collect(),
-        teams,
-        ..DeploymentConfiguration::default()
-    }
-}
-
 impl VirtualRun {
     fn new(scenario: &Scenario, policy: &PolicyDescriptor) -> Self {
         let network = NetworkModel::new(scenario);
