Revert quotas by demand: a host with new demand was held at half its share

A larger own demand counted only after 18 s, so a host that got busy had Q/2n until then. Kept from the try: silent hosts still count when a quota is divided, so that a host that is cut off does not take the whole quota.

--- a/crates/bramley-core/src/kernel/answers.rs
+++ b/crates/bramley-core/src/kernel/answers.rs
@@ -219,9 +219,7 @@
         };
         job.phases[task.index as usize] = TaskPhase::Finished(record);
         job.finished += 1;
-        let (team, complete) = (job.team.clone(), job.is_complete());
-        self.quotas.close(&team, 1);
-        if complete {
+        if job.is_complete() {
             self.complete_job(task.serial, actions);
         }
     }
--- a/crates/bramley-core/src/kernel/event.rs
+++ b/crates/bramley-core/src/kernel/event.rs
@@ -5,7 +5,6 @@
 use crate::configuration::DeploymentConfiguration;
 use crate::digest::BodyDigest;
 use crate::job::{JobSpec, ReplyToken};
-use crate::membership::HeardDemand;
 use crate::names::{DomainName, HostName, WorkerName};
 use crate::task::NotStartedProof;
 use crate::units::{AttemptId, TicketSerial, UnixTime};
@@ -49,8 +48,6 @@
     WorkerLive(WorkerName),
     /// The view of the other entry hosts changed, or their loads did.
     PeersChanged(Vec<PeerView>),
-    /// What other hosts tell about their demands; it replaces the former view.
-    DemandsHeard(Vec<HeardDemand>),
     /// A configuration came into force.
     Configured(Arc<DeploymentConfiguration>),
     /// Another host asked to borrow slots.
--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -16,6 +16,7 @@
 
 use super::DispatchKernel;
 use super::event::PeerView;
+use super::quota::QuotaChange;
 
 /// Slots of one worker that are used at most, whatever the platform lists.
 const MAX_WORKER_SLOTS: u32 = 4_096;
@@ -155,8 +156,9 @@
     }
 
     /// Takes a new view of the peers and divides the slots anew if their set changed.
-    pub(super) fn on_peers_changed(&mut self, peers: Vec<PeerView>, now: UnixTime) {
+    pub(super) fn on_peers_changed(&mut self, peers: Vec<PeerView>) {
         let former = self.sharing_hosts();
+        let former_total = self.host_count();
         self.fleet.peers = peers;
         if self.sharing_hosts() != former {
             let workers: Vec<(WorkerIndex, u32)> = self
@@ -168,19 +170,36 @@
                 self.divide(index, slots);
             }
         }
-        self.refresh_quotas(now);
+        if self.host_count() != former_total {
+            self.reconfigure_quotas();
+        }
     }
 
     /// Puts a configuration into force.
-    pub(super) fn on_configured(
-        &mut self,
-        configuration: &Arc<DeploymentConfiguration>,
-        now: UnixTime,
-    ) {
+    pub(super) fn on_configured(&mut self, configuration: &Arc<DeploymentConfiguration>) {
         self.teams = TeamDirectory::new(Arc::clone(configuration));
         self.places.configure(configuration);
         self.move_waiting_jobs();
-        self.refresh_quotas(now);
+        self.reconfigure_quotas();
+    }
+
+    fn reconfigure_quotas(&mut self) {
+        let Some(configuration) = self.teams.configuration() else {
+            return;
+        };
+        let hosts = self.host_count();
+        for (team, change) in self.quotas.configure(configuration, hosts) {
+            self.waiting
+                .set_blocked(&team, change == QuotaChange::Reached);
+        }
+    }
+
+    /// Returns the number of hosts between which quotas are divided.
+    ///
+    /// Hosts that are silent count too, so that a host that is cut off keeps to its share.
+    fn host_count(&self) -> usize {
+        let hosts: FxHashSet<&HostName> = self.fleet.peers.iter().map(|peer| &peer.host).collect();
+        1 + hosts.len()
     }
 
     /// Returns the hosts of the own failure domain that divide its slots, in order of name.
--- a/crates/bramley-core/src/kernel/mod.rs
+++ b/crates/bramley-core/src/kernel/mod.rs
@@ -20,12 +20,10 @@
 mod loans;
 mod places;
 mod quota;
-mod quota_demand;
 mod retry;
 pub mod settings;
 pub mod snapshot;
 mod submissions;
-mod team_limits;
 mod waiting;
 
 use std::collections::BTreeSet;
@@ -113,6 +111,7 @@
         let budget = RetryBudget::new(settings.retry_percent);
         Self {
             identity,
+            settings,
             teams: TeamDirectory::default(),
             book: OutcomeBook::default(),
             deadlines: BTreeSet::new(),
@@ -123,12 +122,11 @@
             fleet: FleetView::default(),
             slots: SlotLedger::default(),
             loans: LoanDesk::default(),
-            quotas: QuotaLedger::new(settings.quota_hold),
+            quotas: QuotaLedger::default(),
             health: HealthTable::default(),
             estimates: RunTimeTable::default(),
             demand: DemandMeter::default(),
             budget,
-            settings,
             counters: KernelCounters::default(),
             monitor: InvariantMonitor::default(),
             draining: false,
@@ -162,9 +160,8 @@
             KernelEvent::WorkersListed(profiles) => self.on_workers_listed(profiles, now),
             KernelEvent::WorkerLeaving(name) => self.on_worker_leaving(&name, now),
             KernelEvent::WorkerLive(name) => self.on_worker_live(&name),
-            KernelEvent::PeersChanged(peers) => self.on_peers_changed(peers, now),
-            KernelEvent::Configured(configuration) => self.on_configured(&configuration, now),
-            KernelEvent::DemandsHeard(demands) => self.on_demands_heard(demands, now),
+            KernelEvent::PeersChanged(peers) => self.on_peers_changed(peers),
+            KernelEvent::Configured(configuration) => self.on_configured(&configuration),
             KernelEvent::LoanAsked(request) => self.on_loan_asked(&request, now, actions),
             KernelEvent::LoanAnswered(reply) => self.on_loan_answered(reply, now),
             KernelEvent::LoanReturned { borrower, slots } => {
@@ -238,7 +235,6 @@
             self.next_sweep = now.after(self.settings.sweep_interval);
             self.book.forget_expired(now);
             self.demand.forget_inactive(now);
-            self.refresh_quotas(now);
             self.return_idle_loans(now, actions);
         }
     }
--- a/crates/bramley-core/src/kernel/settings.rs
+++ b/crates/bramley-core/src/kernel/settings.rs
@@ -52,11 +52,6 @@
     pub retry_percent: u32,
     /// Interval of the sweeps that forget expired outcomes and give idle loans back.
     pub sweep_interval: Duration,
-    /// Time for which a larger demand must last before it counts in the division of quotas;
-    /// longer than the life of a heard demand and the longest way of a message together.
-    pub quota_hold: Duration,
-    /// Number of configured hosts, the own one included; quotas are divided between no fewer.
-    pub configured_hosts: usize,
     /// Deliberate faults for tests.
     pub faults: KernelFaults,
 }
@@ -76,8 +71,6 @@
             refused_slot_rest: Duration::from_millis(200),
             retry_percent: 10,
             sweep_interval: Duration::from_millis(100),
-            quota_hold: Duration::from_secs(18),
-            configured_hosts: 1,
             faults: KernelFaults::default(),
         }
     }
--- a/crates/bramley-core/src/kernel/submissions.rs
+++ b/crates/bramley-core/src/kernel/submissions.rs
@@ -105,7 +105,6 @@
         self.counters.accepted_jobs += 1;
         self.counters.accepted_tasks += job.inputs.len() as u64;
         self.active_jobs += 1;
-        self.quotas.open(&job.team, job.inputs.len());
         self.deadlines.insert((job.deadline, serial));
         self.enqueue_all(&job);
         let record = JobRecord::Active(job);
@@ -276,8 +275,6 @@
         };
         self.deadlines.remove(&(job.deadline, serial));
         self.active_jobs -= 1;
-        self.quotas
-            .close(&job.team, job.inputs.len() - job.finished);
         for token in &job.waiters {
             actions.push(reply(*token, &answer));
         }
--- a/crates/bramley-core/src/membership/kernel.rs
+++ b/crates/bramley-core/src/membership/kernel.rs
@@ -8,7 +8,6 @@
 
 use super::action::{MemberSnapshot, MembershipAction};
 use super::counts::{MembershipCounts, check_invariant};
-use super::demands::{DemandBook, HeardDemand};
 use super::early::EarlySchedule;
 use super::generations::GenerationTracker;
 use super::record::{HeartbeatNews, MemberLoad, MemberRecord, MemberState, TeamDemand};
@@ -43,7 +42,6 @@
     load: MemberLoad,
     demands: Vec<TeamDemand>,
     next_demand: usize,
-    heard: DemandBook,
     next_round_at: UnixTime,
     last_round_at: UnixTime,
     last_seen_at: UnixTime,
@@ -76,7 +74,6 @@
             load: MemberLoad::default(),
             demands: Vec::new(),
             next_demand: 0,
-            heard: DemandBook::default(),
             next_round_at: now.after(first_wait),
             last_round_at: now,
             last_seen_at: now,
@@ -155,13 +152,6 @@
         }
         self.table
             .note_direct(news.sender.incarnation, news.generation, news.load);
-        self.heard.take_news(
-            news.sender.incarnation,
-            &news.sender.host,
-            &news.demands,
-            self.settings.demand_life(),
-            now,
-        );
         if news.sender.domain == self.own.domain {
             for sign in &news.workers {
                 self.signs.take_news(sign, &self.settings, now);
@@ -252,12 +242,6 @@
         self.demands = demands;
     }
 
-    /// Returns the team demands of other hosts that count at the given time.
-    #[must_use]
-    pub fn heard_demands(&self, now: UnixTime) -> Vec<HeardDemand> {
-        self.heard.counting(now)
-    }
-
     /// Tells the others that this host shuts down gracefully.
     pub fn begin_leaving(&mut self, now: UnixTime) {
         if self.own.state == MemberState::Alive {
@@ -395,12 +379,7 @@
     }
 
     fn pick_demands(&mut self) -> Vec<TeamDemand> {
-        let most = if self.table.entries().count() <= self.settings.small_members {
-            self.settings.small_max_demands
-        } else {
-            self.settings.max_demands
-        };
-        let count = self.demands.len().min(most);
+        let count = self.demands.len().min(self.settings.max_demands);
         let mut picked = Vec::with_capacity(count);
         for _ in 0..count {
             self.next_demand %= self.demands.len();
--- a/crates/bramley-core/src/membership/mod.rs
+++ b/crates/bramley-core/src/membership/mod.rs
@@ -5,7 +5,6 @@
 //!
 //! - [`action`] holds what the daemon has to do.
 //! - [`counts`] counts events and violated invariants.
-//! - [`demands`] holds the team demands that other hosts told.
 //! - [`early`] plans early rounds of heartbeats for urgent news.
 //! - [`generations`] decides from whom a newer configuration is fetched.
 //! - [`kernel`] takes events and returns actions.
@@ -20,7 +19,6 @@
 
 pub mod action;
 pub mod counts;
-pub mod demands;
 pub mod early;
 pub mod generations;
 pub mod kernel;
@@ -35,7 +33,6 @@
 
 pub use action::{MemberSnapshot, MembershipAction};
 pub use counts::MembershipCounts;
-pub use demands::{DemandBook, HeardDemand};
 pub use kernel::MembershipKernel;
 pub use record::{HeartbeatNews, MemberLoad, MemberRecord, MemberState, TeamDemand, WorkerNews};
 pub use settings::{MembershipFaults, MembershipSettings};
--- a/crates/bramley-core/src/membership/settings.rs
+++ b/crates/bramley-core/src/membership/settings.rs
@@ -30,12 +30,6 @@
     pub max_worker_news: usize,
     /// Largest number of team demands in one message.
     pub max_demands: usize,
-    /// Largest number of team demands in one message of a small deployment.
-    pub small_max_demands: usize,
-    /// Largest number of other members, ended ones included, in a small deployment.
-    pub small_members: usize,
-    /// Time for which a heard team demand counts, in milliseconds.
-    pub demand_life_ms: u64,
     /// Failed sendings in a row after which a host is suspect.
     pub failed_sends_limit: u32,
     /// Silence in rounds, for each member of the own failure domain, after which a host of the
@@ -94,9 +88,6 @@
             max_member_rumours: 3,
             max_worker_news: 64,
             max_demands: 4,
-            small_max_demands: 12,
-            small_members: 16,
-            demand_life_ms: 16_000,
             failed_sends_limit: 2,
             domain_silence_rounds: 3,
             cross_silence_rounds: 4,
@@ -128,11 +119,6 @@
         Duration::from_millis(self.ticket_lifetime_ms)
     }
 
-    /// Returns the time for which a heard team demand counts.
-    pub(super) const fn demand_life(&self) -> Duration {
-        Duration::from_millis(self.demand_life_ms)
-    }
-
     /// Returns the silence after which a host is suspect, with `members` hosts that share the
     /// heartbeats and `rounds_per_member` rounds for each of them.
     pub(super) fn silence_limit(&self, members: usize, rounds_per_member: u32) -> Duration {
--- a/crates/bramley-core/tests/membership_runs/main.rs
+++ b/crates/bramley-core/tests/membership_runs/main.rs
@@ -3,7 +3,6 @@
 //! `cargo test --release -p bramley-core --test membership_runs -- --ignored --nocapture` does
 //! the long run.
 
-mod demands;
 mod exchange;
 mod platform;
 mod runner;
--- a/crates/bramley-core/tests/membership_runs/traffic.rs
+++ b/crates/bramley-core/tests/membership_runs/traffic.rs
@@ -12,8 +12,7 @@
 const HOSTS: usize = 100;
 const DOMAIN_WORKERS: usize = 175;
 const SECONDS: u64 = 60;
-/// Bound of the control traffic of one host, in bytes a second.
-pub const BOUND_BYTES_PER_SECOND: u64 = 8_192;
+const BOUND_BYTES_PER_SECOND: u64 = 8_192;
 
 /// Runs for a minute and returns the largest mean rate of any host, in bytes sent and received
 /// in a second.
--- a/crates/bramley-entry/src/dispatch/construction.rs
+++ b/crates/bramley-entry/src/dispatch/construction.rs
@@ -23,7 +23,6 @@
             .clone()
             .unwrap_or_else(|| defaults.queue_order.clone()),
         loan_term: Duration::from_millis(settings.timing.loan_term_ms),
-        configured_hosts: count_hosts(settings),
         ..defaults
     };
     let identity = KernelIdentity {
@@ -33,14 +32,3 @@
     };
     DispatchKernel::new(identity, kernel_settings)
 }
-
-/// Counts the configured hosts; the own address may stand among the siblings.
-fn count_hosts(settings: &EntrySettings) -> usize {
-    let mut hosts = 1;
-    for sibling in &settings.siblings {
-        if *sibling != settings.peer_address {
-            hosts += 1;
-        }
-    }
-    hosts
-}
--- a/crates/bramley-entry/src/dispatch/runner.rs
+++ b/crates/bramley-entry/src/dispatch/runner.rs
@@ -68,11 +68,6 @@
             idle_accelerator_slots: counts.idle_accelerated,
             queued_tasks: u32::try_from(kernel.waiting_tasks()).unwrap_or(u32::MAX),
         });
-        if **self.state.demands.load() != kernel.demands() {
-            self.state
-                .demands
-                .store(Arc::new(kernel.demands().to_vec()));
-        }
     }
 }
 
--- a/crates/bramley-entry/src/member_loop.rs
+++ b/crates/bramley-entry/src/member_loop.rs
@@ -70,7 +70,6 @@
             };
             let begun = Instant::now();
             self.kernel.set_load(self.state.load.read());
-            self.kernel.set_demands(self.state.demands.load().to_vec());
             if let Some(message) = message {
                 self.take(message).await;
             }
@@ -284,11 +283,6 @@
             .kernel
             .report(KernelEvent::PeersChanged(peers))
             .await;
-        let demands = self.kernel.heard_demands(now);
-        self.state
-            .kernel
-            .report(KernelEvent::DemandsHeard(demands))
-            .await;
     }
 }
 
--- a/crates/bramley-entry/src/shared.rs
+++ b/crates/bramley-entry/src/shared.rs
@@ -7,7 +7,7 @@
 
 use arc_swap::ArcSwap;
 use bramley_core::configuration::{ConfigurationCounts, DeploymentConfiguration};
-use bramley_core::membership::{MemberLoad, MemberSnapshot, MembershipCounts, TeamDemand};
+use bramley_core::membership::{MemberLoad, MemberSnapshot, MembershipCounts};
 use bramley_core::names::HostName;
 use bramley_core::ownership::OwnerCandidate;
 use bramley_core::ticket::TicketIssuer;
@@ -118,8 +118,6 @@
     pub configuration: ArcSwap<ConfigurationSnapshot>,
     /// Newest worker list of the platform; its revision only rises.
     pub workers: ArcSwap<WorkerList>,
-    /// Team demands as of the dispatch kernel's last refresh, which heartbeats tell.
-    pub demands: ArcSwap<Vec<TeamDemand>>,
     /// Present load, which heartbeats tell.
     pub load: LoadGauge,
     /// Metrics.
@@ -155,7 +153,6 @@
             configuration: ArcSwap::default(),
             workers: ArcSwap::default(),
             load: LoadGauge::default(),
-            demands: ArcSwap::default(),
             metrics: EntryMetrics::default(),
             draining: AtomicBool::new(false),
         }
--- a/crates/bramley-load/src/virtual_run/baseline.rs
+++ b/crates/bramley-load/src/virtual_run/baseline.rs
@@ -383,7 +383,6 @@
             KernelEvent::Queried { .. }
             | KernelEvent::Configured(_)
             | KernelEvent::LoanAsked(_)
-            | KernelEvent::DemandsHeard(_)
             | KernelEvent::LoanAnswered(_)
             | KernelEvent::LoanReturned { .. }
             | KernelEvent::DrainStarted
