--- a/crates/bramley-core/src/kernel/fleet.rs
+++ b/crates/bramley-core/src/kernel/fleet.rs
@@ -7,7 +7,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::configuration::DeploymentConfiguration;
-use crate::names::{HostName, WorkerName};
+use crate::names::{DomainName, HostName, WorkerName};
 use crate::slots::division::rank_hosts;
 use crate::slots::{SlotAccess, owner_of_slot};
 use crate::teams::TeamDirectory;
@@ -196,12 +196,24 @@
 
     /// Returns the number of hosts between which quotas are divided.
     ///
-    /// Hosts that are silent count too, so that a host that is cut off keeps to its share.
+    /// A silent host is taken for lost if another host of its failure domain is heard. If none
+    /// is, the domain may be cut off and serve on, so its hosts keep their shares.
     fn host_count(&self) -> usize {
-        let hosts: FxHashSet<&HostName> = self.fleet.peers.iter().map(|peer| &peer.host).collect();
+        let mut hosts = FxHashSet::default();
+        for peer in &self.fleet.peers {
+            if peer.shares_slots || !self.hears_domain(&peer.domain) {
+                hosts.insert(&peer.host);
+            }
+        }
         1 + hosts.len()
     }
 
+    fn hears_domain(&self, domain: &DomainName) -> bool {
+        let mut peers = self.fleet.peers.iter();
+        *domain == self.identity.domain
+            || peers.any(|peer| peer.shares_slots && peer.domain == *domain)
+    }
+
     /// Returns the hosts of the own failure domain that divide its slots, in order of name.
     fn sharing_hosts(&self) -> Vec<HostName> {
         let mut hosts = vec![self.identity.host.clone()];
--- a/crates/bramley-core/src/queue/fair.rs
+++ b/crates/bramley-core/src/queue/fair.rs
@@ -18,7 +18,7 @@
 ///
 /// Work is the sum over all tasks, which run beside each other: without the division a job of
 /// hundreds of tasks would be passed for many times the time that it takes.
-const AGEING_DIVISOR: u32 = 16;
+const AGEING_DIVISOR: u32 = 4;
 
 /// Jobs of a team that are looked at one by one to find the work ahead of a new job.
 const MAX_JOBS_SCANNED: usize = 64;
--- /dev/null
+++ b/crates/bramley-core/tests/quota_shares.rs
@@ -0,0 +1,90 @@
+//! Shares of a team's quota while hosts come, go and are cut off.
+
+mod support;
+
+use bramley_core::job::ReplyToken;
+use bramley_core::kernel::action::KernelAction;
+use bramley_core::kernel::event::{JobSubmission, KernelEvent, PeerView};
+use bramley_core::kernel::settings::KernelSettings;
+use bramley_core::kernel::{DispatchKernel, KernelIdentity};
+use bramley_core::names::{DomainName, HostName};
+use bramley_core::units::{TicketSerial, UnixTime};
+use support::{TEAM, configuration_of, job, worker};
+
+/// Quota of the team in the whole deployment.
+const QUOTA: u32 = 60;
+
+/// Tasks of the job, more than the quota.
+const TASKS: usize = 100;
+
+const NOW: UnixTime = UnixTime::from_millis(1_000);
+
+fn peer(host: &str, domain: &str, heard: bool) -> PeerView {
+    PeerView {
+        host: HostName::from(host),
+        domain: DomainName::from(domain),
+        shares_slots: heard,
+        reachable: heard,
+        idle_slots: 0,
+        idle_accelerator_slots: 0,
+    }
+}
+
+/// Returns how many tasks of one job a host of `freising` starts beside the given peers.
+fn starts_beside(peers: Vec<PeerView>) -> usize {
+    let identity = KernelIdentity {
+        host: HostName::from("freising-1"),
+        domain: DomainName::from("freising"),
+        seed: 1,
+    };
+    let mut kernel = DispatchKernel::new(identity, KernelSettings::default());
+    let mut actions = Vec::new();
+    let configuration = configuration_of(&[(TEAM, QUOTA)]);
+    kernel.handle(KernelEvent::Configured(configuration), NOW, &mut actions);
+    let profile = worker("worker-1", "freising", 400);
+    kernel.handle(KernelEvent::WorkersListed(vec![profile]), NOW, &mut actions);
+    kernel.handle(KernelEvent::PeersChanged(peers), NOW, &mut actions);
+    let payloads = vec!["x"; TASKS];
+    let spec = job(&payloads, UnixTime::from_millis(60_000), false);
+    let digest = spec.digest();
+    let submission = JobSubmission {
+        serial: TicketSerial(1),
+        expiry: UnixTime::from_millis(100_000),
+        spec,
+        digest,
+        token: ReplyToken(1),
+    };
+    kernel.handle(KernelEvent::Submitted(submission), NOW, &mut actions);
+    let is_start = |action: &&KernelAction| matches!(action, KernelAction::Start(_));
+    actions.iter().filter(is_start).count()
+}
+
+fn deployment(freising_heard: bool, elsewhere_heard: bool) -> Vec<PeerView> {
+    vec![
+        peer("freising-2", "freising", freising_heard),
+        peer("muenchen-1", "muenchen", elsewhere_heard),
+        peer("muenchen-2", "muenchen", elsewhere_heard),
+        peer("rosenheim-1", "rosenheim", elsewhere_heard),
+        peer("rosenheim-2", "rosenheim", elsewhere_heard),
+    ]
+}
+
+#[test]
+fn hosts_that_hear_each_other_have_equal_shares() {
+    assert_eq!(starts_beside(deployment(true, true)), 10);
+}
+
+#[test]
+fn the_share_of_a_lost_host_falls_to_the_others() {
+    assert_eq!(starts_beside(deployment(false, true)), 12);
+    let mut peers = deployment(true, true);
+    peers[1] = peer("muenchen-1", "muenchen", false);
+    assert_eq!(starts_beside(peers), 12);
+}
+
+#[test]
+fn a_domain_that_is_cut_off_keeps_to_its_share() {
+    assert_eq!(starts_beside(deployment(true, false)), 10);
+    // A sibling that is silent as well is taken for lost.
+    assert_eq!(starts_beside(deployment(false, false)), 12);
+}
