--- a/crates/bramley-entry/tests/failures.rs
+++ b/crates/bramley-entry/tests/failures.rs
@@ -19,6 +19,15 @@
 /// Time within which a connection without an answer is taken for silent.
 const SILENCE_NOTICED: Duration = Duration::from_millis(1_300);
 
+/// Returns the time that lies a number of milliseconds ahead, in milliseconds since the epoch.
+fn unix_millis_in(millis: u64) -> u64 {
+    let now = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .expect("after the epoch")
+        .as_millis();
+    u64::try_from(now).expect("fits") + millis
+}
+
 fn failure_code(answer: &JobReply) -> &str {
     answer
         .failure
@@ -97,11 +106,7 @@
 async fn a_frozen_owner_that_wakes_up_starts_nothing_twice() {
     let deployment = TestDeployment::start("frozen_owner", &DOMAINS, 1, 1).await;
     let ticket = deployment.take_ticket(0).await;
-    let now = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .expect("after the epoch")
-        .as_millis();
-    let deadline = u64::try_from(now).expect("fits") + 2_000;
+    let deadline = unix_millis_in(2_000);
     // Twice as many tasks as all slots, so that some still wait when the owner freezes.
     let job = JobRequest {
         deadline_unix_ms: deadline,
@@ -236,11 +241,7 @@
     switch_worker(&deployment, 0, "silent_open").await;
 
     let ticket = deployment.take_ticket(0).await;
-    let now = std::time::SystemTime::now()
-        .duration_since(std::time::UNIX_EPOCH)
-        .expect("after the epoch")
-        .as_millis();
-    let deadline = u64::try_from(now).expect("fits") + 3_000;
+    let deadline = unix_millis_in(3_000);
     let lost = JobRequest {
         deadline_unix_ms: deadline,
         ..echo_job(&ticket, 1, 20)
--- a/docs/measurements/idle.sh
+++ b/docs/measurements/idle.sh
@@ -4,23 +4,8 @@
 # means of all hosts over SECONDS: control messages and bytes, time, memory and store calls.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-bin=target/release
 hosts=${1:-7} workers=${2:-50} domains=${3:-3} seconds=${4:-30}
-folder=$(mktemp -d)
-started=()
-finish() {
-    for process in "${started[@]}"; do kill "$process" 2>/dev/null || true; done
-    rm -rf "$folder"
-}
-trap finish EXIT
-launch() { # name, program and arguments
-    local name=$1
-    shift
-    "$@" >"$folder/$name.out" 2>"$folder/$name.err" &
-    started+=($!)
-    until grep -q listening "$folder/$name.out"; do sleep 0.05; done
-}
-address() { sed -n "s/.*\b$2=\([0-9.:]*\).*/\1/p" "$folder/$1.out"; }
+source docs/measurements/common.sh
 
 launch platform "$bin/bramley-platform-stand-in" --listen 127.0.0.1:0
 platform=$(address platform address)
--- a/docs/measurements/overhead.sh
+++ b/docs/measurements/overhead.sh
@@ -3,22 +3,7 @@
 # what it started. Arguments go to `bramley-load overhead`, for example `--rate 1000 --tasks 1`.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-bin=target/release
-folder=$(mktemp -d)
-started=()
-finish() {
-    for process in "${started[@]}"; do kill "$process" 2>/dev/null || true; done
-    rm -rf "$folder"
-}
-trap finish EXIT
-launch() { # name, program and arguments; prints nothing, leaves the first line in a file
-    local name=$1
-    shift
-    "$@" >"$folder/$name.out" 2>"$folder/$name.err" &
-    started+=($!)
-    until grep -q listening "$folder/$name.out"; do sleep 0.05; done
-}
-address() { sed -n "s/.*\b$2=\([0-9.:]*\).*/\1/p" "$folder/$1.out"; }
+source docs/measurements/common.sh
 
 launch platform "$bin/bramley-platform-stand-in" --listen 127.0.0.1:0
 platform=$(address platform address)
