--- a/codegen/src/main.rs
+++ b/codegen/src/main.rs
@@ -8,7 +8,7 @@
 
 fn main() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
-    let files = ["caller.proto", "peer.proto", "platform.proto", "worker.proto"];
+    let files = ["caller.proto", "peer.proto", "platform.proto", "pool.proto", "worker.proto"];
     let descriptors = protox::compile(files, [root.join("proto")]).expect("the definitions compile");
     let mut builder = tonic_prost_build::configure()
         .out_dir(root.join("../crates/bramley-wire/src/generated"))
--- a/crates/bramley-core/src/names.rs
+++ b/crates/bramley-core/src/names.rs
@@ -1,11 +1,5 @@
 //! Shared immutable names.
 
-use std::borrow::Borrow;
-use std::fmt;
-use std::sync::Arc;
-
-use serde::{Deserialize, Serialize};
-
 /// Largest length of a name in bytes.
 pub const MAX_NAME_BYTES: usize = 63;
 
@@ -20,17 +14,19 @@
     byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-' || byte == b'_'
 }
 
+/// Defines a shared immutable name type; the crate that calls it depends on `serde`.
+#[macro_export]
 macro_rules! shared_name {
     ($(#[$attribute:meta])* $name:ident) => {
         $(#[$attribute])*
-        #[derive(Clone, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd, serde::Deserialize, serde::Serialize)]
         #[serde(transparent)]
-        pub struct $name(Arc<str>);
+        pub struct $name(std::sync::Arc<str>);
 
         impl $name {
             /// Makes the name from a text without checking it.
             #[must_use]
-            pub fn new(text: impl Into<Arc<str>>) -> Self {
+            pub fn new(text: impl Into<std::sync::Arc<str>>) -> Self {
                 Self(text.into())
             }
 
@@ -41,27 +37,27 @@
             }
         }
 
-        impl Borrow<str> for $name {
+        impl std::borrow::Borrow<str> for $name {
             fn borrow(&self) -> &str {
                 &self.0
             }
         }
 
-        impl fmt::Debug for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                fmt::Debug::fmt(&*self.0, f)
+        impl std::fmt::Debug for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+                std::fmt::Debug::fmt(&*self.0, f)
             }
         }
 
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        impl std::fmt::Display for $name {
+            fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
                 f.write_str(&self.0)
             }
         }
 
         impl From<&str> for $name {
             fn from(text: &str) -> Self {
-                Self(Arc::from(text))
+                Self(std::sync::Arc::from(text))
             }
         }
     };
--- /dev/null
+++ b/crates/bramley-dock/src/health.rs
@@ -0,0 +1,64 @@
+//! Answers whether the process is ready, and shows its metrics and state.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+
+use crate::engine::Engine;
+use crate::port::PlatformPort;
+
+/// Wait after the listener has failed, so that a lack of descriptors does not spin.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Serves `/ready`, `/metrics` and `/state` until the process ends.
+pub async fn serve_health<P: PlatformPort>(engine: Rc<Engine<P>>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("event=accept_failed interface=health error=\"{error}\"");
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        let engine = Rc::clone(&engine);
+        spawn_local(async move {
+            let service = service_fn(|request| {
+                let response = answer(&engine, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::trace!("event=connection_ended interface=health error=\"{error}\"");
+            }
+        });
+    }
+}
+
+fn answer<P: PlatformPort>(
+    engine: &Rc<Engine<P>>,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let (status, body) = match request.uri().path() {
+        "/ready" if engine.is_ready() => (StatusCode::OK, String::from("ready\n")),
+        "/ready" => (StatusCode::SERVICE_UNAVAILABLE, String::from("not ready\n")),
+        "/metrics" => (StatusCode::OK, engine.metrics().encode()),
+        "/state" => (StatusCode::OK, engine.dump().to_string()),
+        _ => (StatusCode::NOT_FOUND, String::from("not found\n")),
+    };
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -0,0 +1,184 @@
+//! Translates between the kernels' messages and frames.
+
+use std::time::Duration;
+
+use bramley_core::units::UnixTime;
+use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
+use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage};
+use bramley_pool::refusal::Refusal;
+use bramley_pool::room::TaskRoom;
+use bramley_wire::pool::{
+    CancelJob, JobEnded, JobStarted, PoolBeat, PoolFrame, RelayFrame, SubmitJob, TaskDone,
+    pool_frame, relay_frame,
+};
+
+/// Outcome number of a completed job.
+const COMPLETED: u32 = 0;
+
+/// Outcome number of a failed job.
+const FAILED: u32 = 1;
+
+/// Outcome number of the first refusal.
+const FIRST_REFUSAL: u32 = 2;
+
+/// Makes the frame of a relay's message.
+#[must_use]
+pub fn relay_frame_of(message: RelayMessage, now: UnixTime) -> RelayFrame {
+    let body = match message {
+        RelayMessage::Submit(submission) => relay_frame::Body::Submit(submit_of(submission, now)),
+        RelayMessage::Cancel(job) => relay_frame::Body::Cancel(CancelJob {
+            job: String::from(job.as_str()),
+        }),
+    };
+    RelayFrame { body: Some(body) }
+}
+
+fn submit_of(submission: JobSubmission, now: UnixTime) -> SubmitJob {
+    let JobSubmission {
+        work,
+        policy,
+        arrived_at,
+        deadline,
+        done,
+        resumed,
+    } = submission;
+    SubmitJob {
+        job: String::from(work.job.as_str()),
+        spec: String::from(&*work.spec),
+        tasks: work.tasks,
+        cpu_milli: work.room.cpu_milli,
+        memory_mb: work.room.memory_mb,
+        accelerators: work.room.accelerators,
+        declared_us: micros(work.declared),
+        required_label: String::from(&*work.required_label),
+        preferred_rack: String::from(&*work.preferred_rack),
+        spread_limit: work.spread_limit,
+        route: String::from(policy.route.as_str()),
+        service: String::from(policy.service.as_str()),
+        priority: policy.priority,
+        attempts: policy.attempts,
+        stretch_factor: policy.stretch_factor,
+        target_us: micros(policy.target),
+        age_us: micros(now.since(arrived_at)),
+        left_us: micros(deadline.since(now)),
+        done,
+        resumed,
+    }
+}
+
+/// Reads the submission of a frame that arrived at `now`.
+#[must_use]
+pub fn submission_of(submit: SubmitJob, now: UnixTime) -> JobSubmission {
+    JobSubmission {
+        work: JobWork {
+            job: JobName::new(submit.job),
+            spec: submit.spec.into(),
+            tasks: submit.tasks,
+            room: TaskRoom {
+                accelerators: submit.accelerators,
+                cpu_milli: submit.cpu_milli,
+                memory_mb: submit.memory_mb,
+            },
+            declared: Duration::from_micros(submit.declared_us),
+            required_label: submit.required_label.into(),
+            preferred_rack: submit.preferred_rack.into(),
+            spread_limit: submit.spread_limit,
+        },
+        policy: JobPolicy {
+            route: RouteName::new(submit.route),
+            service: ServiceName::new(submit.service),
+            priority: submit.priority,
+            attempts: submit.attempts,
+            stretch_factor: submit.stretch_factor,
+            target: Duration::from_micros(submit.target_us),
+        },
+        arrived_at: now.before(Duration::from_micros(submit.age_us)),
+        deadline: now.after(Duration::from_micros(submit.left_us)),
+        done: submit.done,
+        resumed: submit.resumed,
+    }
+}
+
+/// Makes the frame of a pool's message.
+#[must_use]
+pub fn pool_frame_of(message: PoolMessage) -> PoolFrame {
+    let body = match message {
+        PoolMessage::Started { job } => pool_frame::Body::Started(JobStarted {
+            job: String::from(job.as_str()),
+        }),
+        PoolMessage::TaskDone { job, index } => pool_frame::Body::TaskDone(TaskDone {
+            job: String::from(job.as_str()),
+            index,
+        }),
+        PoolMessage::Ended { job, outcome, wait } => pool_frame::Body::Ended(JobEnded {
+            job: String::from(job.as_str()),
+            outcome: outcome_number(outcome),
+            wait_us: micros(wait),
+        }),
+    };
+    PoolFrame { body: Some(body) }
+}
+
+/// Makes the heartbeat frame of a pool.
+#[must_use]
+pub const fn beat_frame_of(load: PoolLoad, commands: bool, lost_store: bool) -> PoolFrame {
+    PoolFrame {
+        body: Some(pool_frame::Body::Beat(PoolBeat {
+            commands,
+            lost_store,
+            free_cpu_milli: load.free_cpu_milli,
+            workers: load.workers,
+            waiting_tasks: load.waiting_tasks,
+        })),
+    }
+}
+
+/// Reads how busy a pool is.
+#[must_use]
+pub const fn load_of(beat: &PoolBeat) -> PoolLoad {
+    PoolLoad {
+        free_cpu_milli: beat.free_cpu_milli,
+        workers: beat.workers,
+        waiting_tasks: beat.waiting_tasks,
+    }
+}
+
+/// Reads the message of a frame, unless it is a heartbeat or holds nothing known.
+#[must_use]
+pub fn pool_message_of(body: pool_frame::Body) -> Option<PoolMessage> {
+    match body {
+        pool_frame::Body::Beat(_) => None,
+        pool_frame::Body::Started(started) => Some(PoolMessage::Started {
+            job: JobName::new(started.job),
+        }),
+        pool_frame::Body::TaskDone(done) => Some(PoolMessage::TaskDone {
+            job: JobName::new(done.job),
+            index: done.index,
+        }),
+        pool_frame::Body::Ended(ended) => Some(PoolMessage::Ended {
+            job: JobName::new(ended.job),
+            outcome: outcome_of(ended.outcome),
+            wait: Duration::from_micros(ended.wait_us),
+        }),
+    }
+}
+
+const fn outcome_number(outcome: JobOutcome) -> u32 {
+    match outcome {
+        JobOutcome::Completed => COMPLETED,
+        JobOutcome::Failed => FAILED,
+        JobOutcome::Refused(refusal) => FIRST_REFUSAL + refusal.code(),
+    }
+}
+
+fn outcome_of(number: u32) -> JobOutcome {
+    match number {
+        COMPLETED => JobOutcome::Completed,
+        FAILED => JobOutcome::Failed,
+        other => JobOutcome::Refused(Refusal::from_code(other - FIRST_REFUSAL)),
+    }
+}
+
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/bramley-dock/src/metrics.rs
@@ -0,0 +1,211 @@
+//! Counts for operators, in the OpenMetrics format.
+
+use std::fmt;
+use std::time::Duration;
+
+use bramley_core::units::UnixTime;
+use bramley_pool::decision::Decision;
+use bramley_pool::message::PoolLoad;
+use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerOrder};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Smallest bucket of times in seconds.
+const FIRST_BUCKET_SECONDS: f64 = 0.001;
+
+/// Number of buckets of times, each twice as large as the one before.
+const BUCKETS: u16 = 15;
+
+type Labels<const N: usize> = [(&'static str, String); N];
+
+/// Counts of one process.
+pub struct DockMetrics {
+    registry: Registry,
+    requests: Family<Labels<2>, Counter>,
+    request_seconds: Histogram,
+    wait_seconds: Histogram,
+    run_seconds: Histogram,
+    calls: Family<Labels<2>, Counter>,
+    call_seconds: Histogram,
+    run_ends: Family<Labels<1>, Counter>,
+    refusals: Family<Labels<1>, Counter>,
+    store_calls: Family<Labels<2>, Counter>,
+    commands: Gauge,
+    callers: Gauge,
+    free_cpu_milli: Gauge,
+    workers: Gauge,
+    waiting_tasks: Gauge,
+}
+
+impl fmt::Debug for DockMetrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("DockMetrics").finish_non_exhaustive()
+    }
+}
+
+impl Default for DockMetrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("bramley_dock"),
+            requests: Family::default(),
+            request_seconds: time_histogram(),
+            wait_seconds: time_histogram(),
+            run_seconds: time_histogram(),
+            calls: Family::default(),
+            call_seconds: time_histogram(),
+            run_ends: Family::default(),
+            refusals: Family::default(),
+            store_calls: Family::default(),
+            commands: Gauge::default(),
+            callers: Gauge::default(),
+            free_cpu_milli: Gauge::default(),
+            workers: Gauge::default(),
+            waiting_tasks: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl DockMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by route and status",
+            self.requests.clone(),
+        );
+        registry.register(
+            "request_seconds",
+            "Time from a request to its answer",
+            self.request_seconds.clone(),
+        );
+        registry.register(
+            "wait_seconds",
+            "Time from a request to the start of a task",
+            self.wait_seconds.clone(),
+        );
+        registry.register("run_seconds", "Run time of tasks", self.run_seconds.clone());
+        registry.register(
+            "worker_calls",
+            "Calls to workers by kind and result",
+            self.calls.clone(),
+        );
+        registry.register(
+            "worker_call_seconds",
+            "Time of starts and stops at workers",
+            self.call_seconds.clone(),
+        );
+        registry.register("run_ends", "Ends of runs by kind", self.run_ends.clone());
+        registry.register("refusals", "Refused jobs by reason", self.refusals.clone());
+        registry.register(
+            "store_calls",
+            "Calls to the store by kind and result",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "commands",
+            "Whether the process commands workers",
+            self.commands.clone(),
+        );
+        registry.register("callers", "Callers that wait", self.callers.clone());
+        registry.register(
+            "free_cpu_milli",
+            "Free processor share of commanded workers",
+            self.free_cpu_milli.clone(),
+        );
+        registry.register("workers", "Usable commanded workers", self.workers.clone());
+        registry.register(
+            "waiting_tasks",
+            "Tasks that wait for room",
+            self.waiting_tasks.clone(),
+        );
+    }
+
+    /// Counts an answer to a caller.
+    pub fn note_request(&self, route: &str, status: u16, time: Duration) {
+        let labels = [
+            ("route", String::from(route)),
+            ("status", status.to_string()),
+        ];
+        self.requests.get_or_create(&labels).inc();
+        self.request_seconds.observe(time.as_secs_f64());
+    }
+
+    /// Counts a call to the store.
+    pub fn note_store_call(&self, kind: &'static str, result: &'static str) {
+        let labels = [
+            ("kind", String::from(kind)),
+            ("result", String::from(result)),
+        ];
+        self.store_calls.get_or_create(&labels).inc();
+    }
+
+    pub(crate) fn note_call(&self, call: &WorkerCall, answer: &CallAnswer, now: UnixTime) {
+        let (kind, is_timed) = match call.order {
+            WorkerOrder::Start { .. } => ("start", true),
+            WorkerOrder::Stop { .. } => ("stop", true),
+            WorkerOrder::Look { .. } => ("look", false),
+        };
+        let result = match answer {
+            CallAnswer::Accepted(_) => "accepted",
+            CallAnswer::Report(_) => "report",
+            CallAnswer::Refused(refusal, _) => refusal.as_str(),
+            CallAnswer::NotSent => "not_sent",
+            CallAnswer::Unanswered => "unanswered",
+        };
+        let labels = [
+            ("kind", String::from(kind)),
+            ("result", String::from(result)),
+        ];
+        self.calls.get_or_create(&labels).inc();
+        if is_timed {
+            self.call_seconds
+                .observe(now.since(call.sent_at).as_secs_f64());
+        }
+    }
+
+    pub(crate) fn note_decision(&self, decision: &Decision) {
+        match decision {
+            Decision::Placed { age, .. } => self.wait_seconds.observe(age.as_secs_f64()),
+            Decision::RunEnded { end, ran, .. } => {
+                let word = end.map_or("not_there", bramley_pool::worker::RunEnd::as_str);
+                let labels = [("end", String::from(word))];
+                self.run_ends.get_or_create(&labels).inc();
+                self.run_seconds.observe(ran.as_secs_f64());
+            }
+            Decision::JobRefused { refusal, .. } => {
+                let labels = [("reason", String::from(refusal.answer().word))];
+                self.refusals.get_or_create(&labels).inc();
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn note_load(&self, load: PoolLoad, commands: bool, callers: usize) {
+        self.commands.set(i64::from(commands));
+        self.callers.set(i64::try_from(callers).unwrap_or(i64::MAX));
+        let free = i64::try_from(load.free_cpu_milli).unwrap_or(i64::MAX);
+        self.free_cpu_milli.set(free);
+        self.workers.set(i64::from(load.workers));
+        self.waiting_tasks.set(i64::from(load.waiting_tasks));
+    }
+
+    /// Returns all counts as text.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let mut text = String::new();
+        if let Err(error) = encode(&mut text, &self.registry) {
+            log::warn!("event=metrics_unreadable error=\"{error}\"");
+        }
+        text
+    }
+}
+
+fn time_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_SECONDS, 2.0, BUCKETS))
+}
--- /dev/null
+++ b/crates/bramley-pool/src/claim.rs
@@ -0,0 +1,307 @@
+//! Decides which process commands the workers of its failure domain.
+//!
+//! The claim is a key in the platform's store under a lease. Its creation revision is the fencing
+//! token, so that a later claim always has the higher token. A process that does not reach the
+//! store never takes command; one that has command and loses the store keeps it as long as no
+//! other process takes over.
+
+use bramley_core::units::UnixTime;
+
+use crate::settings::ClaimSettings;
+
+/// The claim of the own failure domain as the store holds it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ClaimView {
+    /// Incarnation of the process that holds it.
+    pub incarnation: u64,
+    /// Address of its pool interface.
+    pub address: String,
+    /// Revision of the last change.
+    pub revision: u64,
+}
+
+/// A claim that was won.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ClaimGrant {
+    /// Fencing token.
+    pub token: u64,
+    /// Lease in the store that keeps the claim.
+    pub lease: u64,
+}
+
+/// Facts about other processes at the time of a decision.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ContactView {
+    /// Whether the holder of the claim answers over the own relay's connection and has command.
+    pub holder_answers: bool,
+    /// Whether that holder has reported that it does not reach the store.
+    pub holder_lost_store: bool,
+    /// Whether the holder's machine answers without its process: connections are refused.
+    pub holder_refuses: bool,
+    /// Whether any other process of the system is connected, as a pool or a relay.
+    pub reaches_others: bool,
+}
+
+/// What the driver of a claim is to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum ClaimAction {
+    /// Write the claim if the key's revision is still the stated one; 0 for no key.
+    Write {
+        /// Expected revision.
+        expected_revision: u64,
+    },
+    /// Renew the lease.
+    Renew {
+        /// Lease.
+        lease: u64,
+    },
+    /// End the lease, and with it the claim.
+    Release {
+        /// Lease.
+        lease: u64,
+    },
+    /// Give up command of the workers.
+    GiveUp {
+        /// Why.
+        cause: &'static str,
+    },
+}
+
+/// Where the process stands.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ClaimStanding {
+    /// Has no claim.
+    Standby,
+    /// A write is on its way.
+    Writing,
+    /// Holds the claim.
+    Holding {
+        grant: ClaimGrant,
+        renew_at: UnixTime,
+        is_renewing: bool,
+    },
+}
+
+/// Follows the claim of one failure domain for one process.
+#[derive(Debug)]
+pub struct Claim {
+    settings: ClaimSettings,
+    incarnation: u64,
+    address: String,
+    is_large: bool,
+    standing: ClaimStanding,
+    view: Option<ClaimView>,
+    view_known: bool,
+    vacant_since: Option<UnixTime>,
+    store_heard_at: UnixTime,
+    others_heard_at: Option<UnixTime>,
+    stopping: bool,
+    retry_at: UnixTime,
+}
+
+impl Claim {
+    /// Makes the claim of a process with `cpu_milli` thousandths of a core.
+    #[must_use]
+    pub fn new(
+        settings: ClaimSettings,
+        incarnation: u64,
+        address: impl Into<String>,
+        cpu_milli: u32,
+    ) -> Self {
+        let is_large = cpu_milli >= settings.large_host_milli;
+        Self {
+            settings,
+            incarnation,
+            address: address.into(),
+            is_large,
+            standing: ClaimStanding::Standby,
+            view: None,
+            view_known: false,
+            vacant_since: None,
+            store_heard_at: UnixTime::default(),
+            others_heard_at: None,
+            stopping: false,
+            retry_at: UnixTime::default(),
+        }
+    }
+
+    /// Returns the grant while the claim is held.
+    #[must_use]
+    pub const fn grant(&self) -> Option<ClaimGrant> {
+        match self.standing {
+            ClaimStanding::Holding { grant, .. } => Some(grant),
+            ClaimStanding::Standby | ClaimStanding::Writing => None,
+        }
+    }
+
+    /// Tells whether the store has not answered for so long that another host should take over.
+    #[must_use]
+    pub fn has_lost_store(&self, now: UnixTime) -> bool {
+        now.since(self.store_heard_at) > self.settings.store_loss_limit
+    }
+
+    /// The store has answered.
+    pub fn store_answered(&mut self, now: UnixTime) {
+        self.store_heard_at = self.store_heard_at.max(now);
+    }
+
+    /// The store's view of the claim was read.
+    pub fn viewed(&mut self, view: Option<ClaimView>, now: UnixTime) {
+        self.store_heard_at = now;
+        self.view_known = true;
+        if view.is_none() {
+            self.vacant_since.get_or_insert(now);
+        } else {
+            self.vacant_since = None;
+        }
+        self.view = view;
+    }
+
+    /// The process is about to stop: the claim is released and none is made.
+    pub fn stop(&mut self) -> Option<ClaimAction> {
+        self.stopping = true;
+        let grant = self.grant()?;
+        self.standing = ClaimStanding::Standby;
+        Some(ClaimAction::Release { lease: grant.lease })
+    }
+
+    /// Another process commands the workers.
+    pub fn superseded(&mut self) -> Option<ClaimAction> {
+        let grant = self.grant()?;
+        self.standing = ClaimStanding::Standby;
+        Some(ClaimAction::Release { lease: grant.lease })
+    }
+
+    /// The write has succeeded.
+    pub fn written(&mut self, grant: ClaimGrant, now: UnixTime) {
+        self.store_heard_at = now;
+        self.standing = ClaimStanding::Holding {
+            grant,
+            renew_at: now.after(self.settings.renew_every),
+            is_renewing: false,
+        };
+    }
+
+    /// The write has failed or its outcome is unknown.
+    pub fn write_failed(&mut self, now: UnixTime) {
+        if self.standing == ClaimStanding::Writing {
+            self.standing = ClaimStanding::Standby;
+        }
+        self.retry_at = now.after(self.settings.small_host_wait);
+    }
+
+    /// The lease was renewed, or not; `ended` tells that the store no longer knows it.
+    pub fn renewed(&mut self, ended: bool, now: UnixTime) {
+        let ClaimStanding::Holding {
+            renew_at,
+            is_renewing,
+            ..
+        } = &mut self.standing
+        else {
+            return;
+        };
+        *is_renewing = false;
+        *renew_at = now.after(self.settings.renew_every);
+        if ended {
+            self.store_heard_at = now;
+            self.standing = ClaimStanding::Standby;
+            self.retry_at = now;
+        }
+    }
+
+    /// Decides what is due. `commands` tells whether the own pool has command.
+    pub fn tick(
+        &mut self,
+        contacts: ContactView,
+        commands: bool,
+        now: UnixTime,
+    ) -> Vec<ClaimAction> {
+        if contacts.reaches_others {
+            self.others_heard_at = Some(now);
+        }
+        let mut actions = Vec::new();
+        if commands && self.is_isolated(now) {
+            self.others_heard_at = None;
+            actions.push(ClaimAction::GiveUp { cause: "isolated" });
+            if let Some(grant) = self.grant() {
+                actions.push(ClaimAction::Release { lease: grant.lease });
+            }
+            self.standing = ClaimStanding::Standby;
+            self.vacant_since = Some(now);
+            self.retry_at = now.after(self.settings.isolated_wait);
+            return actions;
+        }
+        match &mut self.standing {
+            ClaimStanding::Holding {
+                grant,
+                renew_at,
+                is_renewing,
+            } => {
+                if !*is_renewing && *renew_at <= now {
+                    *is_renewing = true;
+                    actions.push(ClaimAction::Renew { lease: grant.lease });
+                }
+                if self.is_held_by_other() {
+                    actions.push(ClaimAction::GiveUp {
+                        cause: "claimed_elsewhere",
+                    });
+                    actions.push(ClaimAction::Release {
+                        lease: self.grant().map_or(0, |grant| grant.lease),
+                    });
+                    self.standing = ClaimStanding::Standby;
+                }
+            }
+            ClaimStanding::Writing => {}
+            ClaimStanding::Standby => {
+                if commands && self.is_held_by_other() {
+                    actions.push(ClaimAction::GiveUp {
+                        cause: "claimed_elsewhere",
+                    });
+                }
+                if let Some(expected_revision) = self.writable(contacts, commands, now) {
+                    self.standing = ClaimStanding::Writing;
+                    actions.push(ClaimAction::Write { expected_revision });
+                }
+            }
+        }
+        actions
+    }
+
+    /// Returns the revision over which the claim may be written now.
+    fn writable(&self, contacts: ContactView, commands: bool, now: UnixTime) -> Option<u64> {
+        if self.stopping || !self.view_known || self.retry_at > now || self.has_lost_store(now) {
+            return None;
+        }
+        let Some(view) = &self.view else {
+            let waited = now.since(self.vacant_since.unwrap_or(now));
+            let is_other_well = contacts.holder_answers && !contacts.holder_lost_store;
+            if !commands && is_other_well {
+                return None;
+            }
+            let mut wait = if self.is_large || commands {
+                std::time::Duration::ZERO
+            } else {
+                self.settings.small_host_wait
+            };
+            if !commands && !contacts.reaches_others {
+                wait += self.settings.small_host_wait;
+            }
+            return (waited >= wait).then_some(0);
+        };
+        let is_own = view.incarnation == self.incarnation;
+        let was_here = view.address == self.address && !is_own;
+        let is_dead = contacts.holder_refuses && !contacts.holder_answers;
+        (is_own || was_here || is_dead).then_some(view.revision)
+    }
+
+    fn is_held_by_other(&self) -> bool {
+        self.view
+            .as_ref()
+            .is_some_and(|view| view.incarnation != self.incarnation)
+    }
+
+    fn is_isolated(&self, now: UnixTime) -> bool {
+        self.others_heard_at
+            .is_some_and(|heard| now.since(heard) > self.settings.isolation_limit)
+    }
+}
--- /dev/null
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -0,0 +1,163 @@
+//! Decides whether a job can be in time.
+//!
+//! The estimate schedules the tasks that wait before the job, and then the job's own, onto the
+//! places that are free or will become free when the present runs end as expected.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use bramley_core::units::UnixTime;
+
+use super::Pool;
+use crate::job::JobRecord;
+use crate::message::JobOutcome;
+use crate::refusal::Refusal;
+use crate::worker::WorkerRecord;
+
+/// Time to read the list of workers, or the runs of a worker, after a change of command: two calls
+/// of a few milliseconds with room for a slow start.
+const SYNC_TIME: Duration = Duration::from_millis(50);
+
+/// Expected start of a job's last task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum StartEstimate {
+    /// At this time.
+    At(UnixTime),
+    /// No usable worker can hold a task of the job now.
+    NoWorker,
+    /// No worker that the platform lists could ever hold it.
+    Never,
+}
+
+impl Pool {
+    /// Estimates when the last task of the job could start.
+    pub(super) fn estimate_start(&self, job: &JobRecord, now: UnixTime) -> StartEstimate {
+        let room = job.submission.work.room;
+        let mut places: BinaryHeap<Reverse<UnixTime>> = BinaryHeap::new();
+        let mut could_ever = false;
+        for worker in &self.workers {
+            if !serves(worker, job) || !room.fits(worker.entry.capacity) {
+                continue;
+            }
+            could_ever |= worker.listed;
+            let is_new = worker.listed && !worker.synced && worker.missed_looks == 0;
+            let ready_at = if is_new { now.after(SYNC_TIME) } else { now };
+            if (is_new || worker.is_usable()) && worker.health.suspended_until <= now {
+                self.push_places(worker, job, ready_at, &mut places);
+            }
+        }
+        if self.workers.is_empty() {
+            return StartEstimate::At(now.after(SYNC_TIME));
+        }
+        if places.is_empty() {
+            return if could_ever {
+                StartEstimate::NoWorker
+            } else {
+                StartEstimate::Never
+            };
+        }
+        let key = self.order_key(job, now);
+        for name in &self.queue {
+            let Some(ahead) = self.jobs.get(name) else {
+                continue;
+            };
+            if ahead.submission.work.job == job.submission.work.job
+                || self.order_key(ahead, now) > key
+            {
+                continue;
+            }
+            for _ in 0..ahead.waiting {
+                take_place(&mut places, ahead.expected);
+            }
+        }
+        let mut last = now;
+        for _ in 0..job.waiting {
+            last = last.max(take_place(&mut places, job.expected));
+        }
+        StartEstimate::At(last)
+    }
+
+    fn push_places(
+        &self,
+        worker: &WorkerRecord,
+        job: &JobRecord,
+        now: UnixTime,
+        places: &mut BinaryHeap<Reverse<UnixTime>>,
+    ) {
+        let room = job.submission.work.room;
+        let all = room.places_in(worker.entry.capacity);
+        let free = room.places_in(worker.free()).min(all);
+        for _ in 0..free {
+            places.push(Reverse(now));
+        }
+        let busy = (all - free) as usize;
+        let mut ends: Vec<UnixTime> = worker
+            .runs
+            .iter()
+            .map(|run| {
+                let facts = run.facts();
+                let expected = facts.expected.mul_f64(worker.pace);
+                facts.started_at.after(expected).max(now)
+            })
+            .collect();
+        ends.sort_unstable();
+        let skipped = ends.len().saturating_sub(busy);
+        for end in ends.into_iter().skip(skipped) {
+            places.push(Reverse(end));
+        }
+    }
+
+    /// Returns the refusal that a new job gets, with the expected wait, or the wait alone.
+    pub(super) fn admit(&self, job: &JobRecord, now: UnixTime) -> (Option<JobOutcome>, Duration) {
+        match self.estimate_start(job, now) {
+            StartEstimate::At(start) => {
+                let wait = start.since(now);
+                let is_late = start > job.latest_start();
+                (
+                    is_late.then_some(JobOutcome::Refused(Refusal::Overloaded)),
+                    wait,
+                )
+            }
+            StartEstimate::NoWorker => {
+                let wait = self.settings.suspend_first;
+                (Some(JobOutcome::Refused(Refusal::Overloaded)), wait)
+            }
+            StartEstimate::Never => (
+                Some(JobOutcome::Refused(Refusal::NeverFits)),
+                Duration::ZERO,
+            ),
+        }
+    }
+
+    /// Returns the key that orders waiting jobs, least first: jobs that have begun, then those that
+    /// can be in time by their latest start, then the others.
+    pub(super) fn order_key(&self, job: &JobRecord, now: UnixTime) -> (u8, UnixTime) {
+        let latest = job.latest_start();
+        let step = self.settings.priority_step * job.submission.policy.priority;
+        let rank = if job.offered {
+            0
+        } else if latest >= now {
+            1
+        } else {
+            2
+        };
+        (rank, latest.after(step))
+    }
+}
+
+/// Takes the earliest place, occupies it for `span` and returns when it was free.
+fn take_place(places: &mut BinaryHeap<Reverse<UnixTime>>, span: Duration) -> UnixTime {
+    let Some(Reverse(free_at)) = places.pop() else {
+        return UnixTime::NEVER;
+    };
+    places.push(Reverse(free_at.after(span)));
+    free_at
+}
+
+/// Tells whether the worker runs the job's service and has the label that it needs.
+pub(super) fn serves(worker: &WorkerRecord, job: &JobRecord) -> bool {
+    let label = &job.submission.work.required_label;
+    worker.entry.service == job.submission.policy.service
+        && (label.is_empty() || worker.entry.labels.contains(label))
+}
--- /dev/null
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -0,0 +1,309 @@
+//! Takes jobs in and answers them.
+
+use std::time::Duration;
+
+use bramley_core::units::UnixTime;
+
+use super::Pool;
+use crate::decision::Decision;
+use crate::job::{JobName, JobRecord, JobSubmission, TaskRecord, TaskStanding};
+use crate::message::{JobOutcome, PoolMessage, RelayId, RelayMessage};
+use crate::refusal::Refusal;
+use crate::run::StopCause;
+use crate::worker::WorkerIndex;
+
+impl Pool {
+    /// Handles a message of a relay.
+    pub fn relay_said(&mut self, relay: RelayId, message: RelayMessage, now: UnixTime) {
+        match message {
+            RelayMessage::Submit(submission) => self.submit(relay, submission, now),
+            RelayMessage::Cancel(job) => {
+                if self
+                    .jobs
+                    .get(&job)
+                    .is_some_and(|record| record.relay == Some(relay))
+                {
+                    self.cancel(&job, "caller_left", now);
+                }
+            }
+        }
+    }
+
+    /// Notes that the connection of a relay was lost; its jobs are stopped unless it comes back.
+    pub fn relay_lost(&mut self, relay: RelayId, now: UnixTime) {
+        let abandoned_at = now.after(self.settings.relay_grace);
+        for job in self.jobs.values_mut() {
+            if job.relay == Some(relay) {
+                job.relay = None;
+                job.abandoned_at = abandoned_at;
+            }
+        }
+    }
+
+    fn submit(&mut self, relay: RelayId, submission: JobSubmission, now: UnixTime) {
+        let name = submission.work.job.clone();
+        if let Some(job) = self.jobs.get_mut(&name) {
+            job.relay = Some(relay);
+            job.submission.deadline = submission.deadline;
+            let done: Vec<u32> = job.done_tasks().collect();
+            let started = job.offered;
+            self.report_progress(relay, &name, &done, started);
+            self.enqueue(&name);
+            self.place_waiting(now);
+            return;
+        }
+        if self.token.is_none() {
+            let message = PoolMessage::Ended {
+                job: name,
+                outcome: JobOutcome::Refused(Refusal::NoPool),
+                wait: Duration::ZERO,
+            };
+            self.send(Some(relay), message);
+            return;
+        }
+        let job = self.make_record(relay, submission, now);
+        let adopted = self.adopt_runs(&name, job, now);
+        let Some(job) = self.jobs.get(&name) else {
+            return;
+        };
+        let done = job.tasks.len() - job.left as usize;
+        if job.left == 0 {
+            self.finish(&name, JobOutcome::Completed, now);
+            return;
+        }
+        if adopted > 0 || done > 0 || job.submission.resumed {
+            let decision = Decision::JobResumed {
+                job: name.clone(),
+                done: u32::try_from(done).unwrap_or(u32::MAX),
+                adopted,
+            };
+            let tasks: Vec<u32> = job.done_tasks().collect();
+            let started = job.offered;
+            self.note(decision);
+            self.report_progress(relay, &name, &tasks, started);
+        } else {
+            let (refused, wait) = self.admit(job, now);
+            if let Some(outcome) = refused {
+                self.refuse(&name, outcome, wait, now);
+                return;
+            }
+            let decision = Decision::Admitted {
+                job: name.clone(),
+                route: job.submission.policy.route.clone(),
+                tasks: job.waiting,
+                wait,
+                slack: job.latest_start().since(now),
+                waiting: self.waiting_tasks(),
+                list_age: now.since(self.listed_at),
+            };
+            self.note(decision);
+        }
+        self.enqueue(&name);
+        self.place_waiting(now);
+    }
+
+    fn report_progress(&mut self, relay: RelayId, name: &JobName, done: &[u32], started: bool) {
+        if started {
+            self.send(Some(relay), PoolMessage::Started { job: name.clone() });
+        }
+        for index in done {
+            let message = PoolMessage::TaskDone {
+                job: name.clone(),
+                index: *index,
+            };
+            self.send(Some(relay), message);
+        }
+    }
+
+    fn make_record(&self, relay: RelayId, submission: JobSubmission, now: UnixTime) -> JobRecord {
+        let fresh = TaskRecord {
+            standing: TaskStanding::Waiting,
+            failures: 0,
+            last_number: 0,
+            avoided: None,
+        };
+        let mut tasks = vec![fresh; submission.work.tasks as usize];
+        for index in &submission.done {
+            if let Some(task) = tasks.get_mut(*index as usize) {
+                task.standing = TaskStanding::Done;
+            }
+        }
+        let waiting = tasks
+            .iter()
+            .filter(|task| task.standing == TaskStanding::Waiting)
+            .count();
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let expected = self.expect(&submission.policy, &submission.work);
+        let policy = &submission.policy;
+        let objective = expected.mul_f64(policy.stretch_factor.max(1.0)) + policy.target;
+        let objective_at = submission.arrived_at.after(objective);
+        JobRecord {
+            relay: Some(relay),
+            abandoned_at: now,
+            offered: submission.resumed,
+            tasks,
+            waiting,
+            left: waiting,
+            expected,
+            objective_at,
+            submission,
+        }
+    }
+
+    /// Finds runs of the job that were under way before it was submitted here, and ends that were
+    /// not acknowledged; returns the number of runs.
+    fn adopt_runs(&mut self, name: &JobName, mut job: JobRecord, now: UnixTime) -> u32 {
+        let mut adopted = 0;
+        for index in self.indices() {
+            let worker = &mut self.workers[index.0 as usize];
+            for run in &mut worker.runs {
+                let stopping = run.is_stopping();
+                let facts = run.facts_mut();
+                if facts.task.job != *name || !facts.task.is_single_step() {
+                    continue;
+                }
+                let Some(task) = job.tasks.get_mut(facts.task.index as usize) else {
+                    continue;
+                };
+                let room = job.submission.work.room;
+                worker.booked = worker.booked.minus(facts.room).plus(room);
+                facts.room = room;
+                task.last_number = task.last_number.max(facts.number);
+                if task.standing != TaskStanding::Waiting {
+                    continue;
+                }
+                // A run that is being stopped keeps its task placed until its end is known.
+                task.standing = TaskStanding::Placed(index);
+                job.waiting -= 1;
+                job.offered = true;
+                if !stopping {
+                    facts.expected = job.expected;
+                }
+                facts.wanted = true;
+                adopted += 1;
+            }
+        }
+        self.counts.runs_adopted += u64::from(adopted);
+        self.jobs.insert(name.clone(), job);
+        if self.adopting_until > now {
+            self.reread_unclaimed_ends(name);
+        }
+        adopted
+    }
+
+    pub(super) fn enqueue(&mut self, name: &JobName) {
+        let waits = self.jobs.get(name).is_some_and(|job| job.waiting > 0);
+        if waits && !self.queue.contains(name) {
+            self.queue.push(name.clone());
+        }
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        name: &JobName,
+        outcome: JobOutcome,
+        wait: Duration,
+        now: UnixTime,
+    ) {
+        let Some(job) = self.jobs.remove(name) else {
+            return;
+        };
+        self.queue.retain(|queued| queued != name);
+        self.counts.jobs_refused += 1;
+        if let JobOutcome::Refused(refusal) = outcome {
+            let decision = Decision::JobRefused {
+                job: name.clone(),
+                route: job.submission.policy.route.clone(),
+                refusal,
+                wait,
+                workers: self.load(now).workers,
+                waiting: self.waiting_tasks(),
+                list_age: now.since(self.listed_at),
+                age: now.since(job.submission.arrived_at),
+            };
+            self.note(decision);
+        }
+        let message = PoolMessage::Ended {
+            job: name.clone(),
+            outcome,
+            wait,
+        };
+        self.send(job.relay, message);
+    }
+
+    /// Ends a job that has run, and stops what still runs of it.
+    pub(super) fn finish(&mut self, name: &JobName, outcome: JobOutcome, now: UnixTime) {
+        let Some(job) = self.jobs.remove(name) else {
+            return;
+        };
+        self.queue.retain(|queued| queued != name);
+        let completed = outcome == JobOutcome::Completed;
+        if completed {
+            self.counts.jobs_completed += 1;
+        } else {
+            self.counts.jobs_failed += 1;
+        }
+        let decision = Decision::JobEnded {
+            job: name.clone(),
+            completed,
+            failures: job.tasks.iter().map(|task| task.failures).sum(),
+            age: now.since(job.submission.arrived_at),
+            objective: job.objective_at.since(job.submission.arrived_at),
+        };
+        self.note(decision);
+        let message = PoolMessage::Ended {
+            job: name.clone(),
+            outcome,
+            wait: Duration::ZERO,
+        };
+        self.send(job.relay, message);
+        self.stop_runs_of(name, &job, now);
+    }
+
+    /// Drops a job that nobody waits for, and stops what runs of it.
+    pub(super) fn cancel(&mut self, name: &JobName, cause: &'static str, now: UnixTime) {
+        let Some(job) = self.jobs.remove(name) else {
+            return;
+        };
+        self.queue.retain(|queued| queued != name);
+        self.counts.jobs_cancelled += 1;
+        let decision = Decision::JobCancelled {
+            job: name.clone(),
+            cause,
+            left: job.left,
+            age: now.since(job.submission.arrived_at),
+        };
+        self.note(decision);
+        self.stop_runs_of(name, &job, now);
+    }
+
+    fn stop_runs_of(&mut self, name: &JobName, job: &JobRecord, now: UnixTime) {
+        for task in &job.tasks {
+            let TaskStanding::Placed(index) = task.standing else {
+                continue;
+            };
+            self.stop_job_runs_at(name, index, now);
+        }
+    }
+
+    fn stop_job_runs_at(&mut self, name: &JobName, index: WorkerIndex, now: UnixTime) {
+        for position in 0..self.worker(index).runs.len() {
+            let facts = self.worker_mut(index).runs[position].facts_mut();
+            if facts.task.job == *name {
+                facts.wanted = false;
+                self.stop_run(index, position, StopCause::NotWanted, now);
+            }
+        }
+    }
+}
+
+impl JobRecord {
+    /// Returns the indices of the tasks that have ended well.
+    pub(super) fn done_tasks(&self) -> impl Iterator<Item = u32> {
+        self.tasks
+            .iter()
+            .zip(0_u32..)
+            .filter(|(task, _)| task.standing == TaskStanding::Done)
+            .map(|(_, index)| index)
+    }
+}
--- /dev/null
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -0,0 +1,197 @@
+//! Chooses workers for waiting tasks and sends starts.
+
+use std::time::Duration;
+
+use bramley_core::units::UnixTime;
+
+use super::Pool;
+use super::admission::serves;
+use crate::decision::Decision;
+use crate::job::{JobName, JobRecord, TaskName, TaskStanding};
+use crate::message::PoolMessage;
+use crate::run::{LiveRun, Run, RunFacts};
+use crate::worker::{WorkerIndex, WorkerOrder, WorkerRecord};
+
+/// A worker that could take a task; the least is taken.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct PlacementScore {
+    /// Whether the task's last run there did not end well, or the worker is on probation.
+    is_doubtful: bool,
+    /// Expected run time there in steps of a quarter of that on a sound worker.
+    time_steps: u32,
+    /// Processor share that stays free, so that tasks are packed tightly.
+    free_cpu_milli: u32,
+}
+
+impl Pool {
+    /// Starts waiting tasks in order while there is room.
+    pub(super) fn place_waiting(&mut self, now: UnixTime) {
+        self.placement_due = false;
+        if self.token.is_none() || self.queue.is_empty() {
+            return;
+        }
+        let mut order: Vec<(JobName, (u8, UnixTime))> = self
+            .queue
+            .iter()
+            .filter_map(|name| Some((name.clone(), self.order_key(self.jobs.get(name)?, now))))
+            .collect();
+        order.sort_by_key(|(_, key)| *key);
+        order.truncate(self.settings.scan_limit);
+        let mut least_failed_cpu = u32::MAX;
+        for (name, _) in order {
+            let Some(job) = self.jobs.get(&name) else {
+                continue;
+            };
+            let cpu = job.submission.work.room.cpu_milli;
+            if cpu >= least_failed_cpu {
+                continue;
+            }
+            if !self.place_job(&name, now) {
+                least_failed_cpu = cpu;
+            }
+        }
+        let jobs = &self.jobs;
+        self.queue
+            .retain(|name| jobs.get(name).is_some_and(|job| job.waiting > 0));
+    }
+
+    /// Starts the waiting tasks of a job; returns whether all found room.
+    fn place_job(&mut self, name: &JobName, now: UnixTime) -> bool {
+        let Some(job) = self.jobs.get(name) else {
+            return true;
+        };
+        if job.relay.is_none() {
+            return true;
+        }
+        let tasks = job.tasks.len();
+        for position in 0..tasks {
+            let Some(job) = self.jobs.get(name) else {
+                return true;
+            };
+            if job.tasks[position].standing != TaskStanding::Waiting {
+                continue;
+            }
+            let Some(worker) = self.choose_worker(job, position, now) else {
+                return false;
+            };
+            self.start_task(name, position, worker, now);
+        }
+        true
+    }
+
+    fn choose_worker(&self, job: &JobRecord, task: usize, now: UnixTime) -> Option<WorkerIndex> {
+        let mut best: Option<(PlacementScore, WorkerIndex)> = None;
+        for index in self.indices() {
+            let worker = self.worker(index);
+            let Some(score) = self.score(worker, index, job, task, now) else {
+                continue;
+            };
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    fn score(
+        &self,
+        worker: &WorkerRecord,
+        index: WorkerIndex,
+        job: &JobRecord,
+        task: usize,
+        now: UnixTime,
+    ) -> Option<PlacementScore> {
+        let work = &job.submission.work;
+        let free = worker.free();
+        if !worker.is_usable()
+            || worker.health.suspended_until > now
+            || !work.room.fits(free)
+            || !serves(worker, job)
+        {
+            return None;
+        }
+        if worker.health.on_probation && !worker.runs.is_empty() {
+            return None;
+        }
+        if work.spread_limit > 0 && tasks_of(worker, &work.job) >= work.spread_limit {
+            return None;
+        }
+        let is_remote =
+            !work.preferred_rack.is_empty() && !worker.entry.labels.contains(&work.preferred_rack);
+        let distance = if is_remote {
+            self.settings.remote_factor
+        } else {
+            1.0
+        };
+        let time_steps = (worker.pace * distance * 4.0).max(0.0) as u32;
+        Some(PlacementScore {
+            is_doubtful: worker.health.on_probation || job.tasks[task].avoided == Some(index),
+            time_steps,
+            free_cpu_milli: free.minus(work.room).cpu_milli,
+        })
+    }
+
+    fn start_task(&mut self, name: &JobName, position: usize, index: WorkerIndex, now: UnixTime) {
+        let lease = self.settings.run_lease;
+        let error = self.settings.clock_error_permille;
+        let Some(job) = self.jobs.get_mut(name) else {
+            return;
+        };
+        let task = &mut job.tasks[position];
+        task.last_number += 1;
+        task.standing = TaskStanding::Placed(index);
+        job.waiting -= 1;
+        let is_first = !job.offered;
+        job.offered = true;
+        let number = task.last_number;
+        let age = now.since(job.submission.arrived_at);
+        let spec = job.submission.work.spec.clone();
+        let relay = job.relay;
+        let facts = RunFacts {
+            task: TaskName::single_step(name.clone(), u32::try_from(position).unwrap_or(u32::MAX)),
+            number,
+            room: job.submission.work.room,
+            started_at: now,
+            expected: job.expected,
+            wanted: true,
+        };
+        let task = facts.task.clone();
+        let worker = self.worker_mut(index);
+        worker.add_run(LiveRun::Starting(Run::new(facts)));
+        let lease_end = worker.clock.extend_lease(now, lease, error);
+        let decision = Decision::Placed {
+            task: task.clone(),
+            number,
+            worker: worker.entry.name.clone(),
+            free_cpu_milli: worker.free().cpu_milli,
+            report_age: report_age(worker, now),
+            age,
+        };
+        self.note(decision);
+        let order = WorkerOrder::Start {
+            task,
+            number,
+            spec,
+            lease_end,
+        };
+        self.order(index, order, now);
+        self.look_if_needed(index, now);
+        if is_first {
+            self.send(relay, PoolMessage::Started { job: name.clone() });
+        }
+    }
+}
+
+/// Returns the age of the worker's latest report.
+pub(super) fn report_age(worker: &WorkerRecord, now: UnixTime) -> Duration {
+    now.since(worker.reported_at)
+}
+
+fn tasks_of(worker: &WorkerRecord, job: &JobName) -> u32 {
+    let count = worker
+        .runs
+        .iter()
+        .filter(|run| run.facts().task.job == *job)
+        .count();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -0,0 +1,498 @@
+//! Reads the answers of workers.
+
+use bramley_core::units::UnixTime;
+
+use super::placement::report_age;
+use super::{Pool, PoolAction, learned_key};
+use crate::decision::Decision;
+use crate::job::{JobName, TaskName, TaskStanding};
+use crate::message::{JobOutcome, PoolMessage};
+use crate::room::TaskRoom;
+use crate::run::{LiveRun, Run, RunFacts, StopCause};
+use crate::worker::{
+    CallAnswer, CallRefusal, EndedRun, RunEnd, WorkerCall, WorkerIndex, WorkerOrder, WorkerReport,
+};
+
+/// Step of a start's number after a worker has refused one as old: another pool may have given
+/// numbers that are not known here.
+const OLD_NUMBER_STEP: u32 = 8;
+
+/// Weight of an observation in a worker's moving average of run times.
+const PACE_WEIGHT: f64 = 0.2;
+
+/// Bounds of a single observation of a worker's run time against the expectation.
+const PACE_BOUNDS: (f64, f64) = (0.3, 8.0);
+
+impl Pool {
+    /// Handles the answer to a call.
+    pub fn worker_answered(&mut self, call: &WorkerCall, answer: CallAnswer, now: UnixTime) {
+        let known = self.workers.get(call.worker.0 as usize);
+        let is_current = known.is_some_and(|worker| worker.life == call.life);
+        if self.token.is_none() || !is_current {
+            return;
+        }
+        if let CallAnswer::Accepted(clock) | CallAnswer::Refused(_, Some(clock)) = &answer {
+            self.worker_mut(call.worker)
+                .clock
+                .observe(*clock, call.sent_at);
+        }
+        if let CallAnswer::Refused(refusal, _) = &answer {
+            match refusal {
+                CallRefusal::Fenced => {
+                    self.lose_command(call.worker, now);
+                    return;
+                }
+                CallRefusal::OtherIncarnation => {
+                    self.worker_replaced(call.worker, now);
+                    return;
+                }
+                _ => {}
+            }
+        }
+        match &call.order {
+            WorkerOrder::Start { task, number, .. } => {
+                self.start_answered(call.worker, task, *number, &answer, now);
+            }
+            WorkerOrder::Stop { task, number } => {
+                self.stop_answered(call.worker, task, *number, &answer, now);
+            }
+            WorkerOrder::Look { wait, .. } => {
+                if !wait.is_zero() {
+                    self.worker_mut(call.worker).looking = false;
+                }
+                self.look_answered(call, answer, now);
+            }
+        }
+        if self.placement_due {
+            self.place_waiting(now);
+        }
+    }
+
+    fn start_answered(
+        &mut self,
+        index: WorkerIndex,
+        task: &TaskName,
+        number: u32,
+        answer: &CallAnswer,
+        now: UnixTime,
+    ) {
+        let Some(position) = self.worker(index).find_run(task, number) else {
+            return;
+        };
+        let refusal = match answer {
+            CallAnswer::Accepted(_) => {
+                let worker = self.worker_mut(index);
+                let run = worker.runs[position].clone();
+                worker.runs[position] = run.confirmed(now);
+                return;
+            }
+            CallAnswer::Unanswered | CallAnswer::Report(_) => {
+                self.counts.starts_unanswered += 1;
+                self.note_start_refused(index, task, number, None);
+                self.stop_run(index, position, StopCause::StartUnanswered, now);
+                self.bad_sign(index, now);
+                return;
+            }
+            CallAnswer::NotSent => None,
+            CallAnswer::Refused(refusal, _) => Some(*refusal),
+        };
+        self.note_start_refused(index, task, number, refusal);
+        let run = self.worker_mut(index).remove_run(position);
+        match refusal {
+            Some(CallRefusal::OldNumber) => {
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.tasks[task.index as usize].last_number += OLD_NUMBER_STEP;
+                }
+            }
+            Some(CallRefusal::NoRoom) => {
+                self.counts.starts_without_room += 1;
+                self.worker_mut(index).synced = false;
+                self.look_now(index, now);
+            }
+            Some(CallRefusal::TooLate) => self.look_now(index, now),
+            Some(CallRefusal::Malformed) => {
+                self.settle(index, run.facts(), Some(RunEnd::Failed), now);
+                return;
+            }
+            Some(CallRefusal::Unhealthy) | None => {
+                self.bad_sign(index, now);
+            }
+            Some(CallRefusal::Fenced | CallRefusal::OtherIncarnation) => {}
+        }
+        self.settle(index, run.facts(), None, now);
+    }
+
+    fn note_start_refused(
+        &mut self,
+        index: WorkerIndex,
+        task: &TaskName,
+        number: u32,
+        refusal: Option<CallRefusal>,
+    ) {
+        let worker = self.worker(index).entry.name.clone();
+        self.note(Decision::StartRefused {
+            task: task.clone(),
+            number,
+            worker,
+            refusal,
+        });
+    }
+
+    fn stop_answered(
+        &mut self,
+        index: WorkerIndex,
+        task: &TaskName,
+        number: u32,
+        answer: &CallAnswer,
+        now: UnixTime,
+    ) {
+        let worker = self.worker_mut(index);
+        let Some(position) = worker.find_run(task, number) else {
+            return;
+        };
+        if let (CallAnswer::Accepted(_), LiveRun::Stopping(run)) =
+            (answer, &mut worker.runs[position])
+        {
+            run.phase.answered_at.get_or_insert(now);
+        }
+    }
+
+    fn look_answered(&mut self, call: &WorkerCall, answer: CallAnswer, now: UnixTime) {
+        match answer {
+            CallAnswer::Report(report) => {
+                self.read_report(call.worker, &report, call.sent_at, now);
+                self.look_if_needed(call.worker, now);
+            }
+            CallAnswer::Accepted(_)
+            | CallAnswer::Refused(..)
+            | CallAnswer::NotSent
+            | CallAnswer::Unanswered => self.look_missed(call.worker, now),
+        }
+    }
+
+    fn read_report(
+        &mut self,
+        index: WorkerIndex,
+        report: &WorkerReport,
+        asked_at: UnixTime,
+        now: UnixTime,
+    ) {
+        if let Some(born) = report.born_unix_ms {
+            let known = self.worker(index).entry.born_unix_ms;
+            if born < known {
+                return;
+            }
+            if born > known {
+                self.worker_reborn(index, born, now);
+            }
+        }
+        let worker = self.worker_mut(index);
+        let was_synced = worker.synced;
+        let newest = asked_at >= worker.reported_at;
+        let may_hold_unknown = !was_synced || asked_at > worker.last_end_at;
+        worker.clock.observe(report.clock, asked_at);
+        worker.reported_at = worker.reported_at.max(asked_at);
+        worker.missed_looks = 0;
+        worker.synced = true;
+        self.read_ends(index, &report.ended, now);
+        if newest && may_hold_unknown {
+            self.read_active(index, report, now);
+        }
+        self.drop_missing(index, report, asked_at, now);
+        if !was_synced {
+            self.placement_due = true;
+            self.note_worker(index, "synced", now);
+        }
+    }
+
+    fn read_ends(&mut self, index: WorkerIndex, ended: &[EndedRun], now: UnixTime) {
+        for end in ended {
+            let worker = self.worker_mut(index);
+            if end.position <= worker.acknowledged
+                || worker
+                    .unclaimed
+                    .iter()
+                    .any(|other| other.position == end.position)
+            {
+                continue;
+            }
+            if let Some(position) = worker.find_run(&end.task, end.number) {
+                let run = worker.remove_run(position);
+                self.settle(index, run.facts(), Some(end.end), now);
+            } else if self.jobs.contains_key(&end.task.job) {
+                self.claim_end(end);
+                if self
+                    .jobs
+                    .get(&end.task.job)
+                    .is_some_and(|job| job.left == 0)
+                {
+                    self.finish(&end.task.job, JobOutcome::Completed, now);
+                }
+            } else if self.adopting_until > now {
+                self.worker_mut(index).unclaimed.push(end.clone());
+            }
+            let worker = self.worker_mut(index);
+            worker.last_read_end = worker.last_read_end.max(end.position);
+        }
+        let worker = self.worker_mut(index);
+        if worker.unclaimed.is_empty() {
+            worker.acknowledged = worker.acknowledged.max(worker.last_read_end);
+        }
+    }
+
+    /// Uses an end whose run is not known here, because an earlier pool started it or its lease
+    /// was taken as ended.
+    fn claim_end(&mut self, end: &EndedRun) {
+        let Some(job) = self.jobs.get_mut(&end.task.job) else {
+            return;
+        };
+        let Some(task) = job.tasks.get_mut(end.task.index as usize) else {
+            return;
+        };
+        task.last_number = task.last_number.max(end.number);
+        if end.end != RunEnd::Done || task.standing != TaskStanding::Waiting {
+            return;
+        }
+        task.standing = TaskStanding::Done;
+        job.waiting -= 1;
+        job.left -= 1;
+        let relay = job.relay;
+        let message = PoolMessage::TaskDone {
+            job: end.task.job.clone(),
+            index: end.task.index,
+        };
+        self.send(relay, message);
+    }
+
+    /// Reads unclaimed ends again after a relay has submitted their job here.
+    pub(super) fn reread_unclaimed_ends(&mut self, name: &JobName) {
+        for index in self.indices() {
+            let worker = self.worker_mut(index);
+            let (claimed, others): (Vec<_>, Vec<_>) = std::mem::take(&mut worker.unclaimed)
+                .into_iter()
+                .partition(|end| end.task.job == *name);
+            worker.unclaimed = others;
+            if worker.unclaimed.is_empty() {
+                worker.acknowledged = worker.acknowledged.max(worker.last_read_end);
+            }
+            for end in &claimed {
+                self.claim_end(end);
+            }
+        }
+    }
+
+    fn read_active(&mut self, index: WorkerIndex, report: &WorkerReport, now: UnixTime) {
+        for active in &report.active {
+            let worker = self.worker_mut(index);
+            if let Some(position) = worker.find_run(&active.task, active.number) {
+                let run = worker.runs[position].clone();
+                worker.runs[position] = run.confirmed(now);
+                continue;
+            }
+            self.find_unknown_run(index, active.task.clone(), active.number, now);
+        }
+    }
+
+    fn find_unknown_run(&mut self, index: WorkerIndex, task: TaskName, number: u32, now: UnixTime) {
+        let capacity = self.worker(index).entry.capacity;
+        let mut facts = RunFacts {
+            task: task.clone(),
+            number,
+            room: TaskRoom {
+                cpu_milli: capacity.cpu_milli / 2,
+                ..TaskRoom::default()
+            },
+            started_at: now,
+            expected: self.run_times.overall_mean(),
+            wanted: false,
+        };
+        let mut duplicate = false;
+        if let Some(job) = self.jobs.get_mut(&task.job)
+            && task.is_single_step()
+            && let Some(record) = job.tasks.get_mut(task.index as usize)
+        {
+            record.last_number = record.last_number.max(number);
+            if record.standing == TaskStanding::Waiting {
+                record.standing = TaskStanding::Placed(index);
+                job.waiting -= 1;
+                job.offered = true;
+                facts.room = job.submission.work.room;
+                facts.expected = job.expected;
+                facts.wanted = true;
+                self.counts.runs_adopted += 1;
+            } else {
+                duplicate = true;
+            }
+        }
+        let stop_now = duplicate || (!facts.wanted && self.adopting_until <= now);
+        let worker = self.worker_mut(index);
+        let position = worker.runs.len();
+        worker.add_run(LiveRun::Starting(Run::new(facts)).confirmed(now));
+        if stop_now {
+            self.stop_run(index, position, StopCause::Unclaimed, now);
+        }
+    }
+
+    /// Ends runs that a report asked for after their confirmation does not hold.
+    fn drop_missing(
+        &mut self,
+        index: WorkerIndex,
+        report: &WorkerReport,
+        asked_at: UnixTime,
+        now: UnixTime,
+    ) {
+        let mut position = 0;
+        while let Some(run) = self.worker(index).runs.get(position) {
+            let known_at = match run {
+                LiveRun::Starting(_) => None,
+                LiveRun::Running(run) => Some(run.phase.confirmed_at),
+                LiveRun::Stopping(run) => run.phase.answered_at,
+            };
+            let facts = run.facts();
+            let is_listed = report
+                .active
+                .iter()
+                .any(|active| active.number == facts.number && active.task == facts.task);
+            if is_listed || known_at.is_none_or(|known| known >= asked_at) {
+                position += 1;
+                continue;
+            }
+            let run = self.worker_mut(index).remove_run(position);
+            self.settle(index, run.facts(), None, now);
+        }
+    }
+
+    /// Follows up a run whose end is known; `end` is none if it is known not to run.
+    pub(super) fn settle(
+        &mut self,
+        index: WorkerIndex,
+        facts: &RunFacts,
+        end: Option<RunEnd>,
+        now: UnixTime,
+    ) {
+        self.placement_due = true;
+        let ran = now.since(facts.started_at);
+        let worker = self.worker_mut(index);
+        worker.last_end_at = now;
+        let decision = Decision::RunEnded {
+            task: facts.task.clone(),
+            number: facts.number,
+            worker: worker.entry.name.clone(),
+            end,
+            ran,
+        };
+        self.note(decision);
+        match end {
+            Some(RunEnd::Done) => {
+                self.counts.runs_done += 1;
+                self.good_sign(index, facts, now);
+            }
+            Some(RunEnd::Failed) => self.counts.runs_failed += 1,
+            Some(RunEnd::LeaseEnded) => self.counts.runs_lapsed += 1,
+            Some(RunEnd::Stopped | RunEnd::GroupBroken | RunEnd::GroupMissing) | None => {}
+        }
+        let Some(job) = self.jobs.get_mut(&facts.task.job) else {
+            if end == Some(RunEnd::Failed) {
+                self.bad_sign(index, now);
+            }
+            return;
+        };
+        let Some(task) = job.tasks.get_mut(facts.task.index as usize) else {
+            return;
+        };
+        if task.standing != TaskStanding::Placed(index) || task.last_number != facts.number {
+            return;
+        }
+        if end == Some(RunEnd::Done) {
+            task.standing = TaskStanding::Done;
+            job.left -= 1;
+            let relay = job.relay;
+            let is_complete = job.left == 0;
+            let key = learned_key(&job.submission.policy);
+            let message = PoolMessage::TaskDone {
+                job: facts.task.job.clone(),
+                index: facts.task.index,
+            };
+            self.run_times.observe(&key.0, &key.1, ran);
+            if is_complete {
+                self.finish(&facts.task.job, JobOutcome::Completed, now);
+            } else {
+                self.send(relay, message);
+            }
+            return;
+        }
+        task.standing = TaskStanding::Waiting;
+        task.avoided = Some(index);
+        job.waiting += 1;
+        if end == Some(RunEnd::Failed) {
+            task.failures += 1;
+            let failures: u32 = job.tasks.iter().map(|task| task.failures).sum();
+            let failures_of_task = job.tasks[facts.task.index as usize].failures;
+            let attempts = job.submission.policy.attempts.max(1);
+            // Later failures of one job say more about the job than about the workers.
+            if failures == 1 {
+                self.bad_sign(index, now);
+            }
+            if failures_of_task >= attempts {
+                self.finish(&facts.task.job, JobOutcome::Failed, now);
+                return;
+            }
+        }
+        self.enqueue(&facts.task.job);
+    }
+
+    fn good_sign(&mut self, index: WorkerIndex, facts: &RunFacts, now: UnixTime) {
+        let ran = now.since(facts.started_at).as_secs_f64();
+        let expected = facts.expected.as_secs_f64().max(0.001);
+        let ratio = (ran / expected).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        let slow_ratio = self.settings.slow_ratio;
+        let first_wait = self.settings.suspend_first;
+        let worker = self.worker_mut(index);
+        worker.pace += (ratio - worker.pace) * PACE_WEIGHT;
+        if worker.pace < slow_ratio {
+            if worker.health.on_probation {
+                worker.health.next_wait = first_wait;
+            }
+            worker.health.on_probation = false;
+        }
+        worker.health.bad_signs = 0;
+    }
+
+    /// Notes a sign that the worker is not sound, and suspends it after two of them.
+    pub(super) fn bad_sign(&mut self, index: WorkerIndex, now: UnixTime) {
+        let first = self.settings.suspend_first;
+        let longest = self.settings.suspend_longest;
+        let worker = self.worker_mut(index);
+        worker.health.bad_signs += 1;
+        if worker.health.bad_signs < 2 && !worker.health.on_probation {
+            worker.health.on_probation = true;
+            return;
+        }
+        if worker.health.suspended_until > now {
+            return;
+        }
+        let wait = worker.health.next_wait.max(first);
+        worker.health.suspended_until = now.after(wait);
+        worker.health.next_wait = (wait * 2).min(longest);
+        worker.health.on_probation = true;
+        self.note_worker(index, "suspended", now);
+    }
+
+    pub(super) fn note_worker(&mut self, index: WorkerIndex, belief: &'static str, now: UnixTime) {
+        let worker = self.worker(index);
+        let decision = Decision::WorkerChanged {
+            worker: worker.entry.name.clone(),
+            belief,
+            runs: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
+            born_unix_ms: worker.entry.born_unix_ms,
+            report_age: report_age(worker, now),
+        };
+        self.note(decision);
+    }
+
+    fn lose_command(&mut self, index: WorkerIndex, now: UnixTime) {
+        self.note_worker(index, "commanded_elsewhere", now);
+        self.give_up_command(now);
+        self.actions.push(PoolAction::Superseded);
+    }
+}
--- /dev/null
+++ b/crates/bramley-pool/src/pool/upkeep.rs
@@ -0,0 +1,213 @@
+//! Renews leases, retries stops and ends what has lapsed.
+
+use std::time::Duration;
+
+use bramley_core::units::UnixTime;
+
+use super::Pool;
+use crate::job::{JobName, JobRecord};
+use crate::message::JobOutcome;
+use crate::refusal::Refusal;
+use crate::run::{LiveRun, StopCause};
+use crate::worker::{RunEnd, WorkerIndex, WorkerOrder};
+
+/// Wait after a missed look; it grows by this much with each further one.
+const MISSED_LOOK_WAIT: Duration = Duration::from_millis(60);
+
+/// Largest multiple of the wait after missed looks.
+const MISSED_LOOK_STEPS: u32 = 10;
+
+/// Time for a worker to end what has lapsed or was stopped; the platform states 50 ms.
+const END_MARGIN: Duration = Duration::from_millis(60);
+
+impl Pool {
+    /// Does what is due; called at least every 50 ms while the pool is busy.
+    pub fn tick(&mut self, now: UnixTime) {
+        if self.token.is_none() {
+            return;
+        }
+        self.end_unwanted_jobs(now);
+        for index in self.indices() {
+            self.tend_worker(index, now);
+        }
+        if self.placement_due || !self.queue.is_empty() {
+            self.place_waiting(now);
+        }
+    }
+
+    fn end_unwanted_jobs(&mut self, now: UnixTime) {
+        let abandoned: Vec<JobName> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.relay.is_none() && job.abandoned_at <= now)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in abandoned {
+            self.cancel(&name, "relay_lost", now);
+        }
+        let expired: Vec<JobName> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.offered && self.is_expired(job, now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in expired {
+            let wait = self.settings.suspend_first;
+            self.refuse(&name, JobOutcome::Refused(Refusal::Expired), wait, now);
+        }
+    }
+
+    fn is_expired(&self, job: &JobRecord, now: UnixTime) -> bool {
+        let arrived = job.submission.arrived_at;
+        let objective = job.objective_at.since(arrived);
+        let given_up_at = arrived.after(objective.mul_f64(self.settings.give_up_factor));
+        now >= given_up_at.min(job.submission.deadline)
+    }
+
+    fn tend_worker(&mut self, index: WorkerIndex, now: UnixTime) {
+        if self.worker(index).runs.is_empty() {
+            self.tend_idle_worker(index, now);
+            return;
+        }
+        self.end_lapsed_runs(index, now);
+        self.stop_unclaimed_runs(index, now);
+        self.stop_stalled_runs(index, now);
+        self.retry_stops(index, now);
+        self.look_if_needed(index, now);
+    }
+
+    fn tend_idle_worker(&mut self, index: WorkerIndex, now: UnixTime) {
+        let idle_wait = self.settings.idle_acknowledgement;
+        let is_adopting = self.adopting_until > now;
+        let worker = self.worker_mut(index);
+        if !is_adopting && !worker.unclaimed.is_empty() {
+            worker.unclaimed.clear();
+            worker.acknowledged = worker.acknowledged.max(worker.last_read_end);
+        }
+        let owes_acknowledgement = worker.acknowledged > worker.acknowledgement_sent
+            && now.since(worker.last_end_at) >= idle_wait;
+        let is_unknown = worker.listed && (!worker.synced || worker.missed_looks > 0);
+        if owes_acknowledgement || is_unknown {
+            self.look_now(index, now);
+        }
+    }
+
+    fn end_lapsed_runs(&mut self, index: WorkerIndex, now: UnixTime) {
+        let error = self.settings.clock_error_permille;
+        let worker = self.worker(index);
+        if !worker.clock.has_lapsed(now.before(END_MARGIN), error) {
+            return;
+        }
+        while !self.worker(index).runs.is_empty() {
+            let run = self.worker_mut(index).remove_run(0);
+            self.settle(index, run.facts(), Some(RunEnd::LeaseEnded), now);
+        }
+        self.note_worker(index, "leases_ended", now);
+    }
+
+    fn stop_unclaimed_runs(&mut self, index: WorkerIndex, now: UnixTime) {
+        if self.adopting_until > now {
+            return;
+        }
+        let worker = self.worker_mut(index);
+        if !worker.unclaimed.is_empty() {
+            worker.unclaimed.clear();
+            worker.acknowledged = worker.acknowledged.max(worker.last_read_end);
+        }
+        for position in 0..self.worker(index).runs.len() {
+            if !self.worker(index).runs[position].facts().wanted {
+                self.stop_run(index, position, StopCause::Unclaimed, now);
+            }
+        }
+    }
+
+    fn stop_stalled_runs(&mut self, index: WorkerIndex, now: UnixTime) {
+        let ratio = self.settings.stall_ratio;
+        let floor = self.settings.stall_floor;
+        for position in 0..self.worker(index).runs.len() {
+            let worker = self.worker(index);
+            let LiveRun::Running(run) = &worker.runs[position] else {
+                continue;
+            };
+            let expected = run.facts.expected.mul_f64(ratio * worker.pace.max(1.0));
+            if now.since(run.facts.started_at) > expected.max(floor) {
+                self.stop_run(index, position, StopCause::Stalled, now);
+                self.bad_sign(index, now);
+            }
+        }
+    }
+
+    fn retry_stops(&mut self, index: WorkerIndex, now: UnixTime) {
+        let retry_at = now.after(self.settings.stop_retry);
+        for position in 0..self.worker(index).runs.len() {
+            let LiveRun::Stopping(run) = &mut self.worker_mut(index).runs[position] else {
+                continue;
+            };
+            if run.phase.retry_at > now {
+                continue;
+            }
+            run.phase.retry_at = retry_at;
+            let order = WorkerOrder::Stop {
+                task: run.facts.task.clone(),
+                number: run.facts.number,
+            };
+            if run.phase.answered_at.is_some() {
+                self.look_now(index, now);
+            } else {
+                self.order(index, order, now);
+            }
+        }
+    }
+
+    /// Keeps one waiting look at a worker on its way while anything runs there; it renews the run
+    /// lease while a run is wanted and the worker answers.
+    pub(super) fn look_if_needed(&mut self, index: WorkerIndex, now: UnixTime) {
+        let lease = self.settings.run_lease;
+        let error = self.settings.clock_error_permille;
+        let wait = self.settings.look_wait;
+        let worker = self.worker_mut(index);
+        if worker.looking || worker.runs.is_empty() || worker.next_look_at > now {
+            return;
+        }
+        let is_kept = worker.runs.iter().any(|run| !run.is_stopping());
+        let renews = is_kept && worker.missed_looks == 0 && worker.clock.is_known();
+        worker.looking = true;
+        worker.acknowledgement_sent = worker.acknowledged;
+        let order = WorkerOrder::Look {
+            lease_end: renews.then(|| worker.clock.extend_lease(now, lease, error)),
+            acknowledged: worker.acknowledged,
+            wait,
+        };
+        self.order(index, order, now);
+    }
+
+    /// Looks at a worker at once, without renewing its lease.
+    pub(super) fn look_now(&mut self, index: WorkerIndex, now: UnixTime) {
+        if self.token.is_none() {
+            return;
+        }
+        let worker = self.worker_mut(index);
+        if worker.next_probe_at > now {
+            return;
+        }
+        worker.next_probe_at = now.after(MISSED_LOOK_WAIT);
+        worker.acknowledgement_sent = worker.acknowledged;
+        let order = WorkerOrder::Look {
+            lease_end: None,
+            acknowledged: worker.acknowledged,
+            wait: Duration::ZERO,
+        };
+        self.order(index, order, now);
+    }
+
+    pub(super) fn look_missed(&mut self, index: WorkerIndex, now: UnixTime) {
+        let worker = self.worker_mut(index);
+        worker.missed_looks += 1;
+        let steps = worker.missed_looks.min(MISSED_LOOK_STEPS);
+        worker.next_look_at = now.after(MISSED_LOOK_WAIT * steps);
+        worker.next_probe_at = worker.next_look_at;
+        if worker.missed_looks == 1 {
+            self.note_worker(index, "silent", now);
+        }
+    }
+}
--- a/crates/bramley-wire/src/lib.rs
+++ b/crates/bramley-wire/src/lib.rs
@@ -39,3 +39,11 @@
 pub mod worker {
     include!("generated/bramley.worker.v1.rs");
 }
+
+/// Frames between relays and pools.
+#[allow(missing_docs, reason = "generated code")]
+#[allow(clippy::all, clippy::clone_on_ref_ptr, reason = "generated code")]
+#[allow(missing_debug_implementations, reason = "generated code")]
+pub mod pool {
+    include!("generated/bramley.pool.v1.rs");
+}
