--- a/crates/bramley-dock/src/engine.rs
+++ b/crates/bramley-dock/src/engine.rs
@@ -480,9 +480,13 @@
         state.routes_at = self.now();
     }
 
-    /// Claims were read from the store.
-    pub fn claims_changed(self: &Rc<Self>, items: Vec<ClaimItem>) {
+    /// Claims were read from the store; `complete` tells that domains not named have none.
+    pub fn claims_changed(self: &Rc<Self>, items: Vec<ClaimItem>, complete: bool) {
         let now = self.now();
+        let home = &self.settings.host.domain;
+        if complete && items.iter().all(|item| item.domain != *home) {
+            self.state.borrow_mut().claim.viewed(None, now);
+        }
         for item in items {
             if item.domain == self.settings.host.domain {
                 self.state.borrow_mut().claim.viewed(item.view.clone(), now);
@@ -740,10 +744,11 @@
                     ..view
                 };
                 self.command_changed.notify_waiters();
-                self.claims_changed(vec![ClaimItem {
+                let item = ClaimItem {
                     domain,
                     view: Some(view),
-                }]);
+                };
+                self.claims_changed(vec![item], false);
                 self.connect_own_pool();
                 self.beat_now();
                 self.carry_out();
--- a/crates/bramley-dock/src/logging.rs
+++ b/crates/bramley-dock/src/logging.rs
@@ -139,8 +139,9 @@
     }
 }
 
+/// Returns a printable mark: the logger strips control characters.
 const fn mark_of_level(level: Level) -> u8 {
-    level as u8
+    b'0' + level as u8
 }
 
 fn level_of_mark(mark: u8) -> Level {
--- a/crates/bramley-dock/src/watch.rs
+++ b/crates/bramley-dock/src/watch.rs
@@ -108,9 +108,10 @@
         match read {
             Ok(claims) => {
                 health.succeeded(&engine, "claims");
+                let is_complete = after.is_none();
                 after = Some(claims.revision);
-                if !claims.items.is_empty() {
-                    engine.claims_changed(claims.items);
+                if is_complete || !claims.items.is_empty() {
+                    engine.claims_changed(claims.items, is_complete);
                 }
             }
             Err(fault) => {
