Jobs that were handed over get new runs only once earlier runs are known

Ruled out: late orders (both starts were answered). The pool now waits for the reports of all listed workers, or for the end of the earlier pool's leases.

--- a/crates/bramley-dock/src/engine.rs
+++ b/crates/bramley-dock/src/engine.rs
@@ -429,7 +429,11 @@
     }
 
     pub(crate) fn pool_said(self: &Rc<Self>, domain: &DomainName, message: PoolMessage) {
-        self.state.borrow_mut().relay.pool_said(domain, message);
+        let now = self.now();
+        self.state
+            .borrow_mut()
+            .relay
+            .pool_said(domain, message, now);
         self.carry_out();
     }
 
@@ -808,7 +812,7 @@
                 }
                 let home = self.settings.host.domain.clone();
                 for message in std::mem::take(&mut state.to_own_relay) {
-                    state.relay.pool_said(&home, message);
+                    state.relay.pool_said(&home, message, now);
                 }
                 (state.pool.take_actions(), state.relay.take_actions())
             };
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -12,6 +12,7 @@
     /// Takes command of the workers with a fencing token that is higher than all before.
     pub fn take_command(&mut self, token: u64, now: UnixTime) {
         if self.token.is_none() {
+            self.commands_since = now;
             self.adopting_until = now.after(self.settings.adoption_window);
             for worker in &mut self.workers {
                 worker.reset_life();
@@ -25,6 +26,20 @@
         }
     }
 
+    /// Tells whether every run of an earlier pool is known or has surely ended, so that a job that
+    /// was handed over may get new runs.
+    pub(super) fn has_found_earlier_runs(&self, now: UnixTime) -> bool {
+        if now >= self.commands_since.after(self.settings.takeover_bound) {
+            return true;
+        }
+        let is_read = self.listed_at > self.commands_since;
+        is_read
+            && self
+                .workers
+                .iter()
+                .all(|worker| worker.synced || !worker.listed)
+    }
+
     /// Gives command up: open jobs are left to the relays, which submit them elsewhere.
     pub fn give_up_command(&mut self, _now: UnixTime) {
         if self.token.is_none() {
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -77,6 +77,7 @@
 pub struct Pool {
     settings: PoolSettings,
     token: Option<u64>,
+    commands_since: UnixTime,
     adopting_until: UnixTime,
     workers: Vec<WorkerRecord>,
     by_name: FxHashMap<WorkerName, WorkerIndex>,
@@ -97,6 +98,7 @@
         Self {
             settings,
             token: None,
+            commands_since: UnixTime::default(),
             adopting_until: UnixTime::default(),
             workers: Vec::new(),
             by_name: FxHashMap::default(),
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -37,11 +37,15 @@
             .collect();
         order.sort_by_key(|(_, key)| *key);
         order.truncate(self.settings.scan_limit);
+        let has_found_earlier_runs = self.has_found_earlier_runs(now);
         let mut least_failed_cpu = u32::MAX;
         for (name, _) in order {
             let Some(job) = self.jobs.get(&name) else {
                 continue;
             };
+            if job.submission.resumed && !has_found_earlier_runs {
+                continue;
+            }
             let cpu = job.submission.work.room.cpu_milli;
             if cpu >= least_failed_cpu {
                 continue;
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -203,7 +203,7 @@
     }
 
     /// Handles a message of a pool.
-    pub fn pool_said(&mut self, domain: &DomainName, message: PoolMessage) {
+    pub fn pool_said(&mut self, domain: &DomainName, message: PoolMessage, now: UnixTime) {
         match message {
             PoolMessage::Started { job } => {
                 if let Some(job) = self.job_at(&job, domain) {
@@ -218,9 +218,20 @@
                 }
             }
             PoolMessage::Ended { job, outcome, wait } => {
-                if self.job_at(&job, domain).is_some() {
-                    self.job_ended(&job, outcome, wait);
+                let ended_by = now.after(self.settings.lost_pool_wait);
+                let Some(record) = self.job_at(&job, domain) else {
+                    return;
+                };
+                let may_have_run = record.started || record.submission.resumed;
+                if may_have_run && matches!(outcome, JobOutcome::Refused(_)) {
+                    // The pool has lost command, so that the job's runs may go on for a while.
+                    record.standing = JobStanding::InDoubt {
+                        domain: domain.clone(),
+                        ended_by,
+                    };
+                    return;
                 }
+                self.job_ended(&job, outcome, wait);
             }
         }
     }
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -15,6 +15,9 @@
     pub clock_error_permille: u32,
     /// Time that a relay has to come back before its jobs are stopped.
     pub relay_grace: Duration,
+    /// Time after a change of command until runs on workers that were not read have surely ended:
+    /// the earlier pool meets the new token within one look, and then its last leases end.
+    pub takeover_bound: Duration,
     /// Time that relays have after a change of command to claim runs that are under way.
     pub adoption_window: Duration,
     /// Time between two tries to stop a run.
@@ -49,6 +52,7 @@
             look_wait: Duration::from_millis(200),
             clock_error_permille: 20,
             relay_grace: Duration::from_millis(300),
+            takeover_bound: Duration::from_millis(1_500),
             adoption_window: Duration::from_millis(800),
             stop_retry: Duration::from_millis(150),
             idle_acknowledgement: Duration::from_millis(300),
@@ -69,7 +73,7 @@
 #[derive(Clone, Debug)]
 pub struct RelaySettings {
     /// Time after the last message of a lost pool until its runs have surely ended: the pool's
-    /// silence limit, the relay grace and one run lease.
+    /// silence limit, the relay grace, one run lease and a short pause of the pool's host.
     pub lost_pool_wait: Duration,
     /// Least time to come back that a refusal states.
     pub retry_after_least: Duration,
@@ -78,7 +82,7 @@
 impl Default for RelaySettings {
     fn default() -> Self {
         Self {
-            lost_pool_wait: Duration::from_millis(2_000),
+            lost_pool_wait: Duration::from_millis(2_500),
             retry_after_least: Duration::from_secs(1),
         }
     }
--- /dev/null
+++ b/crates/bramley-pool/tests/handover.rs
@@ -0,0 +1,92 @@
+//! Command of the workers passes from one process to another while tasks run.
+
+mod world;
+
+use std::time::Duration;
+
+use bramley_pool::relay::JobAnswer;
+use world::{TestJob, World};
+
+fn long_job(name: &str) -> TestJob {
+    TestJob {
+        name: String::from(name),
+        tasks: 4,
+        run: Duration::from_millis(400),
+        ..TestJob::default()
+    }
+}
+
+/// Pattern: a job is submitted again to the new pool before the runs of all workers were read.
+#[test]
+fn no_task_runs_twice_when_command_passes_on() {
+    let mut world = World::new(3, 8);
+    world.take_command(0, 10);
+    world.run_for(Duration::from_millis(50));
+    world.submit(2, &long_job("job-1"));
+    world.run_for(Duration::from_millis(100));
+    for worker in &mut world.workers {
+        if worker.running() > 0 {
+            worker.answer_delay = Duration::from_millis(20);
+        }
+    }
+    world.take_command(1, 20);
+    world.run_for(Duration::from_secs(4));
+    assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
+    assert_eq!(world.runs(), 4, "the runs go on: {:#?}", world.log);
+    assert_eq!(world.answer("job-1"), Some(JobAnswer::Completed));
+}
+
+/// Pattern: as before, and one worker answers nobody for longer than a run lease.
+#[test]
+fn a_silent_worker_is_waited_for_until_its_leases_have_ended() {
+    let mut world = World::new(3, 8);
+    world.take_command(0, 10);
+    world.run_for(Duration::from_millis(50));
+    world.submit(2, &long_job("job-1"));
+    world.run_for(Duration::from_millis(100));
+    for worker in &mut world.workers {
+        worker.silent = worker.running() > 0;
+    }
+    world.take_command(1, 20);
+    world.run_for(Duration::from_secs(6));
+    assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
+    assert_eq!(
+        world.answer("job-1"),
+        Some(JobAnswer::Completed),
+        "{:#?}",
+        world.log
+    );
+}
+
+/// Pattern: the process with command ends, and with it one relay; the other relays' jobs go on.
+#[test]
+fn jobs_of_other_relays_survive_the_end_of_the_pool() {
+    let mut world = World::new(3, 8);
+    world.take_command(0, 10);
+    world.run_for(Duration::from_millis(50));
+    world.submit(0, &long_job("job-lost"));
+    world.submit(2, &long_job("job-kept"));
+    world.run_for(Duration::from_millis(100));
+    world.kill_host(0);
+    world.run_for(Duration::from_millis(200));
+    world.take_command(1, 20);
+    world.run_for(Duration::from_secs(4));
+    assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
+    assert_eq!(
+        world.answer("job-kept"),
+        Some(JobAnswer::Completed),
+        "{:#?}",
+        world.log
+    );
+    assert_eq!(
+        world.answer("job-lost"),
+        None,
+        "its caller's connection has ended"
+    );
+    let running: usize = world
+        .workers
+        .iter()
+        .map(world::workers::VirtualWorker::running)
+        .sum();
+    assert_eq!(running, 0, "the lost job's runs were stopped");
+}
--- /dev/null
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -0,0 +1,502 @@
+//! Relays, pools and workers in virtual time.
+//!
+//! The kernels are the real ones. Workers keep fencing tokens, run leases and lists of ends as the
+//! platform's do, and record every moment at which a task ran.
+
+#![allow(dead_code, reason = "each test file uses a part of the world")]
+
+pub mod workers;
+
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::time::Duration;
+
+use bramley_core::names::DomainName;
+use bramley_core::units::UnixTime;
+use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
+use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
+use bramley_pool::pool::{Pool, PoolAction};
+use bramley_pool::relay::{JobAnswer, Relay, RelayAction};
+use bramley_pool::room::TaskRoom;
+use bramley_pool::settings::{PoolSettings, RelaySettings};
+use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerOrder};
+
+use workers::VirtualWorker;
+
+/// One way between any two processes.
+pub const DELAY: Duration = Duration::from_millis(1);
+
+/// Time until a pool that has taken command has read the list of workers.
+const LIST_TIME: Duration = Duration::from_millis(4);
+
+/// Time between two rounds of what is due by time.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Time after which a call to a worker counts as unanswered.
+const CALL_LIMIT: Duration = Duration::from_millis(250);
+
+/// Something that happens at a time.
+#[derive(Clone, Debug)]
+enum Event {
+    Tick,
+    ToPool(usize, usize, RelayMessage),
+    ToRelay(usize, usize, PoolMessage),
+    CallArrives(usize, WorkerCall),
+    LookEnds(usize, WorkerCall, UnixTime),
+    Answer(usize, WorkerCall, CallAnswer),
+    CallTimesOut(usize, WorkerCall),
+    List(usize),
+}
+
+#[derive(Debug)]
+struct Scheduled {
+    at: UnixTime,
+    order: u64,
+    event: Event,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+/// A host: a relay and a pool for the only failure domain.
+#[derive(Debug)]
+pub struct VirtualHost {
+    pub relay: Relay,
+    pub pool: Pool,
+    pub alive: bool,
+}
+
+/// Everything that is simulated.
+#[derive(Debug)]
+pub struct World {
+    pub now: UnixTime,
+    pub hosts: Vec<VirtualHost>,
+    pub workers: Vec<VirtualWorker>,
+    /// Host whose pool the relays use.
+    pub commander: Option<usize>,
+    /// Answers by job, with their times.
+    pub answers: BTreeMap<String, (JobAnswer, UnixTime)>,
+    /// Lines of the decisions, for failed tests.
+    pub log: Vec<String>,
+    /// Calls that get no answer although they are carried out: worker and number of calls left.
+    pub lost_answers: BTreeMap<usize, u32>,
+    /// Pairs of host and worker that cannot reach each other.
+    pub cuts: BTreeSet<(usize, usize)>,
+    answered: BTreeSet<(usize, u64)>,
+    events: BinaryHeap<Scheduled>,
+    order: u64,
+    domain: DomainName,
+}
+
+/// A job of a test.
+#[derive(Clone, Debug)]
+pub struct TestJob {
+    pub name: String,
+    pub route: &'static str,
+    pub tasks: u32,
+    pub cpu_milli: u32,
+    pub run: Duration,
+    pub priority: u32,
+    pub attempts: u32,
+}
+
+impl Default for TestJob {
+    fn default() -> Self {
+        Self {
+            name: String::from("job-1"),
+            route: "holds",
+            tasks: 1,
+            cpu_milli: 10_000,
+            run: Duration::from_millis(100),
+            priority: 0,
+            attempts: 2,
+        }
+    }
+}
+
+impl World {
+    /// Makes a world of hosts and sound workers with 32 cores each.
+    pub fn new(hosts: usize, workers: usize) -> Self {
+        Self::with_settings(hosts, workers, &PoolSettings::default())
+    }
+
+    pub fn with_settings(hosts: usize, workers: usize, settings: &PoolSettings) -> Self {
+        let domain = DomainName::from("domain-1");
+        let make_host = |_| VirtualHost {
+            relay: Relay::new(RelaySettings::default(), domain.clone()),
+            pool: Pool::new(settings.clone()),
+            alive: true,
+        };
+        let mut world = Self {
+            now: UnixTime::from_millis(1_000_000),
+            hosts: (0..hosts).map(make_host).collect(),
+            workers: (0..workers).map(VirtualWorker::new).collect(),
+            commander: None,
+            answers: BTreeMap::new(),
+            log: Vec::new(),
+            lost_answers: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            answered: BTreeSet::new(),
+            events: BinaryHeap::new(),
+            order: 0,
+            domain,
+        };
+        world.schedule(TICK, Event::Tick);
+        world
+    }
+
+    fn schedule(&mut self, after: Duration, event: Event) {
+        self.order += 1;
+        self.events.push(Scheduled {
+            at: self.now.after(after),
+            order: self.order,
+            event,
+        });
+    }
+
+    /// Gives a host command with a token and lets all relays connect to it.
+    pub fn take_command(&mut self, host: usize, token: u64) {
+        let now = self.now;
+        if let Some(before) = self.commander
+            && before != host
+        {
+            for relay in &mut self.hosts {
+                relay.relay.pool_lost(&self.domain, now);
+            }
+            for relay in 0..self.hosts.len() {
+                self.hosts[before]
+                    .pool
+                    .relay_lost(RelayId(relay as u64), now);
+            }
+        }
+        self.commander = Some(host);
+        self.hosts[host].pool.take_command(token, now);
+        self.schedule(LIST_TIME, Event::List(host));
+        for index in 0..self.hosts.len() {
+            if self.hosts[index].alive {
+                self.hosts[index].relay.pool_connected(&self.domain);
+            }
+        }
+        self.carry_out();
+    }
+
+    /// Hands the list of workers to a host's pool.
+    pub fn list_workers(&mut self, host: usize) {
+        let now = self.now;
+        let entries: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|worker| worker.listed)
+            .map(VirtualWorker::entry)
+            .collect();
+        let pool = &mut self.hosts[host].pool;
+        for entry in entries {
+            pool.worker_listed(entry, now);
+        }
+        pool.list_read(now);
+        self.carry_out();
+    }
+
+    /// Ends a host's process: its relay's jobs and its command are gone.
+    pub fn kill_host(&mut self, host: usize) {
+        self.hosts[host].alive = false;
+        let now = self.now;
+        if self.commander == Some(host) {
+            for relay in &mut self.hosts {
+                relay.relay.pool_lost(&self.domain, now);
+            }
+            self.commander = None;
+        } else if let Some(commander) = self.commander {
+            let pool = &mut self.hosts[commander].pool;
+            pool.relay_lost(RelayId(host as u64), now);
+        }
+        self.carry_out();
+    }
+
+    /// Submits a job at a host.
+    pub fn submit(&mut self, host: usize, job: &TestJob) {
+        let submission = self.submission(job);
+        for worker in &mut self.workers {
+            worker.run_times.insert(job.name.clone(), job.run);
+            worker.set_room(&job.name, job.cpu_milli);
+        }
+        let now = self.now;
+        self.hosts[host].relay.accept(submission, now);
+        self.carry_out();
+    }
+
+    fn submission(&self, job: &TestJob) -> JobSubmission {
+        JobSubmission {
+            work: JobWork {
+                job: JobName::new(job.name.as_str()),
+                spec: "spec".into(),
+                tasks: job.tasks,
+                room: TaskRoom {
+                    accelerators: 0,
+                    cpu_milli: job.cpu_milli,
+                    memory_mb: 64,
+                },
+                declared: job.run,
+                required_label: "".into(),
+                preferred_rack: "".into(),
+                spread_limit: 0,
+            },
+            policy: JobPolicy {
+                route: RouteName::new(job.route),
+                service: ServiceName::new("service-1"),
+                priority: job.priority,
+                attempts: job.attempts,
+                stretch_factor: 1.6,
+                target: Duration::from_millis(60),
+            },
+            arrived_at: self.now,
+            deadline: self.now.after(Duration::from_secs(10)),
+            done: Vec::new(),
+            resumed: false,
+        }
+    }
+
+    /// Lets the caller of a job leave.
+    pub fn leave(&mut self, host: usize, job: &str) {
+        self.hosts[host].relay.caller_left(&JobName::new(job));
+        self.carry_out();
+    }
+
+    /// Runs for a while.
+    pub fn run_for(&mut self, span: Duration) {
+        let end = self.now.after(span);
+        while self.events.peek().is_some_and(|next| next.at <= end) {
+            let Some(next) = self.events.pop() else {
+                break;
+            };
+            self.now = next.at;
+            self.handle(next.event);
+            self.carry_out();
+        }
+        self.now = end;
+    }
+
+    /// Returns the answer to a job.
+    pub fn answer(&self, job: &str) -> Option<JobAnswer> {
+        self.answers.get(job).map(|(answer, _)| *answer)
+    }
+
+    /// Returns tasks of which two runs overlapped.
+    pub fn overlaps(&self) -> Vec<String> {
+        let mut spans: BTreeMap<String, Vec<(UnixTime, UnixTime)>> = BTreeMap::new();
+        for worker in &self.workers {
+            for (task, from, to) in worker.history(self.now) {
+                spans.entry(task).or_default().push((from, to));
+            }
+        }
+        let mut found = Vec::new();
+        for (task, mut times) in spans {
+            times.sort_unstable();
+            if times.windows(2).any(|pair| pair[1].0 < pair[0].1) {
+                found.push(task);
+            }
+        }
+        found
+    }
+
+    /// Returns the number of runs that were begun.
+    pub fn runs(&self) -> usize {
+        self.workers
+            .iter()
+            .map(|worker| worker.history(self.now).len())
+            .sum()
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Tick => {
+                for host in self.hosts.iter_mut().filter(|host| host.alive) {
+                    host.pool.tick(now);
+                    host.relay.tick(now);
+                }
+                self.schedule(TICK, Event::Tick);
+            }
+            Event::ToPool(from, to, message) => {
+                if self.hosts[to].alive {
+                    self.hosts[to]
+                        .pool
+                        .relay_said(RelayId(from as u64), message, now);
+                }
+            }
+            Event::ToRelay(from, to, message) => {
+                if self.hosts[to].alive && self.commander == Some(from) {
+                    self.hosts[to].relay.pool_said(&self.domain, message, now);
+                }
+            }
+            Event::CallArrives(host, call) => self.call_arrives(host, call),
+            Event::LookEnds(host, call, until) => self.look(host, call, until),
+            Event::Answer(host, call, answer) => {
+                let key = (host, call_key(&call));
+                if self.hosts[host].alive && self.answered.insert(key) {
+                    self.hosts[host].pool.worker_answered(&call, answer, now);
+                }
+            }
+            Event::List(host) => {
+                if self.commander == Some(host) {
+                    self.list_workers(host);
+                }
+            }
+            Event::CallTimesOut(host, call) => {
+                let key = (host, call_key(&call));
+                if self.hosts[host].alive && self.answered.insert(key) {
+                    let answer = CallAnswer::Unanswered;
+                    self.hosts[host].pool.worker_answered(&call, answer, now);
+                }
+            }
+        }
+    }
+
+    fn call_arrives(&mut self, host: usize, call: WorkerCall) {
+        let worker_index = self.worker_of(&call);
+        if self.cuts.contains(&(host, worker_index)) {
+            return;
+        }
+        let now = self.now;
+        let worker = &mut self.workers[worker_index];
+        if !worker.alive || worker.silent {
+            return;
+        }
+        if let WorkerOrder::Look { wait, .. } = &call.order {
+            let until = now.after(*wait);
+            if let Some(refusal) = worker.accept_look(&call, now) {
+                self.schedule(DELAY, Event::Answer(host, call, refusal));
+                return;
+            }
+            self.look(host, call, until);
+            return;
+        }
+        let worker_delay = worker.answer_delay;
+        let answer = worker.order(&call, now);
+        if let Some(left) = self.lost_answers.get_mut(&worker_index)
+            && *left > 0
+        {
+            *left -= 1;
+            return;
+        }
+        let delay = DELAY + worker_delay;
+        self.schedule(delay, Event::Answer(host, call, answer));
+    }
+
+    /// Answers a look once an end is there or its wait is over.
+    fn look(&mut self, host: usize, call: WorkerCall, until: UnixTime) {
+        let now = self.now;
+        let worker_index = self.worker_of(&call);
+        let worker = &mut self.workers[worker_index];
+        if !worker.alive || worker.silent {
+            return;
+        }
+        worker.advance(now);
+        let WorkerOrder::Look { acknowledged, .. } = call.order else {
+            return;
+        };
+        if worker.has_end_after(acknowledged) || now >= until {
+            let report = worker.report(now);
+            let delay = DELAY + worker.answer_delay;
+            self.schedule(delay, Event::Answer(host, call, CallAnswer::Report(report)));
+        } else {
+            self.schedule(DELAY, Event::LookEnds(host, call, until));
+        }
+    }
+
+    fn worker_of(&self, call: &WorkerCall) -> usize {
+        call.name
+            .as_str()
+            .rsplit('-')
+            .next()
+            .and_then(|digits| digits.parse().ok())
+            .unwrap_or(0)
+    }
+
+    fn carry_out(&mut self) {
+        loop {
+            let mut quiet = true;
+            for host in 0..self.hosts.len() {
+                let pool_actions = self.hosts[host].pool.take_actions();
+                let relay_actions = self.hosts[host].relay.take_actions();
+                quiet &= pool_actions.is_empty() && relay_actions.is_empty();
+                if !self.hosts[host].alive {
+                    continue;
+                }
+                for action in pool_actions {
+                    self.carry_out_pool(host, action);
+                }
+                for action in relay_actions {
+                    self.carry_out_relay(host, action);
+                }
+            }
+            if quiet {
+                return;
+            }
+        }
+    }
+
+    fn carry_out_pool(&mut self, host: usize, action: PoolAction) {
+        match action {
+            PoolAction::Call(call) => {
+                let limit = match &call.order {
+                    WorkerOrder::Look { wait, .. } => *wait + CALL_LIMIT,
+                    WorkerOrder::Start { .. } | WorkerOrder::Stop { .. } => CALL_LIMIT,
+                };
+                self.schedule(limit, Event::CallTimesOut(host, call.clone()));
+                self.schedule(DELAY, Event::CallArrives(host, call));
+            }
+            PoolAction::Send(relay, message) => {
+                self.schedule(DELAY, Event::ToRelay(host, relay.0 as usize, message));
+            }
+            PoolAction::Note(decision) => {
+                let line = format!("{} host={host} {decision}", self.now.as_millis());
+                self.log.push(line);
+            }
+            PoolAction::Superseded => {}
+        }
+    }
+
+    fn carry_out_relay(&mut self, host: usize, action: RelayAction) {
+        match action {
+            RelayAction::Send(_, message) => {
+                if let Some(commander) = self.commander {
+                    self.schedule(DELAY, Event::ToPool(host, commander, message));
+                }
+            }
+            RelayAction::Answer(job, answer) => {
+                let now = self.now;
+                self.answers
+                    .insert(String::from(job.as_str()), (answer, now));
+            }
+            RelayAction::Note(decision) => {
+                let line = format!("{} host={host} {decision}", self.now.as_millis());
+                self.log.push(line);
+            }
+        }
+    }
+}
+
+/// Distinguishes the calls of one host.
+fn call_key(call: &WorkerCall) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    format!("{call:?}").hash(&mut hasher);
+    hasher.finish()
+}
