--- a/crates/bramley-dock/src/engine.rs
+++ b/crates/bramley-dock/src/engine.rs
@@ -438,8 +438,12 @@
     }
 
     pub(crate) fn pool_refused(&self, domain: &DomainName, refuses: bool) {
-        if let Some(link) = self.state.borrow_mut().pools.get_mut(domain) {
+        if let Some(link) = self.state.borrow_mut().pools.get_mut(domain)
+            && link.refuses != refuses
+        {
             link.refuses = refuses;
+            let address = &link.claim.address;
+            log::info!("event=pool_unreachable pool={domain} address={address} refuses={refuses}");
         }
     }
 
@@ -539,7 +543,10 @@
             if let Some(keeper) = before.keeper {
                 keeper.abort();
             }
-            state.relay.pool_lost(&item.domain, before.heard_at);
+            // The own pool needs no connection, so it is heard at any time.
+            let was_own = before.claim.incarnation == self.incarnation;
+            let heard_at = if was_own { self.now() } else { before.heard_at };
+            state.relay.pool_lost(&item.domain, heard_at);
         }
         if is_own && state.pool.token().is_some() {
             state.relay.pool_connected(&item.domain);
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -39,7 +39,7 @@
     match timeout(limit, TcpStream::connect(address)).await {
         Ok(Ok(stream)) => Ok(stream),
         Ok(Err(error)) => {
-            log::debug!("event=pool_connect_failed address={address} error=\"{error}\"");
+            log::trace!("event=pool_connect_failed address={address} error=\"{error}\"");
             Err(error.kind() == std::io::ErrorKind::ConnectionRefused)
         }
         Err(_elapsed) => Err(false),
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -298,7 +298,10 @@
     }
 
     /// Returns tasks of which two runs overlapped.
-    pub fn overlaps(&self) -> Vec<String> {
+    pub fn overlaps(&mut self) -> Vec<String> {
+        for worker in &mut self.workers {
+            worker.advance(self.now);
+        }
         let mut spans: BTreeMap<String, Vec<(UnixTime, UnixTime)>> = BTreeMap::new();
         for worker in &self.workers {
             for (task, from, to) in worker.history(self.now) {
