Relays tell a new pool which worker got a task last

Ruled out: slow reports (all listed workers were read). The message of a started job now names task and worker, and a pool waits for that worker's report, or for the end of the earlier pool's leases. Test: handover.rs runs_on_unlisted_workers_are_waited_for, failing before.

--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
+use bramley_core::names::WorkerName;
 use bramley_core::units::UnixTime;
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
-use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage};
+use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::room::TaskRoom;
 use bramley_wire::pool::{
-    CancelJob, JobEnded, JobStarted, PoolBeat, PoolFrame, RelayFrame, SubmitJob, TaskDone,
-    pool_frame, relay_frame,
+    CancelJob, JobEnded, PlacedTask, PoolBeat, PoolFrame, RelayFrame, SubmitJob, TaskDone,
+    TasksPlaced, pool_frame, relay_frame,
 };
 
 /// Outcome number of a completed job.
@@ -40,6 +41,7 @@
         arrived_at,
         deadline,
         done,
+        placements,
         resumed,
     } = submission;
     SubmitJob {
@@ -62,10 +64,25 @@
         age_us: micros(now.since(arrived_at)),
         left_us: micros(deadline.since(now)),
         done,
+        placements: placements.iter().map(placed_task_of).collect(),
         resumed,
     }
 }
 
+fn placed_task_of(placement: &TaskPlacement) -> PlacedTask {
+    PlacedTask {
+        index: placement.index,
+        worker: String::from(placement.worker.as_str()),
+    }
+}
+
+fn placement_of(placed: PlacedTask) -> TaskPlacement {
+    TaskPlacement {
+        index: placed.index,
+        worker: WorkerName::new(placed.worker),
+    }
+}
+
 /// Reads the submission of a frame that arrived at `now`.
 #[must_use]
 pub fn submission_of(submit: SubmitJob, now: UnixTime) -> JobSubmission {
@@ -95,6 +112,7 @@
         arrived_at: now.before(Duration::from_micros(submit.age_us)),
         deadline: now.after(Duration::from_micros(submit.left_us)),
         done: submit.done,
+        placements: submit.placements.into_iter().map(placement_of).collect(),
         resumed: submit.resumed,
     }
 }
@@ -103,8 +121,9 @@
 #[must_use]
 pub fn pool_frame_of(message: PoolMessage) -> PoolFrame {
     let body = match message {
-        PoolMessage::Started { job } => pool_frame::Body::Started(JobStarted {
+        PoolMessage::Placed { job, placements } => pool_frame::Body::Placed(TasksPlaced {
             job: String::from(job.as_str()),
+            placements: placements.iter().map(placed_task_of).collect(),
         }),
         PoolMessage::TaskDone { job, index } => pool_frame::Body::TaskDone(TaskDone {
             job: String::from(job.as_str()),
@@ -148,8 +167,9 @@
 pub fn pool_message_of(body: pool_frame::Body) -> Option<PoolMessage> {
     match body {
         pool_frame::Body::Beat(_) => None,
-        pool_frame::Body::Started(started) => Some(PoolMessage::Started {
-            job: JobName::new(started.job),
+        pool_frame::Body::Placed(placed) => Some(PoolMessage::Placed {
+            job: JobName::new(placed.job),
+            placements: placed.placements.into_iter().map(placement_of).collect(),
         }),
         pool_frame::Body::TaskDone(done) => Some(PoolMessage::TaskDone {
             job: JobName::new(done.job),
--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -7,7 +7,7 @@
 use bramley_core::shared_name;
 use bramley_core::units::UnixTime;
 
-use crate::message::RelayId;
+use crate::message::{RelayId, TaskPlacement};
 use crate::room::TaskRoom;
 use crate::worker::WorkerIndex;
 
@@ -121,6 +121,8 @@
     pub deadline: UnixTime,
     /// Tasks that another pool has reported done.
     pub done: Vec<u32>,
+    /// Workers that got the other tasks last, as far as the relay knows.
+    pub placements: Vec<TaskPlacement>,
     /// Whether the pool must take the job even if it cannot be in time, because tasks of it may
     /// already run.
     pub resumed: bool,
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bramley_core::names::WorkerName;
+
 use crate::job::{JobName, JobSubmission};
 use crate::refusal::Refusal;
 
@@ -18,6 +20,15 @@
     Cancel(JobName),
 }
 
+/// Which worker got a task last.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TaskPlacement {
+    /// Index of the task.
+    pub index: u32,
+    /// Worker.
+    pub worker: WorkerName,
+}
+
 /// How a job ended at a pool.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobOutcome {
@@ -39,10 +50,12 @@
         /// Index of the task.
         index: u32,
     },
-    /// The first task of the job was started.
-    Started {
+    /// Tasks of the job were given to workers.
+    Placed {
         /// Job.
         job: JobName,
+        /// Tasks with their workers.
+        placements: Vec<TaskPlacement>,
     },
     /// The job has ended.
     Ended {
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -5,6 +5,7 @@
 
 use super::Pool;
 use crate::decision::Decision;
+use crate::job::JobRecord;
 use crate::run::LiveRun;
 use crate::worker::{ClockEstimate, RunEnd, WorkerEntry, WorkerHealth, WorkerIndex, WorkerRecord};
 
@@ -26,12 +27,28 @@
         }
     }
 
-    /// Tells whether every run of an earlier pool is known or has surely ended, so that a job that
-    /// was handed over may get new runs.
-    pub(super) fn has_found_earlier_runs(&self, now: UnixTime) -> bool {
-        if now >= self.commands_since.after(self.settings.takeover_bound) {
+    /// Tells whether a waiting task of a job may get a new run: no run of an earlier pool can be
+    /// under way any more without being known here.
+    pub(super) fn has_lost_earlier_run(&self, job: &JobRecord, task: usize, now: UnixTime) -> bool {
+        let bound = self.commands_since.after(self.settings.takeover_bound);
+        if !job.submission.resumed || now >= bound {
             return true;
         }
+        // The entry of a worker may have lapsed although the worker runs on.
+        let is_last_worker_read = job
+            .submission
+            .placements
+            .iter()
+            .filter(|placement| placement.index as usize == task)
+            .all(|placement| {
+                let index = self.by_name.get(&placement.worker);
+                index.is_some_and(|index| self.worker(*index).synced)
+            });
+        is_last_worker_read && self.has_read_workers()
+    }
+
+    /// Tells whether the list, and the runs of all workers on it, were read since taking command.
+    fn has_read_workers(&self) -> bool {
         let is_read = self.listed_at > self.commands_since;
         is_read
             && self
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -7,7 +7,7 @@
 use super::Pool;
 use crate::decision::Decision;
 use crate::job::{JobName, JobRecord, JobSubmission, TaskRecord, TaskStanding};
-use crate::message::{JobOutcome, PoolMessage, RelayId, RelayMessage};
+use crate::message::{JobOutcome, PoolMessage, RelayId, RelayMessage, TaskPlacement};
 use crate::refusal::Refusal;
 use crate::run::StopCause;
 use crate::worker::WorkerIndex;
@@ -46,8 +46,7 @@
             job.relay = Some(relay);
             job.submission.deadline = submission.deadline;
             let done: Vec<u32> = job.done_tasks().collect();
-            let started = job.offered;
-            self.report_progress(relay, &name, &done, started);
+            self.report_progress(relay, &name, &done);
             self.enqueue(&name);
             self.place_waiting(now);
             return;
@@ -78,9 +77,8 @@
                 adopted,
             };
             let tasks: Vec<u32> = job.done_tasks().collect();
-            let started = job.offered;
             self.note(decision);
-            self.report_progress(relay, &name, &tasks, started);
+            self.report_progress(relay, &name, &tasks);
         } else {
             let (refused, wait) = self.admit(job, now);
             if let Some(outcome) = refused {
@@ -102,10 +100,18 @@
         self.place_waiting(now);
     }
 
-    fn report_progress(&mut self, relay: RelayId, name: &JobName, done: &[u32], started: bool) {
-        if started {
-            self.send(Some(relay), PoolMessage::Started { job: name.clone() });
-        }
+    /// Tells a relay that has come back what it may have missed.
+    fn report_progress(&mut self, relay: RelayId, name: &JobName, done: &[u32]) {
+        let placements: Vec<TaskPlacement> = self.jobs.get(name).map_or_else(Vec::new, |job| {
+            let tasks = job.tasks.iter().zip(0_u32..);
+            tasks
+                .filter_map(|(task, index)| match task.standing {
+                    TaskStanding::Placed(worker) => Some(self.placement(index, worker)),
+                    TaskStanding::Waiting | TaskStanding::Done => None,
+                })
+                .collect()
+        });
+        self.report_placements(Some(relay), name, placements);
         for index in done {
             let message = PoolMessage::TaskDone {
                 job: name.clone(),
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -8,7 +8,7 @@
 use super::admission::serves;
 use crate::decision::Decision;
 use crate::job::{JobName, JobRecord, TaskName, TaskStanding};
-use crate::message::PoolMessage;
+use crate::message::{PoolMessage, RelayId, TaskPlacement};
 use crate::run::{LiveRun, Run, RunFacts};
 use crate::worker::{WorkerIndex, WorkerOrder, WorkerRecord};
 
@@ -37,15 +37,11 @@
             .collect();
         order.sort_by_key(|(_, key)| *key);
         order.truncate(self.settings.scan_limit);
-        let has_found_earlier_runs = self.has_found_earlier_runs(now);
         let mut least_failed_cpu = u32::MAX;
         for (name, _) in order {
             let Some(job) = self.jobs.get(&name) else {
                 continue;
             };
-            if job.submission.resumed && !has_found_earlier_runs {
-                continue;
-            }
             let cpu = job.submission.work.room.cpu_milli;
             if cpu >= least_failed_cpu {
                 continue;
@@ -68,19 +64,49 @@
             return true;
         }
         let tasks = job.tasks.len();
+        let relay = job.relay;
+        let mut placements = Vec::new();
+        let mut all_placed = true;
         for position in 0..tasks {
             let Some(job) = self.jobs.get(name) else {
-                return true;
+                break;
             };
-            if job.tasks[position].standing != TaskStanding::Waiting {
+            let is_waiting = job.tasks[position].standing == TaskStanding::Waiting;
+            if !is_waiting || !self.has_lost_earlier_run(job, position, now) {
                 continue;
             }
             let Some(worker) = self.choose_worker(job, position, now) else {
-                return false;
+                all_placed = false;
+                break;
             };
             self.start_task(name, position, worker, now);
+            let index = u32::try_from(position).unwrap_or(u32::MAX);
+            placements.push(self.placement(index, worker));
+        }
+        self.report_placements(relay, name, placements);
+        all_placed
+    }
+
+    pub(super) fn placement(&self, index: u32, worker: WorkerIndex) -> TaskPlacement {
+        TaskPlacement {
+            index,
+            worker: self.worker(worker).entry.name.clone(),
+        }
+    }
+
+    pub(super) fn report_placements(
+        &mut self,
+        relay: Option<RelayId>,
+        name: &JobName,
+        placements: Vec<TaskPlacement>,
+    ) {
+        if !placements.is_empty() {
+            let message = PoolMessage::Placed {
+                job: name.clone(),
+                placements,
+            };
+            self.send(relay, message);
         }
-        true
     }
 
     fn choose_worker(&self, job: &JobRecord, task: usize, now: UnixTime) -> Option<WorkerIndex> {
@@ -145,12 +171,10 @@
         task.last_number += 1;
         task.standing = TaskStanding::Placed(index);
         job.waiting -= 1;
-        let is_first = !job.offered;
         job.offered = true;
         let number = task.last_number;
         let age = now.since(job.submission.arrived_at);
         let spec = job.submission.work.spec.clone();
-        let relay = job.relay;
         let facts = RunFacts {
             task: TaskName::single_step(name.clone(), u32::try_from(position).unwrap_or(u32::MAX)),
             number,
@@ -180,9 +204,6 @@
         };
         self.order(index, order, now);
         self.look_if_needed(index, now);
-        if is_first {
-            self.send(relay, PoolMessage::Started { job: name.clone() });
-        }
     }
 }
 
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -12,7 +12,7 @@
 
 use crate::decision::Decision;
 use crate::job::{JobName, JobSubmission};
-use crate::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage};
+use crate::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
 use crate::refusal::Refusal;
 use crate::settings::RelaySettings;
 
@@ -205,9 +205,10 @@
     /// Handles a message of a pool.
     pub fn pool_said(&mut self, domain: &DomainName, message: PoolMessage, now: UnixTime) {
         match message {
-            PoolMessage::Started { job } => {
+            PoolMessage::Placed { job, placements } => {
                 if let Some(job) = self.job_at(&job, domain) {
                     job.started = true;
+                    job.note_placements(placements);
                 }
             }
             PoolMessage::TaskDone { job, index } => {
@@ -360,6 +361,12 @@
 }
 
 impl RelayJob {
+    fn note_placements(&mut self, placements: Vec<TaskPlacement>) {
+        let known = &mut self.submission.placements;
+        known.retain(|old| placements.iter().all(|new| new.index != old.index));
+        known.extend(placements);
+    }
+
     fn is_in_doubt_at(&self, lost: &DomainName) -> bool {
         matches!(&self.standing, JobStanding::InDoubt { domain, .. } if domain == lost)
     }
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -90,3 +90,26 @@
         .sum();
     assert_eq!(running, 0, "the lost job's runs were stopped");
 }
+
+/// Pattern: the workers of a domain that was cut off have no entries when the cut ends, and command
+/// passes on at that moment; they still run what the earlier pool started.
+#[test]
+fn runs_on_unlisted_workers_are_waited_for() {
+    let mut world = World::new(3, 8);
+    world.take_command(0, 10);
+    world.run_for(Duration::from_millis(50));
+    world.submit(2, &long_job("job-1"));
+    world.run_for(Duration::from_millis(100));
+    for worker in &mut world.workers {
+        worker.listed = worker.running() == 0;
+    }
+    world.take_command(1, 20);
+    world.run_for(Duration::from_secs(6));
+    assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
+    assert_eq!(
+        world.answer("job-1"),
+        Some(JobAnswer::Completed),
+        "{:#?}",
+        world.log
+    );
+}
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -268,6 +268,7 @@
             arrived_at: self.now,
             deadline: self.now.after(Duration::from_secs(10)),
             done: Vec::new(),
+            placements: Vec::new(),
             resumed: false,
         }
     }
