--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -42,6 +42,7 @@
         deadline,
         done,
         placements,
+        earlier_workers,
         resumed,
     } = submission;
     SubmitJob {
@@ -65,6 +66,7 @@
         left_us: micros(deadline.since(now)),
         done,
         placements: placements.iter().map(placed_task_of).collect(),
+        earlier_workers,
         resumed,
     }
 }
@@ -113,6 +115,7 @@
         deadline: now.after(Duration::from_micros(submit.left_us)),
         done: submit.done,
         placements: submit.placements.into_iter().map(placement_of).collect(),
+        earlier_workers: submit.earlier_workers,
         resumed: submit.resumed,
     }
 }
--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -123,6 +123,8 @@
     pub done: Vec<u32>,
     /// Workers that got the other tasks last, as far as the relay knows.
     pub placements: Vec<TaskPlacement>,
+    /// Usable workers that the earlier pool last told of; 0 if there was none.
+    pub earlier_workers: u32,
     /// Whether the pool must take the job even if it cannot be in time, because tasks of it may
     /// already run.
     pub resumed: bool,
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -12,13 +12,16 @@
 impl Pool {
     /// Takes command of the workers with a fencing token that is higher than all before.
     pub fn take_command(&mut self, token: u64, now: UnixTime) {
-        if self.token.is_none() {
-            self.commands_since = now;
-            self.adopting_until = now.after(self.settings.adoption_window);
-            for worker in &mut self.workers {
+        let is_new = self.token.is_none();
+        self.commands_since = now;
+        self.adopting_until = now.after(self.settings.adoption_window);
+        for worker in &mut self.workers {
+            if is_new {
                 worker.reset_life();
                 worker.health = WorkerHealth::default();
             }
+            // Even a pool that still had command cannot know who had it since its last call.
+            worker.synced = false;
         }
         self.token = Some(token);
         self.note_command();
@@ -44,17 +47,21 @@
                 let index = self.by_name.get(&placement.worker);
                 index.is_some_and(|index| self.worker(*index).synced)
             });
-        is_last_worker_read && self.has_read_workers()
+        is_last_worker_read && self.has_read_workers(job.submission.earlier_workers)
     }
 
-    /// Tells whether the list, and the runs of all workers on it, were read since taking command.
-    fn has_read_workers(&self) -> bool {
-        let is_read = self.listed_at > self.commands_since;
-        is_read
-            && self
-                .workers
-                .iter()
-                .all(|worker| worker.synced || !worker.listed)
+    /// Tells whether the list, and the runs of all workers on it, were read since taking command,
+    /// and whether these are as many as the earlier pool had.
+    fn has_read_workers(&self, earlier_workers: u32) -> bool {
+        let listed = self.workers.iter().filter(|worker| worker.listed);
+        let mut synced = 0;
+        for worker in listed {
+            if !worker.synced {
+                return false;
+            }
+            synced += 1;
+        }
+        self.listed_at > self.commands_since && synced >= earlier_workers
     }
 
     /// Gives command up: open jobs are left to the relays, which submit them elsewhere.
@@ -140,12 +147,19 @@
             .map(|worker| &worker.entry.name)
     }
 
-    /// The worker has started again under its name: nothing of before runs there.
+    /// The worker has started again under its name. What ran before has ended, but starts that
+    /// were on their way may have reached the new life: its first report tells.
     pub(super) fn worker_reborn(&mut self, index: WorkerIndex, born_unix_ms: u64, now: UnixTime) {
-        let runs = self.take_life(index);
-        self.worker_mut(index).entry.born_unix_ms = born_unix_ms;
+        let worker = self.worker_mut(index);
+        worker.entry.born_unix_ms = born_unix_ms;
+        worker.clock = ClockEstimate::default();
+        worker.acknowledged = 0;
+        worker.acknowledgement_sent = 0;
+        worker.last_read_end = 0;
+        worker.unclaimed.clear();
+        worker.health = WorkerHealth::default();
+        worker.synced = false;
         self.note_worker(index, "reborn", now);
-        self.settle_lost(index, &runs, now);
         self.look_now(index, now);
     }
 
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -45,6 +45,9 @@
         if let Some(job) = self.jobs.get_mut(&name) {
             job.relay = Some(relay);
             job.submission.deadline = submission.deadline;
+            job.submission.resumed |= submission.resumed;
+            job.submission.placements = submission.placements;
+            job.submission.earlier_workers = submission.earlier_workers;
             let done: Vec<u32> = job.done_tasks().collect();
             self.report_progress(relay, &name, &done);
             self.enqueue(&name);
@@ -70,7 +73,7 @@
             self.finish(&name, JobOutcome::Completed, now);
             return;
         }
-        if adopted > 0 || done > 0 || job.submission.resumed {
+        if job.offered || done > 0 {
             let decision = Decision::JobResumed {
                 job: name.clone(),
                 done: u32::try_from(done).unwrap_or(u32::MAX),
@@ -146,7 +149,7 @@
         JobRecord {
             relay: Some(relay),
             abandoned_at: now,
-            offered: submission.resumed,
+            offered: submission.resumed || self.begun.contains_key(&submission.work.job),
             tasks,
             waiting,
             left: waiting,
@@ -280,9 +283,23 @@
             age: now.since(job.submission.arrived_at),
         };
         self.note(decision);
+        if job.offered {
+            self.remember_begun(name, now);
+        }
         self.stop_runs_of(name, &job, now);
     }
 
+    /// Remembers that tasks of a job that nobody waits for have started: if its client sends it
+    /// again, it must not be refused as if it had not run.
+    pub(super) fn remember_begun(&mut self, name: &JobName, now: UnixTime) {
+        let forgotten_at = now.after(self.settings.begun_memory);
+        self.begun.insert(name.clone(), forgotten_at);
+    }
+
+    pub(super) fn forget_begun(&mut self, now: UnixTime) {
+        self.begun.retain(|_, forgotten_at| *forgotten_at > now);
+    }
+
     fn stop_runs_of(&mut self, name: &JobName, job: &JobRecord, now: UnixTime) {
         for task in &job.tasks {
             let TaskStanding::Placed(index) = task.standing else {
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -82,6 +82,8 @@
     workers: Vec<WorkerRecord>,
     by_name: FxHashMap<WorkerName, WorkerIndex>,
     jobs: FxHashMap<JobName, JobRecord>,
+    /// Jobs that have begun and were dropped, with the time at which they are forgotten.
+    begun: FxHashMap<JobName, UnixTime>,
     /// Jobs with tasks that wait for room, in no order.
     queue: Vec<JobName>,
     run_times: RunTimeTable,
@@ -103,6 +105,7 @@
             workers: Vec::new(),
             by_name: FxHashMap::default(),
             jobs: FxHashMap::default(),
+            begun: FxHashMap::default(),
             queue: Vec::new(),
             run_times: RunTimeTable::default(),
             listed_at: UnixTime::default(),
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -32,9 +32,7 @@
             return;
         }
         if let CallAnswer::Accepted(clock) | CallAnswer::Refused(_, Some(clock)) = &answer {
-            self.worker_mut(call.worker)
-                .clock
-                .observe(*clock, call.sent_at);
+            self.worker_mut(call.worker).clock.observe(*clock, now);
         }
         if let CallAnswer::Refused(refusal, _) = &answer {
             match refusal {
@@ -99,11 +97,6 @@
         self.note_start_refused(index, task, number, refusal);
         let run = self.worker_mut(index).remove_run(position);
         match refusal {
-            Some(CallRefusal::OldNumber) => {
-                if let Some(job) = self.jobs.get_mut(&task.job) {
-                    job.tasks[task.index as usize].last_number += OLD_NUMBER_STEP;
-                }
-            }
             Some(CallRefusal::NoRoom) => {
                 self.counts.starts_without_room += 1;
                 self.worker_mut(index).synced = false;
@@ -117,9 +110,15 @@
             Some(CallRefusal::Unhealthy) | None => {
                 self.bad_sign(index, now);
             }
-            Some(CallRefusal::Fenced | CallRefusal::OtherIncarnation) => {}
+            Some(CallRefusal::Fenced | CallRefusal::OldNumber | CallRefusal::OtherIncarnation) => {}
         }
         self.settle(index, run.facts(), None, now);
+        if refusal == Some(CallRefusal::OldNumber)
+            && let Some(job) = self.jobs.get_mut(&task.job)
+            && let Some(record) = job.tasks.get_mut(task.index as usize)
+        {
+            record.last_number += OLD_NUMBER_STEP;
+        }
     }
 
     fn note_start_refused(
@@ -186,11 +185,16 @@
                 self.worker_reborn(index, born, now);
             }
         }
+        let longest_lease = self.settings.longest_lease;
         let worker = self.worker_mut(index);
         let was_synced = worker.synced;
         let newest = asked_at >= worker.reported_at;
         let may_hold_unknown = !was_synced || asked_at > worker.last_end_at;
-        worker.clock.observe(report.clock, asked_at);
+        let was_known = worker.clock.is_known();
+        worker.clock.observe(report.clock, now);
+        if !was_known && !worker.runs.is_empty() {
+            worker.clock.assume_lease(longest_lease);
+        }
         worker.reported_at = worker.reported_at.max(asked_at);
         worker.missed_looks = 0;
         worker.synced = true;
@@ -395,6 +399,7 @@
             if end == Some(RunEnd::Failed) {
                 self.bad_sign(index, now);
             }
+            self.remember_begun(&facts.task.job, now);
             return;
         };
         let Some(task) = job.tasks.get_mut(facts.task.index as usize) else {
--- a/crates/bramley-pool/src/pool/upkeep.rs
+++ b/crates/bramley-pool/src/pool/upkeep.rs
@@ -27,6 +27,7 @@
             return;
         }
         self.end_unwanted_jobs(now);
+        self.forget_begun(now);
         for index in self.indices() {
             self.tend_worker(index, now);
         }
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -181,12 +181,15 @@
 
     /// The connection to a pool, last heard of at `heard_at`, was lost.
     pub fn pool_lost(&mut self, domain: &DomainName, heard_at: UnixTime) {
+        let mut earlier_workers = 0;
         if let Some(pool) = self.pools.get_mut(domain) {
             pool.connected = false;
+            earlier_workers = pool.load.workers;
         }
         let ended_by = heard_at.after(self.settings.lost_pool_wait);
         for job in self.jobs.values_mut() {
             if matches!(&job.standing, JobStanding::AtPool(at) if at == domain) {
+                job.submission.earlier_workers = earlier_workers;
                 job.standing = JobStanding::InDoubt {
                     domain: domain.clone(),
                     ended_by,
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -8,6 +8,8 @@
     /// Length of a run lease on the worker's clock; below the platform's longest lease of 1,000 ms
     /// and short enough to end inside the 1,300 ms after which a client sends again.
     pub run_lease: Duration,
+    /// Longest run lease that a worker grants, whatever it is told.
+    pub longest_lease: Duration,
     /// Longest wait of one look at a worker with running tasks; a third of the run lease, so that
     /// one lost answer does not end the lease.
     pub look_wait: Duration,
@@ -41,6 +43,9 @@
     /// Multiple of the latency objective after which a job that has not started is given up; the
     /// platform counts later answers for nothing.
     pub give_up_factor: f64,
+    /// Time for which a dropped job that had begun is remembered; clients send again for as long as
+    /// their deadlines last, of which most are shorter.
+    pub begun_memory: Duration,
     /// Largest number of waiting jobs that one round of placement looks at.
     pub scan_limit: usize,
 }
@@ -49,6 +54,7 @@
     fn default() -> Self {
         Self {
             run_lease: Duration::from_millis(800),
+            longest_lease: Duration::from_millis(1_000),
             look_wait: Duration::from_millis(200),
             clock_error_permille: 20,
             relay_grace: Duration::from_millis(300),
@@ -64,6 +70,7 @@
             suspend_first: Duration::from_millis(500),
             suspend_longest: Duration::from_secs(8),
             give_up_factor: 3.0,
+            begun_memory: Duration::from_secs(10),
             scan_limit: 64,
         }
     }
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -226,9 +226,8 @@
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
     clock: WorkerClock,
-    /// Time at which the call was sent whose answer held the reading; the worker read its clock
-    /// no earlier.
-    asked_at: UnixTime,
+    /// Time at which the answer with the reading arrived; the worker read its clock no later.
+    read_by: UnixTime,
 }
 
 /// What is known of a worker's clock: it runs steadily, at most some per cent slow.
@@ -240,13 +239,11 @@
 }
 
 impl ClockEstimate {
-    /// Takes a reading that came with the answer to a call sent at `asked_at`.
-    pub fn observe(&mut self, clock: WorkerClock, asked_at: UnixTime) {
-        let is_newer = self
-            .reading
-            .is_none_or(|reading| clock >= reading.clock && asked_at >= reading.asked_at);
+    /// Takes a reading that came with an answer that arrived at `read_by`.
+    pub fn observe(&mut self, clock: WorkerClock, read_by: UnixTime) {
+        let is_newer = self.reading.is_none_or(|reading| clock > reading.clock);
         if is_newer {
-            self.reading = Some(ClockReading { clock, asked_at });
+            self.reading = Some(ClockReading { clock, read_by });
         }
     }
 
@@ -260,7 +257,7 @@
     #[must_use]
     pub fn at_least(&self, now: UnixTime, error_permille: u32) -> Option<WorkerClock> {
         let reading = self.reading?;
-        let passed = now.since(reading.asked_at);
+        let passed = now.since(reading.read_by);
         Some(reading.clock.after(slowed_span(passed, error_permille)))
     }
 
@@ -277,6 +274,14 @@
         end
     }
 
+    /// Takes it that a lease of `longest` was granted at the latest reading: a start that was sent
+    /// before the clock was known may have brought it.
+    pub fn assume_lease(&mut self, longest: Duration) {
+        if let Some(reading) = self.reading {
+            self.lease_end = self.lease_end.max(reading.clock.after(longest));
+        }
+    }
+
     /// Tells whether every lease that was sent has surely ended.
     #[must_use]
     pub fn has_lapsed(&self, now: UnixTime, error_permille: u32) -> bool {
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -20,7 +20,7 @@
 #[test]
 fn no_task_runs_twice_when_command_passes_on() {
     let mut world = World::new(3, 8);
-    world.take_command(0, 10);
+    world.take_command(0);
     world.run_for(Duration::from_millis(50));
     world.submit(2, &long_job("job-1"));
     world.run_for(Duration::from_millis(100));
@@ -29,7 +29,7 @@
             worker.answer_delay = Duration::from_millis(20);
         }
     }
-    world.take_command(1, 20);
+    world.take_command(1);
     world.run_for(Duration::from_secs(4));
     assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
     assert_eq!(world.runs(), 4, "the runs go on: {:#?}", world.log);
@@ -40,14 +40,14 @@
 #[test]
 fn a_silent_worker_is_waited_for_until_its_leases_have_ended() {
     let mut world = World::new(3, 8);
-    world.take_command(0, 10);
+    world.take_command(0);
     world.run_for(Duration::from_millis(50));
     world.submit(2, &long_job("job-1"));
     world.run_for(Duration::from_millis(100));
     for worker in &mut world.workers {
         worker.silent = worker.running() > 0;
     }
-    world.take_command(1, 20);
+    world.take_command(1);
     world.run_for(Duration::from_secs(6));
     assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
     assert_eq!(
@@ -62,14 +62,14 @@
 #[test]
 fn jobs_of_other_relays_survive_the_end_of_the_pool() {
     let mut world = World::new(3, 8);
-    world.take_command(0, 10);
+    world.take_command(0);
     world.run_for(Duration::from_millis(50));
     world.submit(0, &long_job("job-lost"));
     world.submit(2, &long_job("job-kept"));
     world.run_for(Duration::from_millis(100));
     world.kill_host(0);
     world.run_for(Duration::from_millis(200));
-    world.take_command(1, 20);
+    world.take_command(1);
     world.run_for(Duration::from_secs(4));
     assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
     assert_eq!(
@@ -96,14 +96,14 @@
 #[test]
 fn runs_on_unlisted_workers_are_waited_for() {
     let mut world = World::new(3, 8);
-    world.take_command(0, 10);
+    world.take_command(0);
     world.run_for(Duration::from_millis(50));
     world.submit(2, &long_job("job-1"));
     world.run_for(Duration::from_millis(100));
     for worker in &mut world.workers {
         worker.listed = worker.running() == 0;
     }
-    world.take_command(1, 20);
+    world.take_command(1);
     world.run_for(Duration::from_secs(6));
     assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
     assert_eq!(
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -45,6 +45,10 @@
     Answer(usize, WorkerCall, CallAnswer),
     CallTimesOut(usize, WorkerCall),
     List(usize),
+    RelayLost(usize, usize),
+    LateOrder(WorkerCall),
+    Submit(usize, TestJob),
+    TakeCommand(usize),
 }
 
 #[derive(Debug)]
@@ -96,12 +100,15 @@
     pub log: Vec<String>,
     /// Calls that get no answer although they are carried out: worker and number of calls left.
     pub lost_answers: BTreeMap<usize, u32>,
+    /// Delays after which the next orders are carried out, without an answer.
+    pub late_orders: Vec<Duration>,
     /// Pairs of host and worker that cannot reach each other.
     pub cuts: BTreeSet<(usize, usize)>,
     answered: BTreeSet<(usize, u64)>,
     events: BinaryHeap<Scheduled>,
     order: u64,
     domain: DomainName,
+    token: u64,
 }
 
 /// A job of a test.
@@ -151,11 +158,13 @@
             answers: BTreeMap::new(),
             log: Vec::new(),
             lost_answers: BTreeMap::new(),
+            late_orders: Vec::new(),
             cuts: BTreeSet::new(),
             answered: BTreeSet::new(),
             events: BinaryHeap::new(),
             order: 0,
             domain,
+            token: 0,
         };
         world.schedule(TICK, Event::Tick);
         world
@@ -170,9 +179,11 @@
         });
     }
 
-    /// Gives a host command with a token and lets all relays connect to it.
-    pub fn take_command(&mut self, host: usize, token: u64) {
+    /// Gives a host command with the next token and lets all relays connect to it.
+    pub fn take_command(&mut self, host: usize) {
         let now = self.now;
+        self.token += 1;
+        let token = self.token;
         if let Some(before) = self.commander
             && before != host
         {
@@ -180,9 +191,7 @@
                 relay.relay.pool_lost(&self.domain, now);
             }
             for relay in 0..self.hosts.len() {
-                self.hosts[before]
-                    .pool
-                    .relay_lost(RelayId(relay as u64), now);
+                self.schedule(DELAY, Event::RelayLost(before, relay));
             }
         }
         self.commander = Some(host);
@@ -269,10 +278,21 @@
             deadline: self.now.after(Duration::from_secs(10)),
             done: Vec::new(),
             placements: Vec::new(),
+            earlier_workers: 0,
             resumed: false,
         }
     }
 
+    /// Submits a job at a host after a while, unless it was answered by then.
+    pub fn submit_after(&mut self, after: Duration, host: usize, job: &TestJob) {
+        self.schedule(after, Event::Submit(host, job.clone()));
+    }
+
+    /// Gives a host command after a while, if it lives then.
+    pub fn take_command_after(&mut self, after: Duration, host: usize) {
+        self.schedule(after, Event::TakeCommand(host));
+    }
+
     /// Lets the caller of a job leave.
     pub fn leave(&mut self, host: usize, job: &str) {
         self.hosts[host].relay.caller_left(&JobName::new(job));
@@ -335,6 +355,7 @@
                     host.pool.tick(now);
                     host.relay.tick(now);
                 }
+                self.tell_load();
                 self.schedule(TICK, Event::Tick);
             }
             Event::ToPool(from, to, message) => {
@@ -362,6 +383,26 @@
                     self.list_workers(host);
                 }
             }
+            Event::RelayLost(pool, relay) => {
+                let pool = &mut self.hosts[pool].pool;
+                pool.relay_lost(RelayId(relay as u64), now);
+            }
+            Event::LateOrder(call) => {
+                let worker = &mut self.workers[worker_of(&call)];
+                if worker.alive && !worker.silent {
+                    let _: CallAnswer = worker.order(&call, now);
+                }
+            }
+            Event::Submit(host, job) => {
+                if self.hosts[host].alive && !self.answers.contains_key(&job.name) {
+                    self.submit(host, &job);
+                }
+            }
+            Event::TakeCommand(host) => {
+                if self.hosts[host].alive {
+                    self.take_command(host);
+                }
+            }
             Event::CallTimesOut(host, call) => {
                 let key = (host, call_key(&call));
                 if self.hosts[host].alive && self.answered.insert(key) {
@@ -372,8 +413,18 @@
         }
     }
 
+    fn tell_load(&mut self) {
+        let Some(commander) = self.commander else {
+            return;
+        };
+        let load = self.hosts[commander].pool.load(self.now);
+        for host in &mut self.hosts {
+            host.relay.pool_loaded(&self.domain, load);
+        }
+    }
+
     fn call_arrives(&mut self, host: usize, call: WorkerCall) {
-        let worker_index = self.worker_of(&call);
+        let worker_index = worker_of(&call);
         if self.cuts.contains(&(host, worker_index)) {
             return;
         }
@@ -391,6 +442,10 @@
             self.look(host, call, until);
             return;
         }
+        if let Some(late_by) = self.late_orders.pop() {
+            self.schedule(late_by, Event::LateOrder(call));
+            return;
+        }
         let worker_delay = worker.answer_delay;
         let answer = worker.order(&call, now);
         if let Some(left) = self.lost_answers.get_mut(&worker_index)
@@ -406,7 +461,7 @@
     /// Answers a look once an end is there or its wait is over.
     fn look(&mut self, host: usize, call: WorkerCall, until: UnixTime) {
         let now = self.now;
-        let worker_index = self.worker_of(&call);
+        let worker_index = worker_of(&call);
         let worker = &mut self.workers[worker_index];
         if !worker.alive || worker.silent {
             return;
@@ -424,15 +479,6 @@
         }
     }
 
-    fn worker_of(&self, call: &WorkerCall) -> usize {
-        call.name
-            .as_str()
-            .rsplit('-')
-            .next()
-            .and_then(|digits| digits.parse().ok())
-            .unwrap_or(0)
-    }
-
     fn carry_out(&mut self) {
         loop {
             let mut quiet = true;
@@ -497,6 +543,12 @@
     }
 }
 
+/// Returns the position of the worker that is called.
+fn worker_of(call: &WorkerCall) -> usize {
+    let digits = call.name.as_str().rsplit('-').next();
+    digits.and_then(|digits| digits.parse().ok()).unwrap_or(0)
+}
+
 /// Distinguishes the calls of one host.
 fn call_key(call: &WorkerCall) -> u64 {
     use std::hash::{DefaultHasher, Hash, Hasher};
