--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -54,6 +54,10 @@
         wait: Duration,
         /// Usable workers.
         workers: u32,
+        /// Their free processor share.
+        free_cpu_milli: u64,
+        /// Processor share of one task.
+        cpu_milli: u32,
         /// Waiting tasks.
         waiting: u32,
         /// Age of the newest read of the worker list.
@@ -249,13 +253,15 @@
                 refusal,
                 wait,
                 workers,
+                free_cpu_milli,
+                cpu_milli,
                 waiting,
                 list_age,
                 age,
             } => write!(
                 f,
                 "event=job_refused job={job} route={route} reason={} wait_ms={} workers={workers} \
-                 waiting={waiting} list_age_ms={} age_ms={}",
+                 free_cpu_milli={free_cpu_milli} cpu_milli={cpu_milli} waiting={waiting} list_age_ms={} age_ms={}",
                 refusal.answer().word,
                 wait.as_millis(),
                 list_age.as_millis(),
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -25,15 +25,50 @@
 pub(super) enum StartEstimate {
     /// At this time.
     At(UnixTime),
+    /// At this time, but then a job that was taken in before would miss its objective.
+    AtOthersCost(UnixTime),
     /// No usable worker can hold a task of the job now.
     NoWorker,
     /// No worker that the platform lists could ever hold it.
     Never,
 }
 
+/// Part of a task's expected run time that is kept as a margin when a job is taken in, as run times
+/// of one job's tasks differ by about as much.
+const MARGIN_DIVISOR: u32 = 8;
+
+/// Outcome of scheduling the queue onto places.
+#[derive(Clone, Copy, Debug, Default)]
+struct QueueForecast {
+    /// Start of the last task of the job in question.
+    last_start: UnixTime,
+    /// Jobs behind it that would miss their objective.
+    missed: u32,
+}
+
 impl Pool {
     /// Estimates when the last task of the job could start.
     pub(super) fn estimate_start(&self, job: &JobRecord, now: UnixTime) -> StartEstimate {
+        let places = match self.find_places(job, now) {
+            Ok(places) => places,
+            Err(estimate) => return estimate,
+        };
+        let with_job = self.forecast(job, true, places.clone(), now);
+        if with_job.missed > 0 && with_job.last_start <= job.latest_start() {
+            let without_job = self.forecast(job, false, places, now);
+            if with_job.missed > without_job.missed {
+                return StartEstimate::AtOthersCost(with_job.last_start);
+            }
+        }
+        StartEstimate::At(with_job.last_start)
+    }
+
+    /// Returns the times at which places for tasks of the job become free.
+    fn find_places(
+        &self,
+        job: &JobRecord,
+        now: UnixTime,
+    ) -> Result<BinaryHeap<Reverse<UnixTime>>, StartEstimate> {
         let room = job.submission.work.room;
         let mut places: BinaryHeap<Reverse<UnixTime>> = BinaryHeap::new();
         let mut could_ever = false;
@@ -45,64 +80,57 @@
             let is_new = worker.listed && !worker.synced && worker.missed_looks == 0;
             let ready_at = if is_new { now.after(SYNC_TIME) } else { now };
             if (is_new || worker.is_usable()) && worker.health.suspended_until <= now {
-                self.push_places(worker, job, ready_at, &mut places);
+                push_places(worker, job, ready_at, &mut places);
             }
         }
         if self.workers.is_empty() {
-            return StartEstimate::At(now.after(SYNC_TIME));
-        }
-        if places.is_empty() {
-            return if could_ever {
-                StartEstimate::NoWorker
-            } else {
-                StartEstimate::Never
-            };
+            return Err(StartEstimate::At(now.after(SYNC_TIME)));
         }
-        let key = self.order_key(job, now);
-        for name in &self.queue {
-            let Some(ahead) = self.jobs.get(name) else {
-                continue;
-            };
-            if ahead.submission.work.job == job.submission.work.job
-                || self.order_key(ahead, now) > key
-            {
-                continue;
-            }
-            for _ in 0..ahead.waiting {
-                take_place(&mut places, ahead.expected);
-            }
+        if !places.is_empty() {
+            return Ok(places);
         }
-        let mut last = now;
-        for _ in 0..job.waiting {
-            last = last.max(take_place(&mut places, job.expected));
-        }
-        StartEstimate::At(last)
+        Err(if could_ever {
+            StartEstimate::NoWorker
+        } else {
+            StartEstimate::Never
+        })
     }
 
-    fn push_places(
+    /// Schedules the waiting jobs in order onto places, with or without the job in question.
+    fn forecast(
         &self,
-        worker: &WorkerRecord,
         job: &JobRecord,
+        includes_job: bool,
+        mut places: BinaryHeap<Reverse<UnixTime>>,
         now: UnixTime,
-        places: &mut BinaryHeap<Reverse<UnixTime>>,
-    ) {
-        let room = job.submission.work.room;
-        let all = room.places_in(worker.entry.capacity);
-        let free = room.places_in(worker.free()).min(all);
-        for _ in 0..free {
-            places.push(Reverse(now));
-        }
-        let busy = (all - free) as usize;
-        let mut ends: Vec<UnixTime> = worker
-            .runs
+    ) -> QueueForecast {
+        let name = &job.submission.work.job;
+        let mut order: Vec<&JobRecord> = self
+            .queue
             .iter()
-            .map(|run| expected_end(worker, run.facts(), now))
+            .filter(|queued| *queued != name)
+            .filter_map(|queued| self.jobs.get(queued))
             .collect();
-        ends.sort_unstable();
-        let skipped = ends.len().saturating_sub(busy);
-        for end in ends.into_iter().skip(skipped) {
-            places.push(Reverse(end));
+        if includes_job {
+            order.push(job);
+        }
+        order.sort_by_cached_key(|queued| self.order_key(queued, now));
+        let mut found = QueueForecast {
+            last_start: now,
+            missed: 0,
+        };
+        for queued in order {
+            let mut last_start = now;
+            for _ in 0..queued.waiting {
+                last_start = last_start.max(take_place(&mut places, queued.expected));
+            }
+            if queued.submission.work.job == *name {
+                found.last_start = last_start;
+            } else if !queued.offered && last_start > queued.latest_start() {
+                found.missed += 1;
+            }
         }
+        found
     }
 
     /// Returns the refusal that a new job gets, with the expected wait, or the wait alone.
@@ -110,12 +138,17 @@
         match self.estimate_start(job, now) {
             StartEstimate::At(start) => {
                 let wait = start.since(now);
-                let is_late = start > job.latest_start();
+                let margin = job.expected / MARGIN_DIVISOR;
+                let is_late = start.after(margin) > job.latest_start();
                 (
                     is_late.then_some(JobOutcome::Refused(Refusal::Overloaded)),
                     wait,
                 )
             }
+            StartEstimate::AtOthersCost(start) => {
+                let wait = start.since(now);
+                (Some(JobOutcome::Refused(Refusal::Overloaded)), wait)
+            }
             StartEstimate::NoWorker => {
                 let wait = self.settings.suspend_first;
                 (Some(JobOutcome::Refused(Refusal::Overloaded)), wait)
@@ -143,6 +176,32 @@
     }
 }
 
+/// Adds the places for tasks of the job that a worker has and will have when its runs end.
+fn push_places(
+    worker: &WorkerRecord,
+    job: &JobRecord,
+    now: UnixTime,
+    places: &mut BinaryHeap<Reverse<UnixTime>>,
+) {
+    let room = job.submission.work.room;
+    let all = room.places_in(worker.entry.capacity);
+    let free = room.places_in(worker.free()).min(all);
+    for _ in 0..free {
+        places.push(Reverse(now));
+    }
+    let busy = (all - free) as usize;
+    let mut ends: Vec<UnixTime> = worker
+        .runs
+        .iter()
+        .map(|run| expected_end(worker, run.facts(), now))
+        .collect();
+    ends.sort_unstable();
+    let skipped = ends.len().saturating_sub(busy);
+    for end in ends.into_iter().skip(skipped) {
+        places.push(Reverse(end));
+    }
+}
+
 /// Takes the earliest place, occupies it for `span` and returns when it was free.
 fn take_place(places: &mut BinaryHeap<Reverse<UnixTime>>, span: Duration) -> UnixTime {
     let Some(Reverse(free_at)) = places.pop() else {
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -233,13 +233,16 @@
         self.queue.retain(|queued| queued != name);
         self.counts.jobs_refused += 1;
         if let JobOutcome::Refused(refusal) = outcome {
+            let load = self.load(now);
             let decision = Decision::JobRefused {
                 job: name.clone(),
                 route: job.submission.policy.route.clone(),
                 refusal,
                 wait,
-                workers: self.load(now).workers,
-                waiting: self.waiting_tasks(),
+                workers: load.workers,
+                free_cpu_milli: load.free_cpu_milli,
+                cpu_milli: job.submission.work.room.cpu_milli,
+                waiting: load.waiting_tasks,
                 list_age: now.since(self.listed_at),
                 age: now.since(job.submission.arrived_at),
             };
--- a/crates/bramley-soak/src/callers.rs
+++ b/crates/bramley-soak/src/callers.rs
@@ -1,6 +1,7 @@
 //! Sends jobs over kept connections and sends them again as the platform's clients do.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -66,16 +67,16 @@
     }
 }
 
-/// Sends jobs one after the other until the time is over.
+/// Sends jobs one after the other until it is told to end.
 pub async fn run_caller(
     seed: u64,
     hosts: Vec<SocketAddr>,
     outcomes: OutcomeList,
-    ends_at: Instant,
+    ends: Arc<AtomicBool>,
 ) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut kept: Option<SendRequest<Full<Bytes>>> = None;
-    while Instant::now() < ends_at {
+    while !ends.load(Ordering::Relaxed) {
         let name = format!("{:016x}", rng.random::<u64>());
         let tasks = rng.random_range(1..5);
         let run_ms: u64 = rng.random_range(20..400);
--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
@@ -13,6 +15,9 @@
 /// Time after the last fault in which service returns; the platform's bound for recovery.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// Time in which the last jobs are answered; longer than callers wait.
+const LAST_ANSWERS: Duration = Duration::from_secs(7);
+
 /// Time in which service is measured after the recovery.
 const AFTER: Duration = Duration::from_secs(3);
 
@@ -98,17 +103,24 @@
     let span = Duration::from_secs(arguments.seconds);
     let outcomes = OutcomeList::default();
     let hosts: Vec<_> = deployment.hosts.iter().map(|host| host.callers).collect();
-    let callers_end = Instant::now() + span + RECOVERY + AFTER;
+    let callers_end = Arc::new(AtomicBool::new(false));
     for caller in 0..arguments.callers {
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(caller);
-        let caller = run_caller(caller_seed, hosts.clone(), outcomes.clone(), callers_end);
+        let caller = run_caller(
+            caller_seed,
+            hosts.clone(),
+            outcomes.clone(),
+            Arc::clone(&callers_end),
+        );
         tokio::spawn(caller);
     }
     let mut faults = FaultDriver::new(seed);
     faults.run(&mut deployment, span).await?;
     tokio::time::sleep(RECOVERY).await;
     let recovered_at = Instant::now();
-    tokio::time::sleep(AFTER + Duration::from_secs(7)).await;
+    tokio::time::sleep(AFTER).await;
+    callers_end.store(true, Ordering::Relaxed);
+    tokio::time::sleep(LAST_ANSWERS).await;
     let all = outcomes.all();
     let mut violations = find_violations(&deployment.ledger, &all);
     violations.append(&mut faults.late_stops);
