A resumed process starts nothing before it has read what it missed

When the pool ran on, its timer found the leases ended and started the tasks again 1 ms before it read the end of the relay's connection. Now a pause over 300 ms, also one that the steady clock does not count, holds starts back for 100 ms and drops relays that may be gone. Test: handover.rs, a resumed pool, failing before.

--- a/crates/bramley-dock/src/engine.rs
+++ b/crates/bramley-dock/src/engine.rs
@@ -21,7 +21,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::clock::{SteadyClock, time_of_day};
+use crate::clock::{SteadyClock, time_of_day, time_since_boot};
 use crate::links::convert::{beat_frame_of, pool_frame_of, relay_frame_of};
 use crate::links::{LinkEnd, outbound};
 use crate::logging::RoutineSampler;
@@ -33,6 +33,9 @@
 /// Time between two rounds of what is due by time; run leases and stops need this resolution.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Time between two rounds from which the process counts as paused; a busy host is late by less.
+const PAUSE_LIMIT: Duration = Duration::from_millis(300);
+
 /// Number of the own relay at the own pool.
 const OWN_RELAY: RelayId = RelayId(0);
 
@@ -390,10 +393,17 @@
     }
 
     pub(crate) fn relay_said(self: &Rc<Self>, relay: RelayId, message: RelayMessage) {
-        self.state
-            .borrow_mut()
-            .pool
-            .relay_said(relay, message, self.now());
+        {
+            let mut state = self.state.borrow_mut();
+            if !state.relays.contains_key(&relay) {
+                log::info!(
+                    "event=message_ignored relay={} reason=connection_dropped",
+                    relay.0
+                );
+                return;
+            }
+            state.pool.relay_said(relay, message, self.now());
+        }
         self.carry_out();
     }
 
@@ -626,8 +636,14 @@
     pub async fn run_timers(self: Rc<Self>) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ticked_at = time_since_boot();
         loop {
             ticks.tick().await;
+            let pause = time_since_boot().saturating_sub(ticked_at);
+            ticked_at += pause;
+            if pause > PAUSE_LIMIT {
+                self.process_resumed(pause);
+            }
             self.run_claim();
             let now = self.now();
             {
@@ -640,6 +656,20 @@
         }
     }
 
+    /// The process did not run for a while: relays that it may have missed are to connect again.
+    fn process_resumed(&self, pause: Duration) {
+        log::warn!("event=process_resumed pause_ms={}", pause.as_millis());
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        state.pool.process_resumed(now);
+        if pause > self.settings.link.silence_limit {
+            for (relay, _) in state.relays.drain() {
+                state.pool.relay_lost(relay, now);
+            }
+        }
+    }
+
     fn send_beats(&self, now: UnixTime) {
         let mut state = self.state.borrow_mut();
         if now.since(state.last_beat) < self.settings.link.heartbeat_every {
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -79,6 +79,8 @@
     token: Option<u64>,
     commands_since: UnixTime,
     adopting_until: UnixTime,
+    /// Time before which nothing is started, because the process has just been resumed.
+    placing_from: UnixTime,
     workers: Vec<WorkerRecord>,
     by_name: FxHashMap<WorkerName, WorkerIndex>,
     jobs: FxHashMap<JobName, JobRecord>,
@@ -102,6 +104,7 @@
             token: None,
             commands_since: UnixTime::default(),
             adopting_until: UnixTime::default(),
+            placing_from: UnixTime::default(),
             workers: Vec::new(),
             by_name: FxHashMap::default(),
             jobs: FxHashMap::default(),
@@ -133,6 +136,12 @@
         self.counts
     }
 
+    /// The process was paused. What happened meanwhile, such as the end of a relay's connection, is
+    /// to be handled before anything is started for jobs whose callers may have left.
+    pub fn process_resumed(&mut self, now: UnixTime) {
+        self.placing_from = now.after(self.settings.resume_wait);
+    }
+
     /// Tells whether the pool has jobs or runs.
     #[must_use]
     pub fn is_busy(&self) -> bool {
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -31,7 +31,7 @@
     /// Starts waiting tasks in order while there is room.
     pub(super) fn place_waiting(&mut self, now: UnixTime) {
         self.placement_due = false;
-        if self.token.is_none() || self.queue.is_empty() {
+        if self.token.is_none() || self.queue.is_empty() || now < self.placing_from {
             return;
         }
         let mut order: Vec<(JobName, (u8, UnixTime))> = self
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -43,6 +43,9 @@
     /// Multiple of the latency objective after which a job that has not started is given up; the
     /// platform counts later answers for nothing.
     pub give_up_factor: f64,
+    /// Time after a pause of the process in which nothing is started: enough to read what arrived
+    /// during the pause.
+    pub resume_wait: Duration,
     /// Time for which a dropped job that had begun is remembered; clients send again for as long as
     /// their deadlines last, of which most are shorter.
     pub begun_memory: Duration,
@@ -70,6 +73,7 @@
             suspend_first: Duration::from_millis(500),
             suspend_longest: Duration::from_secs(8),
             give_up_factor: 3.0,
+            resume_wait: Duration::from_millis(100),
             begun_memory: Duration::from_secs(10),
             scan_limit: 64,
         }
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -113,3 +113,21 @@
         world.log
     );
 }
+
+/// Pattern: the pool's process is paused while a relay's host fails and the client sends its job
+/// again elsewhere; when the process is resumed, its timers are handled before the connection's end.
+#[test]
+fn a_resumed_pool_starts_nothing_before_it_has_read_what_it_missed() {
+    let mut world = World::new(2, 4);
+    world.take_command(0);
+    world.run_for(Duration::from_millis(50));
+    world.submit(1, &long_job("job-1"));
+    world.run_for(Duration::from_millis(50));
+    let runs = world.runs();
+    world.pause_host(0, Duration::from_secs(3));
+    world.hosts[0].pool.process_resumed(world.now);
+    world.run_for(Duration::from_millis(60));
+    world.kill_host(1);
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(world.runs(), runs, "{:#?}", world.log);
+}
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -284,6 +284,13 @@
         }
     }
 
+    /// Lets time pass in which a host's process does nothing; what others do goes on.
+    pub fn pause_host(&mut self, host: usize, span: Duration) {
+        self.hosts[host].alive = false;
+        self.run_for(span);
+        self.hosts[host].alive = true;
+    }
+
     /// Submits a job at a host after a while, unless it was answered by then.
     pub fn submit_after(&mut self, after: Duration, host: usize, job: &TestJob) {
         self.schedule(after, Event::Submit(host, job.clone()));
