--- a/crates/bramley-dock/src/engine.rs
+++ b/crates/bramley-dock/src/engine.rs
@@ -53,7 +53,7 @@
     keeper: Option<AbortHandle>,
     frames: Option<mpsc::UnboundedSender<RelayFrame>>,
     heard_at: UnixTime,
-    lost_store: bool,
+    gives_way: bool,
     refuses: bool,
 }
 
@@ -85,6 +85,13 @@
     to_own_relay: Vec<PoolMessage>,
 }
 
+impl EngineState {
+    /// Tells whether another host should take command over.
+    fn gives_way(&self, now: UnixTime) -> bool {
+        self.stopping_since.is_some() || self.claim.has_lost_store(now)
+    }
+}
+
 /// One process: relay, pool and claim with their driver.
 #[derive(Debug)]
 pub struct Engine<P> {
@@ -372,12 +379,9 @@
             hello.incarnation,
             relay.0,
         );
-        let load = state.pool.load(self.now());
-        let beat = beat_frame_of(
-            load,
-            state.pool.token().is_some(),
-            state.claim.has_lost_store(self.now()),
-        );
+        let now = self.now();
+        let load = state.pool.load(now);
+        let beat = beat_frame_of(load, state.pool.token().is_some(), state.gives_way(now));
         queue_frame(&frames, beat);
         state.relays.insert(relay, RelayLink { frames });
         relay
@@ -434,11 +438,11 @@
         self.carry_out();
     }
 
-    pub(crate) fn pool_loaded(&self, domain: &DomainName, load: PoolLoad, lost_store: bool) {
+    pub(crate) fn pool_loaded(&self, domain: &DomainName, load: PoolLoad, gives_way: bool) {
         let mut state = self.state.borrow_mut();
         state.relay.pool_loaded(domain, load);
         if let Some(link) = state.pools.get_mut(domain) {
-            link.lost_store = lost_store;
+            link.gives_way = gives_way;
         }
     }
 
@@ -549,7 +553,7 @@
             keeper,
             frames: None,
             heard_at: self.now(),
-            lost_store: false,
+            gives_way: false,
             refuses: false,
         };
         let before = state.pools.insert(item.domain.clone(), link);
@@ -630,6 +634,7 @@
         if let Some(action) = action {
             self.start_claim_action(action);
         }
+        self.beat_now();
     }
 
     /// Runs what is due by time until the process ends.
@@ -678,9 +683,9 @@
         state.last_beat = now;
         let load = state.pool.load(now);
         let commands = state.pool.token().is_some();
-        let lost_store = state.claim.has_lost_store(now);
+        let gives_way = state.gives_way(now);
         for link in state.relays.values() {
-            queue_frame(&link.frames, beat_frame_of(load, commands, lost_store));
+            queue_frame(&link.frames, beat_frame_of(load, commands, gives_way));
         }
         let home = self.settings.host.domain.clone();
         if commands {
@@ -697,7 +702,7 @@
             let link = state.pools.get(home);
             let contacts = ContactView {
                 holder_answers: link.is_some_and(|link| link.frames.is_some()),
-                holder_lost_store: link.is_some_and(|link| link.lost_store),
+                holder_gives_way: link.is_some_and(|link| link.gives_way),
                 holder_refuses: link.is_some_and(|link| link.refuses),
                 has_successor: state.has_successor,
                 reaches_others: !state.relays.is_empty()
--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -146,11 +146,11 @@
 
 /// Makes the heartbeat frame of a pool.
 #[must_use]
-pub const fn beat_frame_of(load: PoolLoad, commands: bool, lost_store: bool) -> PoolFrame {
+pub const fn beat_frame_of(load: PoolLoad, commands: bool, gives_way: bool) -> PoolFrame {
     PoolFrame {
         body: Some(pool_frame::Body::Beat(PoolBeat {
             commands,
-            lost_store,
+            gives_way,
             free_cpu_milli: load.free_cpu_milli,
             workers: load.workers,
             waiting_tasks: load.waiting_tasks,
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -98,7 +98,7 @@
                 is_connected = true;
                 engine.pool_connected(domain, frames.clone());
             }
-            engine.pool_loaded(domain, load_of(beat), beat.lost_store);
+            engine.pool_loaded(domain, load_of(beat), beat.gives_way);
         } else if let Some(message) = pool_message_of(body) {
             engine.pool_said(domain, message);
         }
--- /dev/null
+++ b/crates/bramley-dock/tests/frames.rs
@@ -0,0 +1,118 @@
+//! Messages between relays and pools survive the way through frames.
+
+use std::time::Duration;
+
+use bramley_core::names::WorkerName;
+use bramley_core::units::UnixTime;
+use bramley_dock::links::convert::{
+    beat_frame_of, load_of, pool_frame_of, pool_message_of, relay_frame_of, submission_of,
+};
+use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
+use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
+use bramley_pool::refusal::Refusal;
+use bramley_pool::room::TaskRoom;
+use bramley_wire::pool::{pool_frame, relay_frame};
+
+fn submission() -> JobSubmission {
+    let now = UnixTime::from_millis(50_000);
+    JobSubmission {
+        work: JobWork {
+            job: JobName::from("0123456789abcdef"),
+            spec: "payload".into(),
+            tasks: 3,
+            room: TaskRoom {
+                accelerators: 1,
+                cpu_milli: 14_000,
+                memory_mb: 64,
+            },
+            declared: Duration::from_millis(60),
+            required_label: "a".into(),
+            preferred_rack: "r1-2".into(),
+            spread_limit: 2,
+        },
+        policy: JobPolicy {
+            route: RouteName::from("route-1"),
+            service: ServiceName::from("service-1"),
+            priority: 2,
+            attempts: 4,
+            stretch_factor: 1.6,
+            target: Duration::from_millis(60),
+        },
+        arrived_at: now.before(Duration::from_millis(30)),
+        deadline: now.after(Duration::from_millis(1_470)),
+        done: vec![1],
+        placements: vec![TaskPlacement {
+            index: 2,
+            worker: WorkerName::from("worker-7"),
+        }],
+        acknowledged: true,
+        earlier_workers: 16,
+        resumed: true,
+    }
+}
+
+#[test]
+fn a_submission_arrives_as_it_was_sent() {
+    let sent = submission();
+    let now = UnixTime::from_millis(50_000);
+    let frame = relay_frame_of(RelayMessage::Submit(sent.clone()), now);
+    let Some(relay_frame::Body::Submit(submit)) = frame.body else {
+        panic!("the frame holds a submission");
+    };
+    // The clocks of two processes differ: ages and remaining times travel, not times.
+    let there = UnixTime::from_millis(90_000);
+    let received = submission_of(submit, there);
+    let mut expected = sent;
+    expected.arrived_at = there.before(Duration::from_millis(30));
+    expected.deadline = there.after(Duration::from_millis(1_470));
+    assert_eq!(format!("{received:?}"), format!("{expected:?}"));
+}
+
+#[test]
+fn every_outcome_arrives_as_it_was_sent() {
+    let mut outcomes = vec![JobOutcome::Completed, JobOutcome::Failed];
+    outcomes.extend(Refusal::ALL.map(JobOutcome::Refused));
+    for outcome in outcomes {
+        let sent = PoolMessage::Ended {
+            job: JobName::from("job-1"),
+            outcome,
+            wait: Duration::from_millis(250),
+        };
+        let body = pool_frame_of(sent.clone())
+            .body
+            .expect("a frame has a body");
+        assert_eq!(pool_message_of(body), Some(sent));
+    }
+}
+
+#[test]
+fn placements_and_ends_of_tasks_arrive_as_they_were_sent() {
+    let placed = PoolMessage::Placed {
+        job: JobName::from("job-1"),
+        placements: submission().placements,
+    };
+    let done = PoolMessage::TaskDone {
+        job: JobName::from("job-1"),
+        index: 4,
+    };
+    for sent in [placed, done] {
+        let body = pool_frame_of(sent.clone())
+            .body
+            .expect("a frame has a body");
+        assert_eq!(pool_message_of(body), Some(sent));
+    }
+}
+
+#[test]
+fn a_heartbeat_tells_the_load() {
+    let load = PoolLoad {
+        free_cpu_milli: 123_000,
+        workers: 16,
+        waiting_tasks: 5,
+    };
+    let Some(pool_frame::Body::Beat(beat)) = beat_frame_of(load, true, false).body else {
+        panic!("the frame holds a heartbeat");
+    };
+    assert_eq!(load_of(&beat), load);
+    assert!(beat.commands && !beat.gives_way);
+}
--- /dev/null
+++ b/crates/bramley-dock/tests/logging.rs
@@ -0,0 +1,114 @@
+//! Logs are bounded and never block, and lines of routine are thinned out by job.
+
+use std::io::{self, Write};
+use std::sync::mpsc;
+use std::time::Duration;
+
+use bramley_dock::logging::{BoundedLog, RoutineSampler};
+use log::Level;
+
+/// An output whose reader never reads: writes end only when the test does.
+struct StuckOutput(mpsc::Receiver<()>);
+
+impl Write for StuckOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self.0.recv() {
+            Ok(()) => Ok(bytes.len()),
+            Err(_closed) => Err(io::Error::from(io::ErrorKind::BrokenPipe)),
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_reader_that_never_reads_blocks_nobody() {
+    let log = BoundedLog::new(100);
+    let (release, stuck) = mpsc::channel();
+    let writer = log.clone();
+    let thread = std::thread::spawn(move || writer.write_to(StuckOutput(stuck)));
+    for number in 0..100_000 {
+        log.push(Level::Debug, format!("line {number}\n").into_bytes());
+    }
+    assert!(
+        log.waiting_lines() <= 100,
+        "{} lines wait",
+        log.waiting_lines()
+    );
+    drop(release);
+    log.close();
+    let result = thread.join().expect("the writer does not panic");
+    assert_eq!(
+        result.expect_err("the output is gone").kind(),
+        io::ErrorKind::BrokenPipe
+    );
+}
+
+#[test]
+fn refusals_and_failures_are_kept_when_routine_is_dropped() {
+    let log = BoundedLog::new(8);
+    for number in 0..20 {
+        log.push(Level::Debug, format!("routine {number}\n").into_bytes());
+    }
+    for number in 0..20 {
+        log.push(Level::Info, format!("notable {number}\n").into_bytes());
+    }
+    log.push(Level::Warn, b"refused\n".to_vec());
+    log.push(Level::Warn, b"failed\n".to_vec());
+    log.close();
+    let mut written = Vec::new();
+    log.write_to(&mut written).expect("the buffer takes all");
+    let text = String::from_utf8(written).expect("lines are text");
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(
+        lines[..8],
+        [
+            "routine 0",
+            "routine 1",
+            "routine 2",
+            "routine 3",
+            "notable 0",
+            "notable 1",
+            "refused",
+            "failed"
+        ]
+    );
+    assert!(
+        lines[8].ends_with("event=log_lines_dropped count=34"),
+        "{}",
+        lines[8]
+    );
+}
+
+#[test]
+fn above_its_rate_a_sampler_keeps_the_same_jobs_on_every_host() {
+    let mut first = RoutineSampler::new(10);
+    let mut second = RoutineSampler::new(10);
+    let jobs: Vec<String> = (0..2_000).map(|number| format!("{number:016x}")).collect();
+    let kept_by = |sampler: &mut RoutineSampler| -> Vec<bool> {
+        for _ in 0..10 {
+            sampler.passes("warm-up", 7);
+        }
+        jobs.iter().map(|job| sampler.passes(job, 7)).collect()
+    };
+    let kept = kept_by(&mut first);
+    assert_eq!(kept, kept_by(&mut second));
+    let count = kept.iter().filter(|kept| **kept).count();
+    assert!((60..=200).contains(&count), "{count} of 2000 jobs are kept");
+    assert!(first.passes(&jobs[0], 8), "a new second has its own rate");
+}
+
+#[test]
+fn a_closed_log_ends_its_writer() {
+    let log = BoundedLog::new(4);
+    let writer = log.clone();
+    let (done, ended) = mpsc::channel();
+    std::thread::spawn(move || {
+        drop(writer.write_to(io::sink()));
+        done.send(()).expect("the test waits");
+    });
+    log.close();
+    assert!(ended.recv_timeout(Duration::from_secs(60)).is_ok());
+}
--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -34,8 +34,9 @@
 pub struct ContactView {
     /// Whether the holder of the claim answers over the own relay's connection and has command.
     pub holder_answers: bool,
-    /// Whether that holder has reported that it does not reach the store.
-    pub holder_lost_store: bool,
+    /// Whether that holder asks another host to take over, because it stops or does not reach the
+    /// store.
+    pub holder_gives_way: bool,
     /// Whether the holder's machine answers without its process: connections are refused.
     pub holder_refuses: bool,
     /// Whether any other process of the system is connected, as a pool or a relay.
@@ -277,7 +278,7 @@
         }
         let Some(view) = &self.view else {
             let waited = now.since(self.vacant_since.unwrap_or(now));
-            let is_other_well = contacts.holder_answers && !contacts.holder_lost_store;
+            let is_other_well = contacts.holder_answers && !contacts.holder_gives_way;
             if !commands && is_other_well {
                 return None;
             }
--- a/crates/bramley-pool/tests/claims.rs
+++ b/crates/bramley-pool/tests/claims.rs
@@ -29,7 +29,7 @@
 
 const CONNECTED: ContactView = ContactView {
     holder_answers: false,
-    holder_lost_store: false,
+    holder_gives_way: false,
     holder_refuses: false,
     reaches_others: true,
     has_successor: true,
@@ -77,7 +77,7 @@
     };
     assert!(claim.tick(contacts, false, at(3_000)).is_empty());
     let lost = ContactView {
-        holder_lost_store: true,
+        holder_gives_way: true,
         ..contacts
     };
     claim.store_answered(at(3_000));
