--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -37,6 +37,9 @@
 /// of one job's tasks differ by about as much.
 const MARGIN_DIVISOR: u32 = 8;
 
+/// Room counts as contended when more than one task waits for this many workers.
+const CONTENTION_DIVISOR: u32 = 4;
+
 /// Outcome of scheduling the queue onto places.
 #[derive(Clone, Copy, Debug, Default)]
 struct QueueForecast {
@@ -139,7 +142,9 @@
             StartEstimate::At(start) => {
                 let wait = start.since(now);
                 let margin = job.expected / MARGIN_DIVISOR;
-                let is_late = start.after(margin) > job.latest_start();
+                let is_in_time = start.after(margin) <= job.latest_start();
+                // A late answer is better than none while it takes no room from others.
+                let is_late = !is_in_time && (self.is_contended || start > job.objective_at);
                 (
                     is_late.then_some(JobOutcome::Refused(Refusal::Overloaded)),
                     wait,
@@ -160,14 +165,20 @@
         }
     }
 
-    /// Returns the key that orders waiting jobs, least first: jobs that have begun, then those that
-    /// can be in time by their latest start, then the others.
+    /// Finds out whether so many tasks wait that a late job would take room from jobs in time.
+    pub(super) fn measure_contention(&mut self, now: UnixTime) {
+        let load = self.load(now);
+        self.is_contended = load.waiting_tasks * CONTENTION_DIVISOR > load.workers;
+    }
+
+    /// Returns the key that orders waiting jobs, least first: jobs that have begun, then by their
+    /// latest start, but under contention those last that can no longer be in time.
     pub(super) fn order_key(&self, job: &JobRecord, now: UnixTime) -> (u8, UnixTime) {
         let latest = job.latest_start();
         let step = self.settings.priority_step * job.submission.policy.priority;
         let rank = if job.offered {
             0
-        } else if latest >= now {
+        } else if latest >= now || !self.is_contended {
             1
         } else {
             2
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -63,6 +63,7 @@
             self.send(Some(relay), message);
             return;
         }
+        self.measure_contention(now);
         let job = self.make_record(relay, submission, now);
         let adopted = self.adopt_runs(&name, job, now);
         let Some(job) = self.jobs.get(&name) else {
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -93,6 +93,8 @@
     actions: Vec<PoolAction>,
     counts: PoolCounts,
     placement_due: bool,
+    /// Whether a late job would take room from jobs that can be in time.
+    is_contended: bool,
 }
 
 impl Pool {
@@ -115,6 +117,7 @@
             actions: Vec::new(),
             counts: PoolCounts::default(),
             placement_due: false,
+            is_contended: false,
         }
     }
 
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -34,6 +34,7 @@
         if self.token.is_none() || self.queue.is_empty() || now < self.placing_from {
             return;
         }
+        self.measure_contention(now);
         let mut order: Vec<(JobName, (u8, UnixTime))> = self
             .queue
             .iter()
--- a/crates/bramley-pool/src/pool/upkeep.rs
+++ b/crates/bramley-pool/src/pool/upkeep.rs
@@ -26,6 +26,7 @@
         if self.token.is_none() {
             return;
         }
+        self.measure_contention(now);
         self.end_unwanted_jobs(now);
         self.forget_begun(now);
         for index in self.indices() {
@@ -46,7 +47,7 @@
         for name in abandoned {
             self.cancel(&name, "relay_lost", now);
         }
-        let waits_in_time = self.waits_in_time(now);
+        let waits_in_time = self.is_contended && self.waits_in_time(now);
         let expired: Vec<JobName> = self
             .jobs
             .iter()
