Large hosts command their domain; small ones give the claim back to them

The wait now counts from the moment at which a host may claim, and a small holder releases its claim when a large host of its domain is connected. Tests: claims.rs, two.

--- a/crates/bramley-dock/src/engine.rs
+++ b/crates/bramley-dock/src/engine.rs
@@ -61,6 +61,8 @@
 #[derive(Debug)]
 struct RelayLink {
     frames: mpsc::UnboundedSender<PoolFrame>,
+    /// Whether its host is a large one of the own failure domain.
+    is_large_neighbour: bool,
 }
 
 #[derive(Debug)]
@@ -88,7 +90,8 @@
 impl EngineState {
     /// Tells whether another host should take command over.
     fn gives_way(&self, now: UnixTime) -> bool {
-        self.stopping_since.is_some() || self.claim.has_lost_store(now)
+        let is_leaving = self.stopping_since.is_some() || self.claim.is_yielding(now);
+        is_leaving || self.claim.has_lost_store(now)
     }
 }
 
@@ -372,7 +375,10 @@
         let mut state = self.state.borrow_mut();
         let relay = RelayId(state.next_relay);
         state.next_relay += 1;
-        state.has_successor |= hello.relay_domain == self.settings.host.domain.as_str();
+        let is_neighbour = hello.relay_domain == self.settings.host.domain.as_str();
+        state.has_successor |= is_neighbour;
+        let is_large_neighbour =
+            is_neighbour && hello.cpu_milli >= self.settings.claim.large_host_milli;
         log::info!(
             "event=relay_connected host={} incarnation={} relay={}",
             hello.host,
@@ -383,7 +389,11 @@
         let load = state.pool.load(now);
         let beat = beat_frame_of(load, state.pool.token().is_some(), state.gives_way(now));
         queue_frame(&frames, beat);
-        state.relays.insert(relay, RelayLink { frames });
+        let link = RelayLink {
+            frames,
+            is_large_neighbour,
+        };
+        state.relays.insert(relay, link);
         relay
     }
 
@@ -704,6 +714,7 @@
                 holder_answers: link.is_some_and(|link| link.frames.is_some()),
                 holder_gives_way: link.is_some_and(|link| link.gives_way),
                 holder_refuses: link.is_some_and(|link| link.refuses),
+                reaches_large_host: state.relays.values().any(|link| link.is_large_neighbour),
                 has_successor: state.has_successor,
                 reaches_others: !state.relays.is_empty()
                     || state.pools.values().any(|link| link.frames.is_some()),
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -55,6 +55,7 @@
         host: String::from(engine.settings().host.host.as_str()),
         incarnation: engine.incarnation(),
         failure_domain: String::from(domain.as_str()),
+        cpu_milli: engine.settings().host.cpu_milli,
         relay_domain: String::from(engine.settings().host.domain.as_str()),
     };
     send(&frames, relay_frame::Body::Hello(hello));
--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -41,6 +41,8 @@
     pub holder_refuses: bool,
     /// Whether any other process of the system is connected, as a pool or a relay.
     pub reaches_others: bool,
+    /// Whether a process on a large host of the failure domain is connected.
+    pub reaches_large_host: bool,
     /// Whether a process on another host of the failure domain was ever connected, so that it
     /// could take over.
     pub has_successor: bool,
@@ -96,7 +98,8 @@
     standing: ClaimStanding,
     view: Option<ClaimView>,
     view_known: bool,
-    vacant_since: Option<UnixTime>,
+    claimable_since: Option<UnixTime>,
+    yields_until: UnixTime,
     store_heard_at: UnixTime,
     others_heard_at: Option<UnixTime>,
     stopping: bool,
@@ -121,7 +124,8 @@
             standing: ClaimStanding::Standby,
             view: None,
             view_known: false,
-            vacant_since: None,
+            claimable_since: None,
+            yields_until: UnixTime::default(),
             store_heard_at: UnixTime::default(),
             others_heard_at: None,
             stopping: false,
@@ -153,11 +157,6 @@
     pub fn viewed(&mut self, view: Option<ClaimView>, now: UnixTime) {
         self.store_heard_at = now;
         self.view_known = true;
-        if view.is_none() {
-            self.vacant_since.get_or_insert(now);
-        } else {
-            self.vacant_since = None;
-        }
         self.view = view;
     }
 
@@ -231,7 +230,6 @@
                 actions.push(ClaimAction::Release { lease: grant.lease });
             }
             self.standing = ClaimStanding::Standby;
-            self.vacant_since = Some(now);
             self.retry_at = now.after(self.settings.isolated_wait);
             return actions;
         }
@@ -245,7 +243,13 @@
                     *is_renewing = true;
                     actions.push(ClaimAction::Renew { lease: grant.lease });
                 }
-                if self.is_held_by_other() {
+                if !self.is_large && contacts.reaches_large_host {
+                    // Commanding needs more than a small host has; the large one claims next.
+                    let lease = grant.lease;
+                    self.yields_until = now.after(self.settings.yield_time);
+                    self.standing = ClaimStanding::Standby;
+                    actions.push(ClaimAction::Release { lease });
+                } else if self.is_held_by_other() {
                     actions.push(ClaimAction::GiveUp {
                         cause: "claimed_elsewhere",
                     });
@@ -271,17 +275,33 @@
         actions
     }
 
+    /// Tells whether the process has released its claim for a larger host to take over.
+    #[must_use]
+    pub fn is_yielding(&self, now: UnixTime) -> bool {
+        self.yields_until > now
+    }
+
     /// Returns the revision over which the claim may be written now.
-    fn writable(&self, contacts: ContactView, commands: bool, now: UnixTime) -> Option<u64> {
-        if self.stopping || !self.view_known || self.retry_at > now || self.has_lost_store(now) {
+    fn writable(&mut self, contacts: ContactView, commands: bool, now: UnixTime) -> Option<u64> {
+        let may_write = !self.stopping
+            && self.view_known
+            && self.retry_at <= now
+            && !self.has_lost_store(now)
+            && !self.is_yielding(now);
+        let is_other_well = contacts.holder_answers && !contacts.holder_gives_way;
+        let is_claimable = may_write && self.view.is_none() && (commands || !is_other_well);
+        if !is_claimable {
+            self.claimable_since = None;
+        }
+        if !may_write {
             return None;
         }
         let Some(view) = &self.view else {
-            let waited = now.since(self.vacant_since.unwrap_or(now));
-            let is_other_well = contacts.holder_answers && !contacts.holder_gives_way;
-            if !commands && is_other_well {
+            if !is_claimable {
                 return None;
             }
+            let since = *self.claimable_since.get_or_insert(now);
+            let waited = now.since(since);
             let mut wait = if self.is_large || commands {
                 std::time::Duration::ZERO
             } else {
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -114,6 +114,8 @@
     pub isolation_limit: Duration,
     /// Time without the store after which a pool gives its command to a host that reaches it.
     pub store_loss_limit: Duration,
+    /// Time that a small host leaves its released claim to a large one.
+    pub yield_time: Duration,
     /// Share of a core, in thousandths, from which a host counts as large.
     pub large_host_milli: u32,
 }
@@ -127,6 +129,7 @@
             isolated_wait: Duration::from_millis(1_000),
             isolation_limit: Duration::from_millis(1_000),
             store_loss_limit: Duration::from_millis(3_000),
+            yield_time: Duration::from_millis(3_000),
             large_host_milli: 400,
         }
     }
--- a/crates/bramley-pool/tests/claims.rs
+++ b/crates/bramley-pool/tests/claims.rs
@@ -32,6 +32,7 @@
     holder_gives_way: false,
     holder_refuses: false,
     reaches_others: true,
+    reaches_large_host: false,
     has_successor: true,
 };
 
@@ -187,3 +188,50 @@
     let later = at(0).after(Duration::from_secs(10));
     assert!(claim.tick(CONNECTED, false, later).is_empty());
 }
+
+/// Pattern: the holder stops while all hosts of the domain wait for it; a small host that saw the
+/// vacancy long before must not be faster than a large one.
+#[test]
+fn a_small_host_waits_from_the_moment_at_which_it_may_claim() {
+    let mut small = make_claim(SMALL);
+    small.viewed(None, at(0));
+    let answering = ContactView {
+        holder_answers: true,
+        ..CONNECTED
+    };
+    assert!(small.tick(answering, false, at(2_000)).is_empty());
+    let giving_way = ContactView {
+        holder_gives_way: true,
+        ..answering
+    };
+    small.store_answered(at(2_000));
+    assert!(small.tick(giving_way, false, at(2_010)).is_empty());
+    assert_eq!(small.tick(giving_way, false, at(2_200)).len(), 1);
+}
+
+/// Pattern: all large hosts were gone for a while, and a small one took command.
+#[test]
+fn a_small_host_gives_its_claim_to_a_large_one() {
+    let mut claim = make_claim(SMALL);
+    claim.viewed(None, at(0));
+    assert!(claim.tick(CONNECTED, false, at(0)).is_empty());
+    assert_eq!(claim.tick(CONNECTED, false, at(200)).len(), 1);
+    claim.written(ClaimGrant { token: 9, lease: 3 }, at(205));
+    claim.viewed(Some(view_of(OWN, "10.0.0.1:7000")), at(206));
+    assert!(claim.tick(CONNECTED, true, at(300)).is_empty());
+    let with_large = ContactView {
+        reaches_large_host: true,
+        ..CONNECTED
+    };
+    let released = [ClaimAction::Release { lease: 3 }];
+    assert_eq!(claim.tick(with_large, true, at(400)), released);
+    assert!(claim.is_yielding(at(500)));
+    claim.viewed(None, at(410));
+    assert!(claim.tick(with_large, true, at(500)).is_empty());
+    claim.store_answered(at(3_900));
+    assert_eq!(
+        claim.tick(with_large, true, at(3_900)).len(),
+        1,
+        "nobody else claimed"
+    );
+}
