--- a/crates/bramley-dock/src/engine.rs
+++ b/crates/bramley-dock/src/engine.rs
@@ -176,6 +176,11 @@
         })
     }
 
+    /// Changes the state; what the kernels decide is carried out by [`Engine::carry_out`].
+    fn change(&self, change: impl FnOnce(&mut EngineState)) {
+        change(&mut self.state.borrow_mut());
+    }
+
     /// Returns the settings.
     #[must_use]
     pub const fn settings(&self) -> &DockSettings {
@@ -398,26 +403,23 @@
     }
 
     pub(crate) fn relay_disconnected(self: &Rc<Self>, relay: RelayId) {
-        {
-            let mut state = self.state.borrow_mut();
+        let now = self.now();
+        self.change(|state| {
             state.relays.remove(&relay);
-            state.pool.relay_lost(relay, self.now());
-        }
+            state.pool.relay_lost(relay, now);
+        });
         self.carry_out();
     }
 
     pub(crate) fn relay_said(self: &Rc<Self>, relay: RelayId, message: RelayMessage) {
-        {
-            let mut state = self.state.borrow_mut();
-            if !state.relays.contains_key(&relay) {
-                log::info!(
-                    "event=message_ignored relay={} reason=connection_dropped",
-                    relay.0
-                );
-                return;
-            }
-            state.pool.relay_said(relay, message, self.now());
+        let now = self.now();
+        let is_connected = self.state.borrow().relays.contains_key(&relay);
+        if !is_connected {
+            let number = relay.0;
+            log::info!("event=message_ignored relay={number} reason=connection_dropped");
+            return;
         }
+        self.change(|state| state.pool.relay_said(relay, message, now));
         self.carry_out();
     }
 
@@ -434,17 +436,14 @@
         domain: &DomainName,
         frames: mpsc::UnboundedSender<RelayFrame>,
     ) {
-        {
-            let mut state = self.state.borrow_mut();
+        self.change(|state| {
             if let Some(link) = state.pools.get_mut(domain) {
                 link.frames = Some(frames);
-                log::info!(
-                    "event=pool_connected pool={domain} address={}",
-                    link.claim.address
-                );
+                let address = &link.claim.address;
+                log::info!("event=pool_connected pool={domain} address={address}");
             }
             state.relay.pool_connected(domain);
-        }
+        });
         self.carry_out();
     }
 
@@ -661,11 +660,10 @@
             }
             self.run_claim();
             let now = self.now();
-            {
-                let mut state = self.state.borrow_mut();
+            self.change(|state| {
                 state.pool.tick(now);
                 state.relay.tick(now);
-            }
+            });
             self.send_beats(now);
             self.carry_out();
         }
@@ -758,12 +756,11 @@
     }
 
     fn give_up_command(self: &Rc<Self>) {
-        {
-            let mut state = self.state.borrow_mut();
-            let now = self.now();
+        let now = self.now();
+        self.change(|state| {
             state.pool.give_up_command(now);
             state.relay.pool_lost(&self.settings.host.domain, now);
-        }
+        });
         self.command_changed.notify_waiters();
         self.beat_now();
         self.carry_out();
@@ -796,11 +793,10 @@
                     grant.token,
                     grant.lease,
                 );
-                {
-                    let mut state = self.state.borrow_mut();
+                self.change(|state| {
                     state.claim.written(grant, now);
                     state.pool.take_command(grant.token, now);
-                }
+                });
                 let view = ClaimView {
                     revision: grant.token,
                     ..view
--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -26,7 +26,7 @@
 #[must_use]
 pub fn relay_frame_of(message: RelayMessage, now: UnixTime) -> RelayFrame {
     let body = match message {
-        RelayMessage::Submit(submission) => relay_frame::Body::Submit(submit_of(submission, now)),
+        RelayMessage::Submit(submission) => relay_frame::Body::Submit(submit_of(*submission, now)),
         RelayMessage::Cancel(job) => relay_frame::Body::Cancel(CancelJob {
             job: String::from(job.as_str()),
         }),
--- a/crates/bramley-dock/src/links/inbound.rs
+++ b/crates/bramley-dock/src/links/inbound.rs
@@ -74,7 +74,7 @@
         };
         let message = match frame.body {
             Some(relay_frame::Body::Submit(submit)) => {
-                RelayMessage::Submit(submission_of(submit, engine.now()))
+                RelayMessage::Submit(Box::new(submission_of(submit, engine.now())))
             }
             Some(relay_frame::Body::Cancel(cancel)) => {
                 RelayMessage::Cancel(JobName::new(cancel.job))
--- a/crates/bramley-dock/src/links/mod.rs
+++ b/crates/bramley-dock/src/links/mod.rs
@@ -11,7 +11,7 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use futures::StreamExt;
 use prost::Message;
 use socket2::SockRef;
@@ -81,7 +81,7 @@
         for frame in batch.drain(..) {
             append_frame(&mut bytes, &frame);
         }
-        let bytes: Bytes = bytes.freeze();
+        let bytes = bytes.freeze();
         writer.write_all(&bytes).await?;
     }
     writer.shutdown().await
--- a/crates/bramley-dock/src/logging.rs
+++ b/crates/bramley-dock/src/logging.rs
@@ -127,11 +127,11 @@
 struct LevelledPipe(BoundedLog);
 
 impl Write for LevelledPipe {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        if let Some((mark, line)) = bytes.split_first() {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if let Some((mark, line)) = buf.split_first() {
             self.0.push(level_of_mark(*mark), line.to_vec());
         }
-        Ok(bytes.len())
+        Ok(buf.len())
     }
 
     fn flush(&mut self) -> io::Result<()> {
--- a/crates/bramley-dock/src/routes.rs
+++ b/crates/bramley-dock/src/routes.rs
@@ -55,7 +55,7 @@
     pub fn new(version: u64, limits: RequestLimits, routes: Vec<RouteEntry>) -> Self {
         let mut by_host: FxHashMap<Arc<str>, Vec<Arc<RouteEntry>>> = FxHashMap::default();
         for route in routes {
-            let host = route.host.clone();
+            let host = Arc::clone(&route.host);
             by_host.entry(host).or_default().push(Arc::new(route));
         }
         for routes in by_host.values_mut() {
--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -55,7 +55,7 @@
 fn a_submission_arrives_as_it_was_sent() {
     let sent = submission();
     let now = UnixTime::from_millis(50_000);
-    let frame = relay_frame_of(RelayMessage::Submit(sent.clone()), now);
+    let frame = relay_frame_of(RelayMessage::Submit(Box::new(sent.clone())), now);
     let Some(relay_frame::Body::Submit(submit)) = frame.body else {
         panic!("the frame holds a submission");
     };
--- a/crates/bramley-dock/tests/logging.rs
+++ b/crates/bramley-dock/tests/logging.rs
@@ -11,9 +11,9 @@
 struct StuckOutput(mpsc::Receiver<()>);
 
 impl Write for StuckOutput {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
         match self.0.recv() {
-            Ok(()) => Ok(bytes.len()),
+            Ok(()) => Ok(buf.len()),
             Err(_closed) => Err(io::Error::from(io::ErrorKind::BrokenPipe)),
         }
     }
@@ -110,5 +110,6 @@
         done.send(()).expect("the test waits");
     });
     log.close();
-    assert!(ended.recv_timeout(Duration::from_secs(60)).is_ok());
+    let end = ended.recv_timeout(Duration::from_secs(60));
+    assert_eq!(end, Ok(()));
 }
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Debug)]
 pub enum RelayMessage {
     /// Run this job.
-    Submit(JobSubmission),
+    Submit(Box<JobSubmission>),
     /// Stop this job; nobody waits for its answer.
     Cancel(JobName),
 }
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -16,7 +16,7 @@
     /// Handles a message of a relay.
     pub fn relay_said(&mut self, relay: RelayId, message: RelayMessage, now: UnixTime) {
         match message {
-            RelayMessage::Submit(submission) => self.submit(relay, submission, now),
+            RelayMessage::Submit(submission) => self.submit(relay, *submission, now),
             RelayMessage::Cancel(job) => {
                 if self
                     .jobs
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -14,6 +14,7 @@
 mod reports;
 mod upkeep;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bramley_core::estimate::RunTimeTable;
@@ -236,7 +237,7 @@
             worker: index,
             life: worker.life,
             name: worker.entry.name.clone(),
-            address: worker.entry.address.clone(),
+            address: Arc::clone(&worker.entry.address),
             token,
             order,
             sent_at: now,
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -1,5 +1,6 @@
 //! Chooses workers for waiting tasks and sends starts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
@@ -247,7 +248,7 @@
         job.offered = true;
         let number = task.last_number;
         let age = now.since(job.submission.arrived_at);
-        let spec = job.submission.work.spec.clone();
+        let spec = Arc::clone(&job.submission.work.spec);
         let facts = RunFacts {
             task: TaskName::single_step(name.clone(), u32::try_from(position).unwrap_or(u32::MAX)),
             number,
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -261,7 +261,7 @@
     fn job_at(&mut self, name: &JobName, domain: &DomainName) -> Option<&mut RelayJob> {
         let job = self.jobs.get_mut(name)?;
         let is_there = matches!(&job.standing, JobStanding::AtPool(at) if at == domain);
-        if is_there { Some(job) } else { None }
+        is_there.then_some(job)
     }
 
     fn job_ended(&mut self, name: &JobName, outcome: JobOutcome, wait: Duration) {
@@ -338,7 +338,7 @@
     }
 
     fn send_submit(&mut self, domain: &DomainName, submission: &JobSubmission) {
-        let message = RelayMessage::Submit(submission.clone());
+        let message = RelayMessage::Submit(Box::new(submission.clone()));
         self.actions
             .push(RelayAction::Send(domain.clone(), message));
     }
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -399,7 +399,7 @@
                 let worker = &mut self.workers[worker_of(&call)];
                 // The worker holds the order back, so it is lost when the worker starts again.
                 if worker.alive && worker.born_unix_ms == born_unix_ms {
-                    let _: CallAnswer = worker.order(&call, now);
+                    drop(worker.order(&call, now));
                 }
             }
             Event::Submit(host, job) => {
--- a/crates/bramley-soak/src/deployment.rs
+++ b/crates/bramley-soak/src/deployment.rs
@@ -217,11 +217,11 @@
             .child
             .as_ref()
             .and_then(|child| i32::try_from(child.id()).ok());
-        if let Some(pid) = pid.and_then(Pid::from_raw) {
-            if let Err(error) = kill_process(pid, signal) {
-                // The process may just have ended by itself.
-                eprintln!("signal {signal:?} to {}: {error}", pid.as_raw_nonzero());
-            }
+        if let Some(pid) = pid.and_then(Pid::from_raw)
+            && let Err(error) = kill_process(pid, signal)
+        {
+            // The process may just have ended by itself.
+            eprintln!("signal {signal:?} to {}: {error}", pid.as_raw_nonzero());
         }
     }
 
