--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -16,14 +16,20 @@
     }
 }
 
-/// Pattern: a job is submitted again to the new pool before the runs of all workers were read.
-#[test]
-fn no_task_runs_twice_when_command_passes_on() {
+/// Returns a world in which host 0 has command and runs a job of host 2.
+fn world_with_job() -> World {
     let mut world = World::new(3, 8);
     world.take_command(0);
     world.run_for(Duration::from_millis(50));
     world.submit(2, &long_job("job-1"));
     world.run_for(Duration::from_millis(100));
+    world
+}
+
+/// Pattern: a job is submitted again to the new pool before the runs of all workers were read.
+#[test]
+fn no_task_runs_twice_when_command_passes_on() {
+    let mut world = world_with_job();
     for worker in &mut world.workers {
         if worker.running() > 0 {
             worker.answer_delay = Duration::from_millis(20);
@@ -39,11 +45,7 @@
 /// Pattern: as before, and one worker answers nobody for longer than a run lease.
 #[test]
 fn a_silent_worker_is_waited_for_until_its_leases_have_ended() {
-    let mut world = World::new(3, 8);
-    world.take_command(0);
-    world.run_for(Duration::from_millis(50));
-    world.submit(2, &long_job("job-1"));
-    world.run_for(Duration::from_millis(100));
+    let mut world = world_with_job();
     for worker in &mut world.workers {
         worker.silent = worker.running() > 0;
     }
@@ -95,11 +97,7 @@
 /// passes on at that moment; they still run what the earlier pool started.
 #[test]
 fn runs_on_unlisted_workers_are_waited_for() {
-    let mut world = World::new(3, 8);
-    world.take_command(0);
-    world.run_for(Duration::from_millis(50));
-    world.submit(2, &long_job("job-1"));
-    world.run_for(Duration::from_millis(100));
+    let mut world = world_with_job();
     for worker in &mut world.workers {
         worker.listed = worker.running() == 0;
     }
