A resumed process handles nothing that arrived during its pause before its wait has begun

Pauses are now noticed at the first event of any kind, and relays hold jobs back for 100 ms too, as a caller may have sent its job elsewhere.

--- a/crates/bramley-dock/src/engine.rs
+++ b/crates/bramley-dock/src/engine.rs
@@ -1,6 +1,6 @@
 //! Feeds events to the kernels and carries their actions out.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -104,6 +104,8 @@
     incarnation: u64,
     metrics: DockMetrics,
     state: RefCell<EngineState>,
+    /// Time since boot at which the process was last seen to run.
+    active_at: Cell<Duration>,
     command_changed: Notify,
 }
 
@@ -172,6 +174,7 @@
             incarnation,
             metrics: DockMetrics::default(),
             state: RefCell::new(state),
+            active_at: Cell::new(time_since_boot()),
             command_changed: Notify::new(),
         })
     }
@@ -313,6 +316,7 @@
 
     /// Hands a caller's job to the relay.
     pub fn submit(self: &Rc<Self>, submission: JobSubmission) -> CallerTicket<P> {
+        self.detect_pause();
         let job = submission.work.job.clone();
         let (answer, receiver) = oneshot::channel();
         let number = {
@@ -412,6 +416,7 @@
     }
 
     pub(crate) fn relay_said(self: &Rc<Self>, relay: RelayId, message: RelayMessage) {
+        self.detect_pause();
         let now = self.now();
         let is_connected = self.state.borrow().relays.contains_key(&relay);
         if !is_connected {
@@ -436,13 +441,15 @@
         domain: &DomainName,
         frames: mpsc::UnboundedSender<RelayFrame>,
     ) {
+        self.detect_pause();
+        let now = self.now();
         self.change(|state| {
             if let Some(link) = state.pools.get_mut(domain) {
                 link.frames = Some(frames);
                 let address = &link.claim.address;
                 log::info!("event=pool_connected pool={domain} address={address}");
             }
-            state.relay.pool_connected(domain);
+            state.relay.pool_connected(domain, now);
         });
         self.carry_out();
     }
@@ -456,6 +463,7 @@
     }
 
     pub(crate) fn pool_said(self: &Rc<Self>, domain: &DomainName, message: PoolMessage) {
+        self.detect_pause();
         let now = self.now();
         self.state
             .borrow_mut()
@@ -576,7 +584,8 @@
             state.relay.pool_lost(&item.domain, heard_at);
         }
         if is_own && state.pool.token().is_some() {
-            state.relay.pool_connected(&item.domain);
+            let now = self.now();
+            state.relay.pool_connected(&item.domain, now);
         }
     }
 
@@ -650,14 +659,9 @@
     pub async fn run_timers(self: Rc<Self>) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut ticked_at = time_since_boot();
         loop {
             ticks.tick().await;
-            let pause = time_since_boot().saturating_sub(ticked_at);
-            ticked_at += pause;
-            if pause > PAUSE_LIMIT {
-                self.process_resumed(pause);
-            }
+            self.detect_pause();
             self.run_claim();
             let now = self.now();
             self.change(|state| {
@@ -669,6 +673,16 @@
         }
     }
 
+    /// Finds out whether the process did not run for a while. To be called before anything is handled
+    /// that may have arrived meanwhile.
+    fn detect_pause(&self) {
+        let time = time_since_boot();
+        let pause = time.saturating_sub(self.active_at.replace(time));
+        if pause > PAUSE_LIMIT {
+            self.process_resumed(pause);
+        }
+    }
+
     /// The process did not run for a while: relays that it may have missed are to connect again.
     fn process_resumed(&self, pause: Duration) {
         log::warn!("event=process_resumed pause_ms={}", pause.as_millis());
@@ -676,6 +690,7 @@
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         state.pool.process_resumed(now);
+        state.relay.process_resumed(now);
         if pause > self.settings.link.silence_limit {
             for (relay, _) in state.relays.drain() {
                 state.pool.relay_lost(relay, now);
@@ -830,7 +845,7 @@
         let mut state = self.state.borrow_mut();
         let home = &self.settings.host.domain;
         if !state.relay.is_connected(home) {
-            state.relay.pool_connected(home);
+            state.relay.pool_connected(home, self.now());
         }
     }
 
@@ -888,6 +903,7 @@
                 let engine = Rc::clone(self);
                 spawn_local(async move {
                     let answer = engine.port.call_worker(&call).await;
+                    engine.detect_pause();
                     engine.metrics.note_call(&call, &answer, engine.now());
                     let now = engine.now();
                     engine
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -46,6 +46,8 @@
 /// Where a job stands.
 #[derive(Clone, Debug)]
 enum JobStanding {
+    /// Not sent to any pool, because the process has just been resumed.
+    Held,
     /// At the pool of this failure domain.
     AtPool(DomainName),
     /// The connection to the pool of this failure domain was lost; its runs have ended by the
@@ -78,6 +80,8 @@
     home: DomainName,
     jobs: FxHashMap<JobName, RelayJob>,
     pools: FxHashMap<DomainName, PoolView>,
+    /// Time before which no job is sent, because the process has just been resumed.
+    sending_from: UnixTime,
     actions: Vec<RelayAction>,
 }
 
@@ -90,6 +94,7 @@
             home,
             jobs: FxHashMap::default(),
             pools: FxHashMap::default(),
+            sending_from: UnixTime::default(),
             actions: Vec::new(),
         }
     }
@@ -127,26 +132,38 @@
         self.pools.get(domain).is_some_and(|pool| pool.connected)
     }
 
+    /// The process was paused. The end of a caller's connection is to be handled before its job is
+    /// sent anywhere, as the caller may have sent it again meanwhile.
+    pub fn process_resumed(&mut self, now: UnixTime) {
+        self.sending_from = now.after(self.settings.resume_wait);
+    }
+
     /// Takes in a job of a caller. A job that is already open keeps its runs, and the answer goes
     /// to the newest caller.
-    pub fn accept(&mut self, submission: JobSubmission, _now: UnixTime) {
+    pub fn accept(&mut self, submission: JobSubmission, now: UnixTime) {
         let name = submission.work.job.clone();
         if let Some(job) = self.jobs.get_mut(&name) {
             job.submission.deadline = submission.deadline;
             return;
         }
-        let Some(domain) = self.first_pool() else {
-            self.answer_unserved(&name, Refusal::NoPool);
-            return;
-        };
-        self.send_submit(&domain, &submission);
         let job = RelayJob {
             submission,
-            standing: JobStanding::AtPool(domain.clone()),
-            tried: vec![domain],
+            standing: JobStanding::Held,
+            tried: Vec::new(),
             started: false,
         };
-        self.jobs.insert(name, job);
+        self.jobs.insert(name.clone(), job);
+        if now >= self.sending_from {
+            self.offer(&name);
+        }
+    }
+
+    /// Sends a job to its first pool.
+    fn offer(&mut self, name: &JobName) {
+        match self.first_pool() {
+            Some(domain) => self.move_job(name, domain),
+            None => self.answer_unserved(name, Refusal::NoPool),
+        }
     }
 
     /// The caller of a job has left.
@@ -162,12 +179,19 @@
 
     /// A pool was connected: jobs that an earlier connection to the same workers had are handed to
     /// it again.
-    pub fn pool_connected(&mut self, domain: &DomainName) {
+    pub fn pool_connected(&mut self, domain: &DomainName, now: UnixTime) {
         let view = PoolView {
             connected: true,
             load: PoolLoad::default(),
         };
         self.pools.insert(domain.clone(), view);
+        if now >= self.sending_from {
+            self.resume_jobs_of(domain);
+        }
+    }
+
+    /// Hands jobs that were at an earlier pool of a failure domain to its present one.
+    fn resume_jobs_of(&mut self, domain: &DomainName) {
         let names: Vec<JobName> = self
             .jobs
             .iter()
@@ -244,6 +268,23 @@
 
     /// Does what is due; called at least every 50 ms while jobs are open.
     pub fn tick(&mut self, now: UnixTime) {
+        if now < self.sending_from {
+            return;
+        }
+        let held = self.jobs.iter().filter(|(_, job)| job.is_held());
+        let held: Vec<JobName> = held.map(|(name, _)| name.clone()).collect();
+        for name in held {
+            self.offer(&name);
+        }
+        let connected: Vec<DomainName> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| pool.connected)
+            .map(|(domain, _)| domain.clone())
+            .collect();
+        for domain in connected {
+            self.resume_jobs_of(&domain);
+        }
         let due: Vec<JobName> = self
             .jobs
             .iter()
@@ -380,6 +421,10 @@
         matches!(&self.standing, JobStanding::InDoubt { domain, .. } if domain == lost)
     }
 
+    const fn is_held(&self) -> bool {
+        matches!(self.standing, JobStanding::Held)
+    }
+
     fn is_settled_by(&self, now: UnixTime) -> bool {
         matches!(&self.standing, JobStanding::InDoubt { ended_by, .. } if *ended_by <= now)
     }
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -86,6 +86,9 @@
     /// Time after the last message of a lost pool until its runs have surely ended: the pool's
     /// silence limit, the relay grace, one run lease and a short pause of the pool's host.
     pub lost_pool_wait: Duration,
+    /// Time after a pause of the process in which no job is sent: enough to read what arrived during
+    /// the pause.
+    pub resume_wait: Duration,
     /// Least time to come back that a refusal states.
     pub retry_after_least: Duration,
 }
@@ -94,6 +97,7 @@
     fn default() -> Self {
         Self {
             lost_pool_wait: Duration::from_millis(2_500),
+            resume_wait: Duration::from_millis(100),
             retry_after_least: Duration::from_secs(1),
         }
     }
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -129,3 +129,38 @@
     world.run_for(Duration::from_secs(3));
     assert_eq!(world.runs(), runs, "{:#?}", world.log);
 }
+
+/// Pattern: a relay's process is paused while it holds an unread request; its caller sends the job
+/// again elsewhere and leaves, and the request is read before the connection's end.
+#[test]
+fn a_resumed_relay_sends_nothing_before_it_has_read_what_it_missed() {
+    let mut world = World::new(2, 4);
+    world.take_command(0);
+    world.run_for(Duration::from_millis(50));
+    world.hosts[1].relay.process_resumed(world.now);
+    world.submit(1, &long_job("job-1"));
+    world.run_for(Duration::from_millis(60));
+    world.leave(1, "job-1");
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.runs(), 0, "{:#?}", world.log);
+    world.hosts[1].relay.process_resumed(world.now);
+    world.submit(1, &long_job("job-2"));
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.answer("job-2"), Some(JobAnswer::Completed));
+}
+
+/// Pattern: a pool's process is paused; a job that was sent to it meanwhile has gone to another pool,
+/// and it reads the submission before the connection's end.
+#[test]
+fn a_resumed_pool_starts_no_job_that_was_sent_during_the_pause() {
+    let mut world = World::new(2, 4);
+    world.take_command(0);
+    world.run_for(Duration::from_millis(50));
+    world.pause_host(0, Duration::from_secs(3));
+    world.hosts[0].pool.process_resumed(world.now);
+    world.submit(1, &long_job("job-1"));
+    world.run_for(Duration::from_millis(50));
+    world.kill_host(1);
+    world.run_for(Duration::from_secs(2));
+    assert_eq!(world.runs(), 0, "{:#?}", world.log);
+}
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -199,7 +199,7 @@
         self.schedule(LIST_TIME, Event::List(host));
         for index in 0..self.hosts.len() {
             if self.hosts[index].alive {
-                self.hosts[index].relay.pool_connected(&self.domain);
+                self.hosts[index].relay.pool_connected(&self.domain, now);
             }
         }
         self.carry_out();
