--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -206,6 +206,7 @@
         self.runs.clear();
         self.booked = crate::room::TaskRoom::default();
         self.looking = false;
+        self.look_sent_at = UnixTime::default();
         self.missed_looks = 0;
         self.next_look_at = UnixTime::default();
         self.next_probe_at = UnixTime::default();
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -55,8 +55,9 @@
                 self.stop_answered(call.worker, task, *number, &answer, now);
             }
             WorkerOrder::Look { wait, .. } => {
-                if !wait.is_zero() {
-                    self.worker_mut(call.worker).looking = false;
+                let worker = self.worker_mut(call.worker);
+                if !wait.is_zero() && worker.look_sent_at == call.sent_at {
+                    worker.looking = false;
                 }
                 self.look_answered(call, answer, now);
             }
@@ -86,9 +87,7 @@
             }
             CallAnswer::Unanswered | CallAnswer::Report(_) => {
                 self.counts.starts_unanswered += 1;
-                self.note_start_refused(index, task, number, None);
-                self.stop_run(index, position, StopCause::StartUnanswered, now);
-                self.bad_sign(index, now);
+                self.start_unanswered(index, position, now);
                 return;
             }
             CallAnswer::NotSent => None,
@@ -121,6 +120,21 @@
         }
     }
 
+    /// A start had no answer: the run goes on if a report has shown it since, else it is stopped.
+    fn start_unanswered(&mut self, index: WorkerIndex, position: usize, now: UnixTime) {
+        let worker = self.worker(index);
+        let LiveRun::Starting(run) = &worker.runs[position] else {
+            return;
+        };
+        let is_silent = worker.reported_at < run.facts.started_at;
+        let (task, number) = (run.facts.task.clone(), run.facts.number);
+        self.note_start_refused(index, &task, number, None);
+        self.stop_run(index, position, StopCause::StartUnanswered, now);
+        if is_silent {
+            self.bad_sign(index, now);
+        }
+    }
+
     fn note_start_refused(
         &mut self,
         index: WorkerIndex,
@@ -165,7 +179,7 @@
             CallAnswer::Accepted(_)
             | CallAnswer::Refused(..)
             | CallAnswer::NotSent
-            | CallAnswer::Unanswered => self.look_missed(call.worker, now),
+            | CallAnswer::Unanswered => self.look_missed(call.worker, call.sent_at, now),
         }
     }
 
@@ -186,6 +200,10 @@
             }
         }
         let longest_lease = self.settings.longest_lease;
+        if self.is_look_overdue(index, now) {
+            // The worker answers, so the overdue look's answer is lost; another takes its place.
+            self.worker_mut(index).looking = false;
+        }
         let worker = self.worker_mut(index);
         let was_synced = worker.synced;
         let newest = asked_at >= worker.reported_at;
--- a/crates/bramley-pool/src/pool/upkeep.rs
+++ b/crates/bramley-pool/src/pool/upkeep.rs
@@ -14,6 +14,9 @@
 /// Wait after a missed look; it grows by this much with each further one.
 const MISSED_LOOK_WAIT: Duration = Duration::from_millis(60);
 
+/// Time beyond its wait after which a look counts as overdue: many round trips.
+const LOOK_SLACK: Duration = Duration::from_millis(40);
+
 /// Largest multiple of the wait after missed looks.
 const MISSED_LOOK_STEPS: u32 = 10;
 
@@ -89,6 +92,9 @@
         self.stop_unclaimed_runs(index, now);
         self.stop_stalled_runs(index, now);
         self.retry_stops(index, now);
+        if self.is_look_overdue(index, now) {
+            self.look_now(index, now);
+        }
         self.look_if_needed(index, now);
     }
 
@@ -201,6 +207,7 @@
         let is_kept = worker.runs.iter().any(|run| !run.is_stopping());
         let renews = is_kept && worker.missed_looks == 0 && worker.clock.is_known();
         worker.looking = true;
+        worker.look_sent_at = now;
         worker.acknowledgement_sent = worker.acknowledged;
         let order = WorkerOrder::Look {
             lease_end: renews.then(|| worker.clock.extend_lease(now, lease, error)),
@@ -210,6 +217,14 @@
         self.order(index, order, now);
     }
 
+    /// Tells whether the waiting look should have been answered by now, so that its answer is lost or
+    /// the worker is silent.
+    pub(super) fn is_look_overdue(&self, index: WorkerIndex, now: UnixTime) -> bool {
+        let worker = self.worker(index);
+        let due_at = worker.look_sent_at.after(self.settings.look_wait);
+        worker.looking && now >= due_at.after(LOOK_SLACK)
+    }
+
     /// Looks at a worker at once, without renewing its lease.
     pub(super) fn look_now(&mut self, index: WorkerIndex, now: UnixTime) {
         if self.token.is_none() {
@@ -229,8 +244,12 @@
         self.order(index, order, now);
     }
 
-    pub(super) fn look_missed(&mut self, index: WorkerIndex, now: UnixTime) {
+    /// A look that was sent at `asked_at` had no answer.
+    pub(super) fn look_missed(&mut self, index: WorkerIndex, asked_at: UnixTime, now: UnixTime) {
         let worker = self.worker_mut(index);
+        if worker.reported_at > asked_at {
+            return;
+        }
         worker.missed_looks += 1;
         let steps = worker.missed_looks.min(MISSED_LOOK_STEPS);
         worker.next_look_at = now.after(MISSED_LOOK_WAIT * steps);
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -344,6 +344,8 @@
     pub booked: TaskRoom,
     /// Whether a waiting look is on its way.
     pub looking: bool,
+    /// Time at which the latest waiting look was sent.
+    pub look_sent_at: UnixTime,
     /// Looks without an answer since the last answer.
     pub missed_looks: u32,
     /// Time before which no further waiting look is sent after a missed one.
@@ -377,6 +379,7 @@
             runs: Vec::new(),
             booked: TaskRoom::default(),
             looking: false,
+            look_sent_at: UnixTime::default(),
             missed_looks: 0,
             next_look_at: UnixTime::default(),
             next_probe_at: UnixTime::default(),
--- a/crates/bramley-pool/tests/stragglers.rs
+++ b/crates/bramley-pool/tests/stragglers.rs
@@ -152,3 +152,45 @@
     }
     assert!(failed_twice.is_empty(), "{failed_twice:?}");
 }
+
+/// Pattern: workers carry a part of the orders out and do not answer; all of them are sound.
+#[test]
+fn lost_answers_do_not_take_sound_workers_out_of_use() {
+    let mut world = started_world(4);
+    for number in 0..60 {
+        for worker in 0..4 {
+            if (number + worker) % 4 == 0 {
+                world.lost_looks.insert(worker, 1);
+            }
+        }
+        let job = TestJob {
+            name: format!("job-{number}"),
+            tasks: 4,
+            run: Duration::from_millis(150),
+            ..TestJob::default()
+        };
+        world.submit(0, &job);
+        world.run_for(Duration::from_millis(100));
+    }
+    world.run_for(Duration::from_secs(3));
+    let completed = world
+        .answers
+        .values()
+        .filter(|(answer, _)| *answer == JobAnswer::Completed)
+        .count();
+    let suspensions = world
+        .log
+        .iter()
+        .filter(|line| line.contains("belief=suspended"));
+    assert_eq!(
+        (completed, suspensions.count()),
+        (60, 0),
+        "{:#?}",
+        world.log
+    );
+    let silent = world
+        .log
+        .iter()
+        .filter(|line| line.contains("belief=silent"));
+    assert_eq!(silent.count(), 0, "{:#?}", world.log);
+}
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -100,6 +100,8 @@
     pub log: Vec<String>,
     /// Calls that get no answer although they are carried out: worker and number of calls left.
     pub lost_answers: BTreeMap<usize, u32>,
+    /// Looks that get no answer: worker and number of looks left.
+    pub lost_looks: BTreeMap<usize, u32>,
     /// Delays after which the next orders are carried out, without an answer.
     pub late_orders: Vec<Duration>,
     /// Pairs of host and worker that cannot reach each other.
@@ -158,6 +160,7 @@
             answers: BTreeMap::new(),
             log: Vec::new(),
             lost_answers: BTreeMap::new(),
+            lost_looks: BTreeMap::new(),
             late_orders: Vec::new(),
             cuts: BTreeSet::new(),
             answered: BTreeSet::new(),
@@ -448,6 +451,12 @@
                 self.schedule(DELAY, Event::Answer(host, call, refusal));
                 return;
             }
+            if let Some(left) = self.lost_looks.get_mut(&worker_index)
+                && *left > 0
+            {
+                *left -= 1;
+                return;
+            }
             self.look(host, call, until);
             return;
         }
