--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -36,7 +36,8 @@
         }
         if let CallAnswer::Refused(refusal, _) = &answer {
             match refusal {
-                CallRefusal::Fenced => {
+                // A call of an earlier command says nothing of the present one.
+                CallRefusal::Fenced if self.token == Some(call.token) => {
                     self.lose_command(call.worker, now);
                     return;
                 }
--- a/crates/bramley-pool/src/pool/upkeep.rs
+++ b/crates/bramley-pool/src/pool/upkeep.rs
@@ -145,6 +145,7 @@
 
     fn stop_stalled_runs(&mut self, index: WorkerIndex, now: UnixTime) {
         let ratio = self.settings.stall_ratio;
+        let slow_ratio = self.settings.slow_ratio;
         let floor = self.settings.stall_floor;
         for position in 0..self.worker(index).runs.len() {
             let worker = self.worker(index);
@@ -154,21 +155,24 @@
             let job = self.jobs.get(&run.facts.task.job);
             let declared = job.map_or(Duration::ZERO, |job| job.submission.work.declared);
             let expected = run.facts.expected.max(declared);
-            let limit = expected.mul_f64(ratio * worker.pace.max(1.0)).max(floor);
+            // A slower worker is a bad one: its tasks are better started elsewhere.
+            let pace = worker.pace.clamp(1.0, slow_ratio);
+            let limit = expected.mul_f64(ratio * pace).max(floor);
             if now.since(run.facts.started_at) > limit {
                 let job = run.facts.task.job.clone();
+                let longer = run.facts.expected * 2;
                 self.stop_run(index, position, StopCause::Stalled, now);
                 self.bad_sign(index, now);
-                self.expect_longer(&job);
+                self.expect_longer(&job, longer);
             }
         }
     }
 
     /// Gives the next runs of a job more time, so that an estimate that is too short cannot stop its
-    /// tasks again and again.
-    fn expect_longer(&mut self, name: &JobName) {
+    /// tasks again and again. Runs that are stopped together count once.
+    fn expect_longer(&mut self, name: &JobName, longer: Duration) {
         if let Some(job) = self.jobs.get_mut(name) {
-            job.expected *= 2;
+            job.expected = job.expected.max(longer);
         }
     }
 
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -82,6 +82,8 @@
     pools: FxHashMap<DomainName, PoolView>,
     /// Time before which no job is sent, because the process has just been resumed.
     sending_from: UnixTime,
+    /// Pools that were connected before that time.
+    connected_early: Vec<DomainName>,
     actions: Vec<RelayAction>,
 }
 
@@ -95,6 +97,7 @@
             jobs: FxHashMap::default(),
             pools: FxHashMap::default(),
             sending_from: UnixTime::default(),
+            connected_early: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -187,6 +190,8 @@
         self.pools.insert(domain.clone(), view);
         if now >= self.sending_from {
             self.resume_jobs_of(domain);
+        } else {
+            self.connected_early.push(domain.clone());
         }
     }
 
@@ -276,14 +281,10 @@
         for name in held {
             self.offer(&name);
         }
-        let connected: Vec<DomainName> = self
-            .pools
-            .iter()
-            .filter(|(_, pool)| pool.connected)
-            .map(|(domain, _)| domain.clone())
-            .collect();
-        for domain in connected {
-            self.resume_jobs_of(&domain);
+        for domain in std::mem::take(&mut self.connected_early) {
+            if self.is_connected(&domain) {
+                self.resume_jobs_of(&domain);
+            }
         }
         let due: Vec<JobName> = self
             .jobs
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -164,3 +164,24 @@
     world.run_for(Duration::from_secs(2));
     assert_eq!(world.runs(), 0, "{:#?}", world.log);
 }
+
+/// Pattern: a pool takes command again while a call of its earlier command is on its way, and a third
+/// process had command in between.
+#[test]
+fn a_refusal_of_an_earlier_command_does_not_end_the_present_one() {
+    let mut world = World::new(3, 4);
+    world.take_command(0);
+    world.run_for(Duration::from_millis(50));
+    world.take_command(1);
+    world.run_for(Duration::from_millis(2));
+    world.submit(0, &long_job("job-1"));
+    for worker in &mut world.workers {
+        worker.answer_delay = Duration::from_millis(30);
+    }
+    world.run_for(Duration::from_millis(100));
+    world.take_command(0);
+    world.run_for(Duration::from_secs(4));
+    assert!(world.hosts[0].pool.token().is_some(), "{:#?}", world.log);
+    assert_eq!(world.answer("job-1"), Some(JobAnswer::Completed));
+    assert_eq!(world.overlaps(), Vec::<String>::new());
+}
--- a/crates/bramley-pool/tests/stragglers.rs
+++ b/crates/bramley-pool/tests/stragglers.rs
@@ -194,3 +194,29 @@
         .filter(|line| line.contains("belief=silent"));
     assert_eq!(silent.count(), 0, "{:#?}", world.log);
 }
+
+/// Pattern: several tasks of a job hang together, and one of them hangs again elsewhere.
+#[test]
+fn tasks_that_hang_together_raise_the_expectation_once() {
+    let mut world = started_world(4);
+    for worker in &mut world.workers {
+        worker.soundness = Soundness::Hanging;
+    }
+    let job = TestJob {
+        tasks: 8,
+        run: Duration::from_millis(200),
+        ..TestJob::default()
+    };
+    world.submit(0, &job);
+    world.run_for(Duration::from_secs(2));
+    for worker in &mut world.workers {
+        worker.soundness = Soundness::Paced(1.0);
+    }
+    world.run_for(Duration::from_secs(8));
+    assert_eq!(
+        world.answer("job-1"),
+        Some(JobAnswer::Completed),
+        "{:#?}",
+        world.log
+    );
+}
