Leases of adopted runs are taken as granted once the runs are known

Cause (randomised run 1422): the first report after a change of command assumed the longest lease only for runs known before it, so a run that the report itself showed counted as lapsed at the next tick if no look renewed it at once, and its task was started again. Ruled out: an unlisted worker (its report was read).

--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -211,9 +211,6 @@
         let may_hold_unknown = !was_synced || asked_at > worker.last_end_at;
         let was_known = worker.clock.is_known();
         worker.clock.observe(report.clock, now);
-        if !was_known && !worker.runs.is_empty() {
-            worker.clock.assume_lease(longest_lease);
-        }
         worker.reported_at = worker.reported_at.max(asked_at);
         worker.missed_looks = 0;
         worker.synced = true;
@@ -221,6 +218,11 @@
         if newest && may_hold_unknown {
             self.read_active(index, report, now);
         }
+        let worker = self.worker_mut(index);
+        if !was_known && !worker.runs.is_empty() {
+            // These runs have leases that this pool did not give.
+            worker.clock.assume_lease(longest_lease);
+        }
         self.drop_missing(index, report, asked_at, now);
         if !was_synced {
             self.placement_due = true;
