The first reading of a worker's clock takes leases as granted, whatever brought it

Cause (randomised run 1570): the entry of a reborn worker reset its clock; the answer to a start that reached the new life was the first reading, with no lease known, so two runs counted as lapsed at the next tick and one was started again. The assumption now belongs to the first reading of a life, of any answer.

--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -31,8 +31,11 @@
         if self.token.is_none() || !is_current {
             return;
         }
+        let longest_lease = self.settings.longest_lease;
         if let CallAnswer::Accepted(clock) | CallAnswer::Refused(_, Some(clock)) = &answer {
-            self.worker_mut(call.worker).clock.observe(*clock, now);
+            self.worker_mut(call.worker)
+                .clock
+                .observe(*clock, now, longest_lease);
         }
         if let CallAnswer::Refused(refusal, _) = &answer {
             match refusal {
@@ -209,8 +212,7 @@
         let was_synced = worker.synced;
         let newest = asked_at >= worker.reported_at;
         let may_hold_unknown = !was_synced || asked_at > worker.last_end_at;
-        let was_known = worker.clock.is_known();
-        worker.clock.observe(report.clock, now);
+        worker.clock.observe(report.clock, now, longest_lease);
         worker.reported_at = worker.reported_at.max(asked_at);
         worker.missed_looks = 0;
         worker.synced = true;
@@ -218,11 +220,6 @@
         if newest && may_hold_unknown {
             self.read_active(index, report, now);
         }
-        let worker = self.worker_mut(index);
-        if !was_known && !worker.runs.is_empty() {
-            // These runs have leases that this pool did not give.
-            worker.clock.assume_lease(longest_lease);
-        }
         self.drop_missing(index, report, asked_at, now);
         if !was_synced {
             self.placement_due = true;
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -239,8 +239,13 @@
 }
 
 impl ClockEstimate {
-    /// Takes a reading that came with an answer that arrived at `read_by`.
-    pub fn observe(&mut self, clock: WorkerClock, read_by: UnixTime) {
+    /// Takes a reading that came with an answer that arrived at `read_by`. With the first one, leases
+    /// up to `longest` are taken as granted: by an earlier pool, or by a start that was sent before
+    /// the worker was reborn.
+    pub fn observe(&mut self, clock: WorkerClock, read_by: UnixTime, longest: Duration) {
+        if self.reading.is_none() {
+            self.lease_end = self.lease_end.max(clock.after(longest));
+        }
         let is_newer = self.reading.is_none_or(|reading| clock > reading.clock);
         if is_newer {
             self.reading = Some(ClockReading { clock, read_by });
@@ -274,14 +279,6 @@
         end
     }
 
-    /// Takes it that a lease of `longest` was granted at the latest reading: a start that was sent
-    /// before the clock was known may have brought it.
-    pub fn assume_lease(&mut self, longest: Duration) {
-        if let Some(reading) = self.reading {
-            self.lease_end = self.lease_end.max(reading.clock.after(longest));
-        }
-    }
-
     /// Tells whether every lease that was sent has surely ended.
     #[must_use]
     pub fn has_lapsed(&self, now: UnixTime, error_permille: u32) -> bool {
