--- /dev/null
+++ b/crates/bramley-dock/src/engine/dump.rs
@@ -0,0 +1,59 @@
+//! Describes the state of a process for operators.
+
+use std::collections::BTreeMap;
+
+use super::Engine;
+use crate::port::PlatformPort;
+
+impl<P: PlatformPort> Engine<P> {
+    /// Returns the state for a dump.
+    #[must_use]
+    pub fn dump(&self) -> serde_json::Value {
+        let state = self.state.borrow();
+        let now = self.now();
+        let load = state.pool.load(now);
+        let pools: BTreeMap<&str, serde_json::Value> = state
+            .pools
+            .iter()
+            .map(|(domain, link)| {
+                let value = serde_json::json!({
+                    "address": link.claim.address,
+                    "incarnation": link.claim.incarnation,
+                    "connected": state.relay.is_connected(domain),
+                    "heard_ms_ago": now.since(link.heard_at).as_millis(),
+                });
+                (domain.as_str(), value)
+            })
+            .collect();
+        let workers: Vec<serde_json::Value> = state
+            .pool
+            .workers()
+            .iter()
+            .map(|worker| {
+                serde_json::json!({
+                    "name": worker.entry.name.as_str(),
+                    "listed": worker.listed,
+                    "leaving": worker.entry.leaving,
+                    "usable": worker.is_usable(),
+                    "runs": worker.runs.len(),
+                    "free_cpu_milli": worker.free().cpu_milli,
+                    "pace": worker.pace,
+                    "missed_looks": worker.missed_looks,
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "host": self.settings.host.host.as_str(),
+            "domain": self.settings.host.domain.as_str(),
+            "incarnation": self.incarnation,
+            "token": state.pool.token(),
+            "configuration": state.routes.version,
+            "open_jobs": state.relay.open_jobs(),
+            "pool_jobs": state.pool.open_jobs(),
+            "free_cpu_milli": load.free_cpu_milli,
+            "waiting_tasks": load.waiting_tasks,
+            "pools": pools,
+            "workers": workers,
+        })
+    }
+}
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -103,11 +103,7 @@
         self.enqueue(&name);
         self.place_waiting(now);
         if self.jobs.get(&name).is_some_and(|job| !job.offered) {
-            let message = PoolMessage::Placed {
-                job: name,
-                placements: Vec::new(),
-            };
-            self.send(Some(relay), message);
+            self.report_placements(Some(relay), &name, Vec::new());
         }
     }
 
@@ -122,11 +118,7 @@
                 })
                 .collect()
         });
-        let message = PoolMessage::Placed {
-            job: name.clone(),
-            placements,
-        };
-        self.send(Some(relay), message);
+        self.report_placements(Some(relay), name, placements);
         for index in done {
             let message = PoolMessage::TaskDone {
                 job: name.clone(),
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -146,12 +146,6 @@
         self.placing_from = now.after(self.settings.resume_wait);
     }
 
-    /// Tells whether the pool has jobs or runs.
-    #[must_use]
-    pub fn is_busy(&self) -> bool {
-        !self.jobs.is_empty() || self.workers.iter().any(|worker| !worker.runs.is_empty())
-    }
-
     /// Returns the number of open jobs.
     #[must_use]
     pub fn open_jobs(&self) -> usize {
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -101,10 +101,13 @@
             let index = u32::try_from(position).unwrap_or(u32::MAX);
             placements.push(self.placement(index, worker));
         }
-        self.report_placements(relay, name, placements);
+        if !placements.is_empty() {
+            self.report_placements(relay, name, placements);
+        }
         all_placed
     }
 
+    /// Names the worker of a task as relays are told.
     pub(super) fn placement(&self, index: u32, worker: WorkerIndex) -> TaskPlacement {
         TaskPlacement {
             index,
@@ -112,19 +115,18 @@
         }
     }
 
+    /// Tells a relay that its job is here and on which workers its tasks are.
     pub(super) fn report_placements(
         &mut self,
         relay: Option<RelayId>,
         name: &JobName,
         placements: Vec<TaskPlacement>,
     ) {
-        if !placements.is_empty() {
-            let message = PoolMessage::Placed {
-                job: name.clone(),
-                placements,
-            };
-            self.send(relay, message);
-        }
+        let message = PoolMessage::Placed {
+            job: name.clone(),
+            placements,
+        };
+        self.send(relay, message);
     }
 
     /// Keeps the workers on which a job's waiting tasks can start soonest free of later jobs, once
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -256,10 +256,7 @@
             let worker = self.worker_mut(index);
             worker.last_read_end = worker.last_read_end.max(end.position);
         }
-        let worker = self.worker_mut(index);
-        if worker.unclaimed.is_empty() {
-            worker.acknowledged = worker.acknowledged.max(worker.last_read_end);
-        }
+        self.worker_mut(index).acknowledge_ends();
     }
 
     /// Uses an end whose run is not known here, because an earlier pool started it or its lease
@@ -294,9 +291,7 @@
                 .into_iter()
                 .partition(|end| end.task.job == *name);
             worker.unclaimed = others;
-            if worker.unclaimed.is_empty() {
-                worker.acknowledged = worker.acknowledged.max(worker.last_read_end);
-            }
+            worker.acknowledge_ends();
             for end in &claimed {
                 self.claim_end(end);
             }
--- a/crates/bramley-pool/src/pool/upkeep.rs
+++ b/crates/bramley-pool/src/pool/upkeep.rs
@@ -102,9 +102,8 @@
         let idle_wait = self.settings.idle_acknowledgement;
         let is_adopting = self.adopting_until > now;
         let worker = self.worker_mut(index);
-        if !is_adopting && !worker.unclaimed.is_empty() {
-            worker.unclaimed.clear();
-            worker.acknowledged = worker.acknowledged.max(worker.last_read_end);
+        if !is_adopting {
+            worker.drop_unclaimed_ends();
         }
         let owes_acknowledgement = worker.acknowledged > worker.acknowledgement_sent
             && now.since(worker.last_end_at) >= idle_wait;
@@ -131,11 +130,7 @@
         if self.adopting_until > now {
             return;
         }
-        let worker = self.worker_mut(index);
-        if !worker.unclaimed.is_empty() {
-            worker.unclaimed.clear();
-            worker.acknowledged = worker.acknowledged.max(worker.last_read_end);
-        }
+        self.worker_mut(index).drop_unclaimed_ends();
         for position in 0..self.worker(index).runs.len() {
             if !self.worker(index).runs[position].facts().wanted {
                 self.stop_run(index, position, StopCause::Unclaimed, now);
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -398,6 +398,19 @@
         self.listed && self.synced && !self.fenced && !self.entry.leaving && self.missed_looks == 0
     }
 
+    /// Acknowledges the ends that were read, unless some of them may still be claimed by their jobs.
+    pub fn acknowledge_ends(&mut self) {
+        if self.unclaimed.is_empty() {
+            self.acknowledged = self.acknowledged.max(self.last_read_end);
+        }
+    }
+
+    /// Gives up ends that no job has claimed, and acknowledges them.
+    pub fn drop_unclaimed_ends(&mut self) {
+        self.unclaimed.clear();
+        self.acknowledge_ends();
+    }
+
     /// Returns the position of a run.
     #[must_use]
     pub fn find_run(&self, task: &TaskName, number: u32) -> Option<usize> {
