Command passes on once: a larger host writes the claim over, a stopping holder keeps it for its size

A host with 0.12 core that takes command reads answers later than a start's 150 ms; the starts counted as unanswered, were stopped, and their workers suspected. Ruled out: lost connections (the starts were carried out and listed as done), the zone cut (other domain). Change: the claim states the holder's processor share; a host with twice as much, or one no smaller when the holder gives way, writes it over under its revision; a stopping holder keeps it for half of the grace; hosts of one size no longer wait 150 ms for larger ones.

--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -63,8 +63,8 @@
                 self.state.borrow_mut().to_own_relay.push(message);
             }
             PoolAction::Send(relay, message) => {
-                if let Some(link) = self.state.borrow().relays.get(&relay) {
-                    queue_frame(&link.frames, pool_frame_of(message));
+                if let Some(frames) = self.state.borrow().relays.get(&relay) {
+                    queue_frame(frames, pool_frame_of(message));
                 }
             }
             PoolAction::Note(decision) => self.note(&decision),
--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -108,7 +108,6 @@
                 holder_answers: link.is_some_and(|link| link.frames.is_some()),
                 holder_gives_way: link.is_some_and(|link| link.gives_way),
                 holder_refuses: link.is_some_and(|link| link.refuses),
-                reaches_large_host: state.relays.values().any(|link| link.is_large_neighbour),
                 has_successor: state.has_successor,
                 reaches_others: !state.relays.is_empty()
                     || state.pools.values().any(|link| link.frames.is_some()),
@@ -169,6 +168,7 @@
             incarnation: self.incarnation,
             address: address.to_string(),
             revision: 0,
+            cpu_milli: self.settings.host.cpu_milli,
         };
         let life = self.settings.claim.lease_life;
         let written = self
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -62,14 +62,6 @@
     refuses: bool,
 }
 
-/// Connection of another process's relay to the own pool.
-#[derive(Debug)]
-struct RelayLink {
-    frames: mpsc::UnboundedSender<PoolFrame>,
-    /// Whether its host is a large one of the own failure domain.
-    is_large_neighbour: bool,
-}
-
 #[derive(Debug)]
 struct EngineState {
     pool: Pool,
@@ -77,7 +69,8 @@
     claim: Claim,
     callers: FxHashMap<JobName, WaitingCaller>,
     next_caller: u64,
-    relays: FxHashMap<RelayId, RelayLink>,
+    /// Connections of other processes' relays to the own pool.
+    relays: FxHashMap<RelayId, mpsc::UnboundedSender<PoolFrame>>,
     next_relay: u64,
     pools: BTreeMap<DomainName, PoolLink>,
     routes: Arc<RouteTable>,
@@ -94,8 +87,7 @@
 impl EngineState {
     /// Tells whether another host should take command over.
     fn gives_way(&self, now: UnixTime) -> bool {
-        let is_leaving = self.stopping_since.is_some() || self.claim.is_yielding(now);
-        is_leaving || self.claim.has_lost_store(now)
+        self.stopping_since.is_some() || self.claim.has_lost_store(now)
     }
 }
 
@@ -234,6 +226,12 @@
         self.state.borrow().pool.token().is_some()
     }
 
+    /// Tells whether the process holds the claim of its failure domain.
+    #[must_use]
+    pub fn holds_claim(&self) -> bool {
+        self.state.borrow().claim.grant().is_some()
+    }
+
     /// Waits until the own pool takes or loses command.
     pub async fn command_change(&self) {
         self.command_changed.notified().await;
@@ -293,22 +291,19 @@
 
     /// Starts the planned stop: command passes on, and callers with open jobs are still served.
     pub fn stop(self: &Rc<Self>) {
-        let action = {
-            let mut state = self.state.borrow_mut();
-            if state.stopping_since.is_some() {
-                return;
-            }
-            state.stopping_since = Some(self.now());
-            state.claim.stop()
-        };
+        if self.is_stopping() {
+            return;
+        }
+        let now = self.now();
+        self.change(|state| {
+            state.stopping_since = Some(now);
+            state.claim.stop(now);
+        });
         log::info!(
             "event=stop_begun callers={} commands={}",
             self.waiting_callers(),
             self.commands(),
         );
-        if let Some(action) = action {
-            self.start_claim_action(action);
-        }
         self.beat_now();
     }
 }
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -7,8 +7,8 @@
 use bramley_wire::pool::{PoolFrame, RelayFrame, RelayHello};
 use tokio::sync::mpsc;
 
+use super::Engine;
 use super::actions::queue_frame;
-use super::{Engine, RelayLink};
 use crate::links::LinkEnd;
 use crate::links::convert::beat_frame_of;
 use crate::port::PlatformPort;
@@ -23,10 +23,7 @@
         let mut state = self.state.borrow_mut();
         let relay = RelayId(state.next_relay);
         state.next_relay += 1;
-        let is_neighbour = hello.relay_domain == self.settings.host.domain.as_str();
-        state.has_successor |= is_neighbour;
-        let is_large_neighbour =
-            is_neighbour && hello.cpu_milli >= self.settings.claim.large_host_milli;
+        state.has_successor |= hello.relay_domain == self.settings.host.domain.as_str();
         log::info!(
             "event=relay_connected host={} incarnation={} relay={}",
             hello.host,
@@ -37,11 +34,7 @@
         let load = state.pool.load(now);
         let beat = beat_frame_of(load, state.pool.token().is_some(), state.gives_way(now));
         queue_frame(&frames, beat);
-        let link = RelayLink {
-            frames,
-            is_large_neighbour,
-        };
-        state.relays.insert(relay, link);
+        state.relays.insert(relay, frames);
         relay
     }
 
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -71,8 +71,8 @@
         let load = state.pool.load(now);
         let commands = state.pool.token().is_some();
         let gives_way = state.gives_way(now);
-        for link in state.relays.values() {
-            queue_frame(&link.frames, beat_frame_of(load, commands, gives_way));
+        for frames in state.relays.values() {
+            queue_frame(frames, beat_frame_of(load, commands, gives_way));
         }
         let home = self.settings.host.domain.clone();
         if commands {
--- a/crates/bramley-dock/src/lib.rs
+++ b/crates/bramley-dock/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`port::PlatformPort`].
 //!
 //! - [`clock`] reads the process's clock.
+//! - [`deadline`] waits for results until a deadline.
 //! - [`engine`] feeds events to the kernels and carries their actions out.
 //! - [`health`] answers whether the process is ready.
 //! - [`links`] connects relays and pools of different processes.
@@ -16,6 +17,7 @@
 //! - [`watch`] follows the store: claims, routes and workers.
 
 pub mod clock;
+pub mod deadline;
 pub mod engine;
 pub mod health;
 pub mod links;
--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -5,6 +5,8 @@
 //! store never takes command; one that has command and loses the store keeps it as long as no
 //! other process takes over.
 
+use std::time::Duration;
+
 use bramley_core::units::UnixTime;
 
 use crate::settings::ClaimSettings;
@@ -18,6 +20,8 @@
     pub address: String,
     /// Revision of the last change.
     pub revision: u64,
+    /// Processor share of its host in thousandths of a core; 0 if it is not stated.
+    pub cpu_milli: u32,
 }
 
 /// A claim that was won.
@@ -37,12 +41,10 @@
     /// Whether that holder asks another host to take over, because it stops or does not reach the
     /// store.
     pub holder_gives_way: bool,
-    /// Whether the holder's machine answers without its process: connections are refused.
+    /// Whether the holder's host answers without its process: connections are refused.
     pub holder_refuses: bool,
     /// Whether any other process of the system is connected, as a pool or a relay.
     pub reaches_others: bool,
-    /// Whether a process on a large host of the failure domain is connected.
-    pub reaches_large_host: bool,
     /// Whether a process on another host of the failure domain was ever connected, so that it
     /// could take over.
     pub has_successor: bool,
@@ -94,15 +96,18 @@
     settings: ClaimSettings,
     incarnation: u64,
     address: String,
-    is_large: bool,
+    cpu_milli: u32,
     standing: ClaimStanding,
     view: Option<ClaimView>,
     view_known: bool,
+    /// Processor share of the last holder's host in thousandths of a core, once one was seen.
+    last_holder_cpu: Option<u32>,
     claimable_since: Option<UnixTime>,
-    yields_until: UnixTime,
     store_heard_at: UnixTime,
     others_heard_at: Option<UnixTime>,
     stopping: bool,
+    /// Time at which a stopping process releases a claim that nobody has taken over.
+    release_at: UnixTime,
     retry_at: UnixTime,
 }
 
@@ -115,20 +120,20 @@
         address: impl Into<String>,
         cpu_milli: u32,
     ) -> Self {
-        let is_large = cpu_milli >= settings.large_host_milli;
         Self {
             settings,
             incarnation,
             address: address.into(),
-            is_large,
+            cpu_milli,
             standing: ClaimStanding::Standby,
             view: None,
             view_known: false,
+            last_holder_cpu: None,
             claimable_since: None,
-            yields_until: UnixTime::default(),
             store_heard_at: UnixTime::default(),
             others_heard_at: None,
             stopping: false,
+            release_at: UnixTime::default(),
             retry_at: UnixTime::default(),
         }
     }
@@ -157,15 +162,17 @@
     pub fn viewed(&mut self, view: Option<ClaimView>, now: UnixTime) {
         self.store_heard_at = now;
         self.view_known = true;
+        if let Some(view) = &view {
+            self.last_holder_cpu = Some(view.cpu_milli);
+        }
         self.view = view;
     }
 
-    /// The process is about to stop: the claim is released and none is made.
-    pub fn stop(&mut self) -> Option<ClaimAction> {
+    /// The process is about to stop: it makes no claim any more and keeps its own one for a while, so
+    /// that a host of the same size takes it over.
+    pub fn stop(&mut self, now: UnixTime) {
         self.stopping = true;
-        let grant = self.grant()?;
-        self.standing = ClaimStanding::Standby;
-        Some(ClaimAction::Release { lease: grant.lease })
+        self.release_at = now.after(self.settings.stop_hold);
     }
 
     /// Another process commands the workers.
@@ -243,10 +250,8 @@
                     *is_renewing = true;
                     actions.push(ClaimAction::Renew { lease: grant.lease });
                 }
-                if !self.is_large && contacts.reaches_large_host {
-                    // Commanding needs more than a small host has; the large one claims next.
+                if self.stopping && self.release_at <= now {
                     let lease = grant.lease;
-                    self.yields_until = now.after(self.settings.yield_time);
                     self.standing = ClaimStanding::Standby;
                     actions.push(ClaimAction::Release { lease });
                 } else if self.is_held_by_other() {
@@ -275,19 +280,10 @@
         actions
     }
 
-    /// Tells whether the process has released its claim for a larger host to take over.
-    #[must_use]
-    pub fn is_yielding(&self, now: UnixTime) -> bool {
-        self.yields_until > now
-    }
-
     /// Returns the revision over which the claim may be written now.
     fn writable(&mut self, contacts: ContactView, commands: bool, now: UnixTime) -> Option<u64> {
-        let may_write = !self.stopping
-            && self.view_known
-            && self.retry_at <= now
-            && !self.has_lost_store(now)
-            && !self.is_yielding(now);
+        let may_write =
+            !self.stopping && self.view_known && self.retry_at <= now && !self.has_lost_store(now);
         let is_other_well = contacts.holder_answers && !contacts.holder_gives_way;
         let is_claimable = may_write && self.view.is_none() && (commands || !is_other_well);
         if !is_claimable {
@@ -302,8 +298,8 @@
             }
             let since = *self.claimable_since.get_or_insert(now);
             let waited = now.since(since);
-            let mut wait = if self.is_large || commands {
-                std::time::Duration::ZERO
+            let mut wait = if commands || !self.is_small_host() {
+                Duration::ZERO
             } else {
                 self.settings.small_host_wait
             };
@@ -315,7 +311,23 @@
         let is_own = view.incarnation == self.incarnation;
         let was_here = view.address == self.address && !is_own;
         let is_dead = contacts.holder_refuses && !contacts.holder_answers;
-        (is_own || was_here || is_dead).then_some(view.revision)
+        // The holder keeps its claim until another host writes it over, so that command passes on once,
+        // and only to a host that reaches the store and has the processor share.
+        let is_left = contacts.holder_answers
+            && contacts.holder_gives_way
+            && self.cpu_milli >= view.cpu_milli;
+        let is_too_small = is_much_smaller(view.cpu_milli, self.cpu_milli);
+        let is_writable = is_own || was_here || is_dead || is_left || is_too_small;
+        is_writable.then_some(view.revision)
+    }
+
+    /// Tells whether larger hosts are to claim first: the last holder's was much larger, or none was
+    /// seen and this one is small.
+    fn is_small_host(&self) -> bool {
+        match self.last_holder_cpu {
+            Some(cpu_milli) => is_much_smaller(self.cpu_milli, cpu_milli),
+            None => self.cpu_milli < self.settings.large_host_milli,
+        }
     }
 
     fn is_held_by_other(&self) -> bool {
@@ -329,3 +341,8 @@
             .is_some_and(|heard| now.since(heard) > self.settings.isolation_limit)
     }
 }
+
+/// Tells whether a host has at most half of another's processor share.
+const fn is_much_smaller(cpu_milli: u32, other_cpu_milli: u32) -> bool {
+    cpu_milli.saturating_mul(2) <= other_cpu_milli
+}
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -22,6 +22,29 @@
     Important,
 }
 
+/// Why a start did not succeed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartFailure {
+    /// The worker refused it.
+    Refused(CallRefusal),
+    /// No connection was made.
+    NotSent,
+    /// It was sent and not answered in time; the worker may have started the task.
+    Unanswered,
+}
+
+impl StartFailure {
+    /// Returns the word for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Refused(refusal) => refusal.as_str(),
+            Self::NotSent => "not_sent",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// One decision.
 #[derive(Clone, Debug)]
 pub enum Decision {
@@ -88,8 +111,8 @@
         number: u32,
         /// Worker.
         worker: WorkerName,
-        /// Why; none if no connection was made.
-        refusal: Option<CallRefusal>,
+        /// Why.
+        failure: StartFailure,
     },
     /// A run is being stopped.
     Stopping {
@@ -287,13 +310,13 @@
                 task,
                 number,
                 worker,
-                refusal,
+                failure,
             } => write!(
                 f,
                 "event=start_refused job={} task={} run={number} worker={worker} reason={}",
                 task.job,
                 task.index,
-                refusal.map_or("not_sent", CallRefusal::as_str),
+                failure.as_str(),
             ),
             Self::Stopping {
                 task,
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -4,7 +4,7 @@
 
 use super::placement::report_age;
 use super::{Pool, PoolAction, learned_key};
-use crate::decision::Decision;
+use crate::decision::{Decision, StartFailure};
 use crate::job::{JobName, TaskName, TaskStanding};
 use crate::message::{JobOutcome, PoolMessage};
 use crate::room::TaskRoom;
@@ -97,7 +97,8 @@
             CallAnswer::NotSent => None,
             CallAnswer::Refused(refusal, _) => Some(*refusal),
         };
-        self.note_start_refused(index, task, number, refusal);
+        let failure = refusal.map_or(StartFailure::NotSent, StartFailure::Refused);
+        self.note_start_refused(index, task, number, failure);
         let run = self.worker_mut(index).remove_run(position);
         match refusal {
             Some(CallRefusal::NoRoom) => {
@@ -132,7 +133,7 @@
         };
         let is_silent = worker.reported_at < run.facts.started_at;
         let (task, number) = (run.facts.task.clone(), run.facts.number);
-        self.note_start_refused(index, &task, number, None);
+        self.note_start_refused(index, &task, number, StartFailure::Unanswered);
         self.stop_run(index, position, StopCause::StartUnanswered, now);
         if is_silent {
             self.bad_sign(index, now);
@@ -144,14 +145,14 @@
         index: WorkerIndex,
         task: &TaskName,
         number: u32,
-        refusal: Option<CallRefusal>,
+        failure: StartFailure,
     ) {
         let worker = self.worker(index).entry.name.clone();
         self.note(Decision::StartRefused {
             task: task.clone(),
             number,
             worker,
-            refusal,
+            failure,
         });
     }
 
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -118,9 +118,10 @@
     pub isolation_limit: Duration,
     /// Time without the store after which a pool gives its command to a host that reaches it.
     pub store_loss_limit: Duration,
-    /// Time that a small host leaves its released claim to a large one.
-    pub yield_time: Duration,
-    /// Share of a core, in thousandths, from which a host counts as large.
+    /// Time for which a stopping process keeps a claim that no host of its size takes over; half of the
+    /// platform's grace, so that the rest is left to pass command on and to serve callers.
+    pub stop_hold: Duration,
+    /// Share of a core, in thousandths, below which a host counts as small while no claim was seen.
     pub large_host_milli: u32,
 }
 
@@ -133,7 +134,7 @@
             isolated_wait: Duration::from_millis(1_000),
             isolation_limit: Duration::from_millis(1_000),
             store_loss_limit: Duration::from_millis(3_000),
-            yield_time: Duration::from_millis(3_000),
+            stop_hold: Duration::from_millis(3_000),
             large_host_milli: 400,
         }
     }
