--- a/crates/bramleyctl/src/cli.rs
+++ b/crates/bramleyctl/src/cli.rs
@@ -26,6 +26,8 @@
     Drain(DrainArguments),
     /// Prints the state of an entry process.
     Dump(DumpArguments),
+    /// Explains what became of a request.
+    Explain(ExplainArguments),
     /// Lists the latest changes.
     History(HistoryArguments),
     /// Generates a configuration from answers.
@@ -67,6 +69,18 @@
     pub store_ms: u64,
 }
 
+/// explains what became of a request, from the logs of all hosts
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainArguments {
+    /// name of the job or of the request
+    #[argh(positional)]
+    pub id: String,
+    /// log files, each named after its host
+    #[argh(positional)]
+    pub logs: Vec<String>,
+}
+
 /// checks a configuration file
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- /dev/null
+++ b/crates/bramleyctl/src/commands/explain.rs
@@ -0,0 +1,53 @@
+//! Explains what became of a request.
+
+use std::io::Write;
+use std::path::Path;
+use std::sync::Arc;
+
+use bramley_explain::{Timeline, find_causes};
+
+use crate::cli::ExplainArguments;
+use crate::error::CommandError;
+
+/// Prints the causes that the logs show, then the lines that they were derived from.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if a log can't be read or none names the request.
+pub fn run_explain(
+    arguments: &ExplainArguments,
+    output: &mut impl Write,
+) -> Result<(), CommandError> {
+    let logs = arguments
+        .logs
+        .iter()
+        .map(|file| read_log(file))
+        .collect::<Result<Vec<_>, CommandError>>()?;
+    let timeline = Timeline::collect(&arguments.id, &logs)
+        .ok_or_else(|| CommandError::NotInLogs(arguments.id.clone()))?;
+    let findings = find_causes(&timeline);
+    writeln!(output, "job {}", timeline.job)?;
+    if findings.is_empty() {
+        writeln!(output, "nothing went wrong")?;
+    }
+    for finding in findings {
+        writeln!(output, "- {finding}")?;
+    }
+    write!(output, "\n{timeline}")?;
+    Ok(())
+}
+
+/// Reads a log; its host is the file's name without its ending.
+fn read_log(file: &str) -> Result<(Arc<str>, String), CommandError> {
+    let bytes = std::fs::read(file).map_err(|reason| CommandError::File {
+        file: String::from(file),
+        reason,
+    })?;
+    let host = Path::new(file)
+        .file_stem()
+        .map_or(file.into(), |stem| stem.to_string_lossy());
+    Ok((
+        Arc::from(&*host),
+        String::from_utf8_lossy(&bytes).into_owned(),
+    ))
+}
--- a/crates/bramleyctl/src/commands/mod.rs
+++ b/crates/bramleyctl/src/commands/mod.rs
@@ -1,10 +1,12 @@
 //! Runs the commands.
 //!
 //! - [`apply`] puts a configuration into force.
+//! - [`explain`] explains what became of a request.
 //! - [`inspect`] shows, compares and lists configurations.
 //! - [`questionnaire`] generates a configuration from answers.
 
 pub mod apply;
+pub mod explain;
 pub mod inspect;
 pub mod questionnaire;
 
@@ -60,6 +62,7 @@
             writeln!(output, "{dump}")?;
             Ok(())
         }
+        OperatorAction::Explain(arguments) => explain::run_explain(&arguments, output),
         OperatorAction::History(arguments) => inspect::run_history(arguments, output).await,
         OperatorAction::Questionnaire(arguments) => {
             questionnaire::run_questionnaire(arguments, output)
--- a/crates/bramleyctl/src/error.rs
+++ b/crates/bramleyctl/src/error.rs
@@ -39,6 +39,8 @@
         /// Failure of the last attempt.
         last: StoreError,
     },
+    /// none of the logs names {0}; lines of routine are sampled by job under load
+    NotInLogs(String),
     /// the store holds no configuration
     NoConfiguration,
     /// the store holds a configuration that hosts of this version refuse: {0}
@@ -100,6 +102,7 @@
             | Self::NoConfiguration
             | Self::StoredFaulty(_)
             | Self::GenerationNotKept(_)
+            | Self::NotInLogs(_)
             | Self::HostUnreachable { .. } => 1,
             Self::Input(_) | Self::Interview(_) | Self::TooLarge { .. } => 2,
             Self::BaseNotGiven { .. } | Self::RaceLost { .. } => 3,
