--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -152,7 +152,7 @@
             commands,
             gives_way,
             free_cpu_milli: load.free_cpu_milli,
-            workers: load.workers,
+            listed_workers: load.listed_workers,
             waiting_tasks: load.waiting_tasks,
         })),
     }
@@ -163,7 +163,8 @@
 pub const fn load_of(beat: &PoolBeat) -> PoolLoad {
     PoolLoad {
         free_cpu_milli: beat.free_cpu_milli,
-        workers: beat.workers,
+        listed_workers: beat.listed_workers,
+        usable_workers: 0,
         waiting_tasks: beat.waiting_tasks,
     }
 }
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -191,7 +191,7 @@
         self.callers.set(i64::try_from(callers).unwrap_or(i64::MAX));
         let free = i64::try_from(load.free_cpu_milli).unwrap_or(i64::MAX);
         self.free_cpu_milli.set(free);
-        self.workers.set(i64::from(load.workers));
+        self.workers.set(i64::from(load.usable_workers));
         self.waiting_tasks.set(i64::from(load.waiting_tasks));
     }
 
--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -126,7 +126,7 @@
     /// Whether the earlier pool has told of the job, so that its placements are known but for those
     /// of the last moment.
     pub acknowledged: bool,
-    /// Usable workers that the earlier pool last told of; 0 if there was none.
+    /// Listed workers that the earlier pool last told of; 0 if there was none.
     pub earlier_workers: u32,
     /// Whether the pool must take the job even if it cannot be in time, because tasks of it may
     /// already run.
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -73,8 +73,10 @@
 pub struct PoolLoad {
     /// Free processor share of all usable workers, in thousandths of a core.
     pub free_cpu_milli: u64,
-    /// Usable workers.
-    pub workers: u32,
+    /// Workers that the platform lists: after a change of command, runs may be on any of them.
+    pub listed_workers: u32,
+    /// Workers that get tasks now; not told to relays.
+    pub usable_workers: u32,
     /// Tasks that wait.
     pub waiting_tasks: u32,
 }
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -169,7 +169,7 @@
     /// Finds out whether so many tasks wait that a late job would take room from jobs in time.
     pub(super) fn measure_contention(&mut self, now: UnixTime) {
         let load = self.load(now);
-        self.is_contended = load.waiting_tasks * CONTENTION_DIVISOR > load.workers;
+        self.is_contended = load.waiting_tasks * CONTENTION_DIVISOR > load.usable_workers;
     }
 
     /// Returns the key that orders waiting jobs, least first: jobs that have begun, then by their
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -22,6 +22,7 @@
             }
             // Even a pool that still had command cannot know who had it since its last call.
             worker.synced = false;
+            worker.clock.mistrust();
         }
         self.token = Some(token);
         self.note_command();
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -238,7 +238,7 @@
                 route: job.submission.policy.route.clone(),
                 refusal,
                 wait,
-                workers: load.workers,
+                workers: load.usable_workers,
                 free_cpu_milli: load.free_cpu_milli,
                 cpu_milli: job.submission.work.room.cpu_milli,
                 waiting: load.waiting_tasks,
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -182,8 +182,9 @@
             ..PoolLoad::default()
         };
         for worker in &self.workers {
+            load.listed_workers += u32::from(worker.listed);
             if worker.is_usable() && worker.health.suspended_until <= now {
-                load.workers += 1;
+                load.usable_workers += 1;
                 load.free_cpu_milli += u64::from(worker.free().cpu_milli);
             }
         }
--- a/crates/bramley-pool/src/pool/upkeep.rs
+++ b/crates/bramley-pool/src/pool/upkeep.rs
@@ -201,7 +201,11 @@
         if worker.looking || worker.runs.is_empty() || worker.next_look_at > now {
             return;
         }
-        let is_kept = worker.runs.iter().any(|run| !run.is_stopping());
+        // The caller of a run that no relay has claimed may be gone and send its job again elsewhere.
+        let is_kept = worker
+            .runs
+            .iter()
+            .any(|run| !run.is_stopping() && run.facts().wanted);
         let renews = is_kept && worker.missed_looks == 0 && worker.clock.is_known();
         worker.looking = true;
         worker.look_sent_at = now;
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -213,7 +213,7 @@
         let mut earlier_workers = 0;
         if let Some(pool) = self.pools.get_mut(domain) {
             pool.connected = false;
-            earlier_workers = pool.load.workers;
+            earlier_workers = pool.load.listed_workers;
         }
         let ended_by = heard_at.after(self.settings.lost_pool_wait);
         for job in self.jobs.values_mut() {
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -252,6 +252,11 @@
         }
     }
 
+    /// Another pool may have granted leases since the last reading: the next one counts as the first.
+    pub const fn mistrust(&mut self) {
+        self.reading = None;
+    }
+
     /// Tells whether the clock was ever read.
     #[must_use]
     pub const fn is_known(&self) -> bool {
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -185,3 +185,24 @@
     assert_eq!(world.answer("job-1"), Some(JobAnswer::Completed));
     assert_eq!(world.overlaps(), Vec::<String>::new());
 }
+
+/// Pattern: a pool that does not know that it was replaced takes command again; the leases that the other
+/// pool has granted meanwhile are longer than those that it remembers.
+#[test]
+fn a_pool_that_takes_command_again_does_not_trust_the_leases_it_knew() {
+    let mut world = World::new(2, 2);
+    world.take_command(1);
+    world.run_for(Duration::from_secs(2));
+    world.take_command(0);
+    world.run_for(Duration::from_millis(20));
+    let job = TestJob {
+        run: Duration::from_millis(600),
+        ..TestJob::default()
+    };
+    world.submit(0, &job);
+    world.run_for(Duration::from_millis(100));
+    world.take_command(1);
+    world.run_for(Duration::from_secs(3));
+    assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
+    assert_eq!(world.answer("job-1"), Some(JobAnswer::Completed));
+}
