Unanswered starts are sent again after 60 ms; runs that nobody claims end before their job can come again

Change: a start without an answer after 60 ms is sent once more under its number, which a worker accepts without a second run; only then is it stopped. The worker is looked at instead of suspected. Any refusal of a start that was sent twice leads to a stop, as the first may still come.

--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -114,6 +114,17 @@
         /// Why.
         failure: StartFailure,
     },
+    /// A start without an answer was sent again under its number.
+    StartSentAgain {
+        /// Task.
+        task: TaskName,
+        /// Number of the start.
+        number: u32,
+        /// Worker.
+        worker: WorkerName,
+        /// Age of the worker's latest report.
+        report_age: Duration,
+    },
     /// A run is being stopped.
     Stopping {
         /// Task.
@@ -216,6 +227,7 @@
             | Self::JobResumed { job, .. } => Some(job.as_str()),
             Self::Placed { task, .. }
             | Self::StartRefused { task, .. }
+            | Self::StartSentAgain { task, .. }
             | Self::Stopping { task, .. }
             | Self::RunEnded { task, .. } => Some(task.job.as_str()),
             Self::Text { job, .. } => job.as_deref(),
@@ -239,9 +251,10 @@
                     DecisionWeight::Important
                 }
             }
-            Self::StartRefused { .. } | Self::Stopping { .. } | Self::JobCancelled { .. } => {
-                DecisionWeight::Notable
-            }
+            Self::StartRefused { .. }
+            | Self::StartSentAgain { .. }
+            | Self::Stopping { .. }
+            | Self::JobCancelled { .. } => DecisionWeight::Notable,
             Self::JobRefused { .. }
             | Self::JobResumed { .. }
             | Self::WorkerChanged { .. }
@@ -318,6 +331,18 @@
                 task.index,
                 failure.as_str(),
             ),
+            Self::StartSentAgain {
+                task,
+                number,
+                worker,
+                report_age,
+            } => write!(
+                f,
+                "event=start_sent_again job={} task={} run={number} worker={worker} report_age_ms={}",
+                task.job,
+                task.index,
+                report_age.as_millis(),
+            ),
             Self::Stopping {
                 task,
                 number,
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -15,6 +15,7 @@
         let is_new = self.token.is_none();
         self.commands_since = now;
         self.adopting_until = now.after(self.settings.adoption_window);
+        self.claiming_until = now.after(self.settings.claim_wait);
         for worker in &mut self.workers {
             if is_new {
                 worker.reset_life();
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -82,7 +82,10 @@
     settings: PoolSettings,
     token: Option<u64>,
     commands_since: UnixTime,
+    /// Time until which ends that no job has claimed are kept.
     adopting_until: UnixTime,
+    /// Time until which runs that no job has claimed are kept.
+    claiming_until: UnixTime,
     /// Time before which nothing is started, because the process has just been resumed.
     placing_from: UnixTime,
     workers: Vec<WorkerRecord>,
@@ -117,6 +120,7 @@
             token: None,
             commands_since: UnixTime::default(),
             adopting_until: UnixTime::default(),
+            claiming_until: UnixTime::default(),
             placing_from: UnixTime::default(),
             workers: Vec::new(),
             by_name: FxHashMap::default(),
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -363,6 +363,7 @@
             started_at: now,
             expected: job.expected,
             wanted: true,
+            sent_again: false,
         };
         let task = facts.task.clone();
         let worker = self.worker_mut(index);
@@ -388,6 +389,44 @@
     }
 }
 
+impl Pool {
+    /// Sends a start that had no answer a second time, under the same number; returns whether its job
+    /// is still open.
+    pub(super) fn send_start_again(
+        &mut self,
+        index: WorkerIndex,
+        position: usize,
+        now: UnixTime,
+    ) -> bool {
+        let lease = self.settings.run_lease;
+        let error = self.settings.clock_error_permille;
+        let facts = self.worker(index).runs[position].facts();
+        let (task, number) = (facts.task.clone(), facts.number);
+        let Some(job) = self.jobs.get(&task.job) else {
+            return false;
+        };
+        let spec = Arc::clone(&job.submission.work.spec);
+        let worker = self.worker_mut(index);
+        worker.runs[position].facts_mut().sent_again = true;
+        let lease_end = worker.clock.extend_lease(now, lease, error);
+        let decision = Decision::StartSentAgain {
+            task: task.clone(),
+            number,
+            worker: worker.entry.name.clone(),
+            report_age: report_age(worker, now),
+        };
+        self.note(decision);
+        let order = WorkerOrder::Start {
+            task,
+            number,
+            spec,
+            lease_end,
+        };
+        self.order(index, order, now);
+        true
+    }
+}
+
 /// Returns the age of the worker's latest report.
 pub(super) fn report_age(worker: &WorkerRecord, now: UnixTime) -> Duration {
     now.since(worker.reported_at)
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -97,6 +97,15 @@
         };
         let failure = refusal.map_or(StartFailure::NotSent, StartFailure::Refused);
         self.note_start_refused(index, task, number, failure);
+        let run = &self.worker(index).runs[position];
+        if run.facts().sent_again {
+            // The first start may have been carried out, or may be later.
+            if matches!(run, LiveRun::Starting(_)) {
+                self.stop_run(index, position, StopCause::StartUnanswered, now);
+                self.look_now(index, now);
+            }
+            return;
+        }
         let run = self.worker_mut(index).remove_run(position);
         match refusal {
             Some(CallRefusal::NoRoom) => {
@@ -123,18 +132,24 @@
         }
     }
 
-    /// A start had no answer: the run goes on if a report has shown it since, else it is stopped.
+    /// A start had no answer: the run goes on if a report has shown it since. Else the same start is
+    /// sent once more, which a worker that has carried it out accepts without a second run; then it is
+    /// stopped.
     fn start_unanswered(&mut self, index: WorkerIndex, position: usize, now: UnixTime) {
         let worker = self.worker(index);
         let LiveRun::Starting(run) = &worker.runs[position] else {
             return;
         };
         let is_silent = worker.reported_at < run.facts.started_at;
+        let may_send_again = !run.facts.sent_again && worker.is_usable();
         let (task, number) = (run.facts.task.clone(), run.facts.number);
         self.note_start_refused(index, &task, number, StartFailure::Unanswered);
-        self.stop_run(index, position, StopCause::StartUnanswered, now);
+        if !may_send_again || !self.send_start_again(index, position, now) {
+            self.stop_run(index, position, StopCause::StartUnanswered, now);
+        }
         if is_silent {
-            self.bad_sign(index, now);
+            // A look tells whether the worker is silent or the answer was lost.
+            self.look_now(index, now);
         }
     }
 
@@ -322,6 +337,7 @@
             started_at: now,
             expected: self.run_times.overall_mean(),
             wanted: false,
+            sent_again: false,
         };
         let mut duplicate = false;
         if let Some(job) = self.jobs.get_mut(&task.job)
@@ -345,7 +361,7 @@
         if !facts.wanted {
             self.remember_begun(&task.job, now);
         }
-        let stop_now = duplicate || (!facts.wanted && self.adopting_until <= now);
+        let stop_now = duplicate || (!facts.wanted && self.claiming_until <= now);
         let worker = self.worker_mut(index);
         let position = worker.runs.len();
         worker.add_run(LiveRun::Starting(Run::new(facts)).confirmed(now));
--- a/crates/bramley-pool/src/pool/upkeep.rs
+++ b/crates/bramley-pool/src/pool/upkeep.rs
@@ -125,10 +125,12 @@
     }
 
     fn stop_unclaimed_runs(&mut self, index: WorkerIndex, now: UnixTime) {
-        if self.adopting_until > now {
+        if self.adopting_until <= now {
+            self.worker_mut(index).drop_unclaimed_ends();
+        }
+        if self.claiming_until > now {
             return;
         }
-        self.worker_mut(index).drop_unclaimed_ends();
         for position in 0..self.worker(index).runs.len() {
             if !self.worker(index).runs[position].facts().wanted {
                 self.stop_run(index, position, StopCause::Unclaimed, now);
--- a/crates/bramley-pool/src/run.rs
+++ b/crates/bramley-pool/src/run.rs
@@ -70,6 +70,8 @@
     pub expected: Duration,
     /// Whether a known job wants the run's result.
     pub wanted: bool,
+    /// Whether the start was sent a second time, because the first one had no answer.
+    pub sent_again: bool,
 }
 
 /// A run in one phase of its life.
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -20,8 +20,11 @@
     /// Time after a change of command until runs on workers that were not read have surely ended:
     /// the earlier pool meets the new token within one look, and then its last leases end.
     pub takeover_bound: Duration,
-    /// Time that relays have after a change of command to claim runs that are under way.
+    /// Time that relays have after a change of command to claim ends that were not acknowledged.
     pub adoption_window: Duration,
+    /// Time after a change of command until runs that no relay has claimed are stopped; with the relay
+    /// grace, a stop and its tries it lies inside the 1,300 ms after which a client sends again.
+    pub claim_wait: Duration,
     /// Time between two tries to stop a run.
     pub stop_retry: Duration,
     /// Time after which ends are acknowledged to a worker on which nothing runs.
@@ -63,7 +66,8 @@
             relay_grace: Duration::from_millis(300),
             takeover_bound: Duration::from_millis(1_500),
             adoption_window: Duration::from_millis(800),
-            stop_retry: Duration::from_millis(150),
+            claim_wait: Duration::from_millis(400),
+            stop_retry: Duration::from_millis(80),
             idle_acknowledgement: Duration::from_millis(300),
             priority_step: Duration::from_millis(100),
             remote_factor: 2.0,
--- a/crates/bramley-pool/tests/random_runs.rs
+++ b/crates/bramley-pool/tests/random_runs.rs
@@ -199,12 +199,14 @@
 
 /// Seeds that failed: 480, leases that another pool had granted counted as ended once this pool took
 /// command again; 1228, the new pool had read as many workers as the old one could use, not as many as
-/// it knew; 1985, leases of runs whose relay was gone were renewed until a third pool, which did not know
+/// it knew; 1794, a refusal of a start that was sent again counted although a report had shown the run;
+/// 1985, leases of runs whose relay was gone were renewed until a third pool, which did not know
 /// their worker, took command.
 #[test]
 fn seeds_that_failed_stay_mended() {
     check_runs(480..481);
     check_runs(1_228..1_229);
+    check_runs(1_794..1_795);
     check_runs(1_985..1_986);
 }
 
--- a/crates/bramley-pool/tests/stragglers.rs
+++ b/crates/bramley-pool/tests/stragglers.rs
@@ -220,3 +220,35 @@
         world.log
     );
 }
+
+/// Pattern: one order in ten is not answered and carried out seconds later, while short jobs of eight tasks
+/// come: more than half of them meet such an order.
+#[test]
+fn short_jobs_are_in_time_although_orders_are_lost() {
+    let mut world = started_world(8);
+    world.late_every = 10;
+    let mut sent = Vec::new();
+    for number in 0..60 {
+        let job = TestJob {
+            name: format!("hold-{number}"),
+            tasks: 8,
+            cpu_milli: 10_000,
+            run: Duration::from_millis(60),
+            ..TestJob::default()
+        };
+        world.submit(0, &job);
+        sent.push((job.name, world.now));
+        world.run_for(Duration::from_millis(160));
+    }
+    world.run_for(Duration::from_secs(4));
+    // The objective: 1.6 times the run and 60 ms.
+    let in_time = sent.iter().filter(|(name, at)| {
+        let answer = world.answers.get(name);
+        answer.is_some_and(|(answer, answered_at)| {
+            *answer == JobAnswer::Completed && answered_at.since(*at).as_millis() <= 156
+        })
+    });
+    let in_time = in_time.count();
+    assert!(in_time >= 54, "{in_time} of 60 in time");
+    assert_eq!(world.overlaps(), Vec::<String>::new());
+}
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -31,8 +31,14 @@
 /// Time between two rounds of what is due by time.
 const TICK: Duration = Duration::from_millis(25);
 
-/// Time after which a call to a worker counts as unanswered.
-const CALL_LIMIT: Duration = Duration::from_millis(250);
+/// Time after which an order to a worker counts as unanswered.
+const ORDER_LIMIT: Duration = Duration::from_millis(60);
+
+/// Time beyond its wait after which a look counts as unanswered.
+const LOOK_LIMIT: Duration = Duration::from_millis(200);
+
+/// Delay of orders that are carried out late; the platform states 2 s at least.
+const LATE_BY: Duration = Duration::from_secs(3);
 
 /// Something that happens at a time.
 #[derive(Clone, Debug)]
@@ -104,6 +110,9 @@
     pub lost_looks: BTreeMap<usize, u32>,
     /// Delays after which the next orders are carried out, without an answer.
     pub late_orders: Vec<Duration>,
+    /// One order in this many is carried out seconds later, without an answer; 0 for none.
+    pub late_every: u32,
+    orders: u32,
     /// Pairs of host and worker that cannot reach each other.
     pub cuts: BTreeSet<(usize, usize)>,
     answered: BTreeSet<(usize, u64)>,
@@ -162,6 +171,8 @@
             lost_answers: BTreeMap::new(),
             lost_looks: BTreeMap::new(),
             late_orders: Vec::new(),
+            late_every: 0,
+            orders: 0,
             cuts: BTreeSet::new(),
             answered: BTreeSet::new(),
             events: BinaryHeap::new(),
@@ -460,6 +471,10 @@
             self.look(host, call, until);
             return;
         }
+        self.orders += 1;
+        if self.late_every > 0 && self.orders.is_multiple_of(self.late_every) {
+            self.late_orders.push(LATE_BY);
+        }
         if let Some(late_by) = self.late_orders.pop() {
             let born_unix_ms = worker.born_unix_ms;
             self.schedule(late_by, Event::LateOrder(call, born_unix_ms));
@@ -525,8 +540,8 @@
         match action {
             PoolAction::Call(call) => {
                 let limit = match &call.order {
-                    WorkerOrder::Look { wait, .. } => *wait + CALL_LIMIT,
-                    WorkerOrder::Start { .. } | WorkerOrder::Stop { .. } => CALL_LIMIT,
+                    WorkerOrder::Look { wait, .. } => *wait + LOOK_LIMIT,
+                    WorkerOrder::Start { .. } | WorkerOrder::Stop { .. } => ORDER_LIMIT,
                 };
                 self.schedule(limit, Event::CallTimesOut(host, call.clone()));
                 self.schedule(DELAY, Event::CallArrives(host, call));
