--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -107,7 +107,8 @@
 fn a_heartbeat_tells_the_load() {
     let load = PoolLoad {
         free_cpu_milli: 123_000,
-        workers: 16,
+        listed_workers: 16,
+        usable_workers: 0,
         waiting_tasks: 5,
     };
     let Some(pool_frame::Body::Beat(beat)) = beat_frame_of(load, true, false).body else {
