--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -146,6 +146,7 @@
         self.note_start_refused(index, &task, number, StartFailure::Unanswered);
         if !may_send_again || !self.send_start_again(index, position, now) {
             self.stop_run(index, position, StopCause::StartUnanswered, now);
+            self.bad_sign(index, now);
         }
         if is_silent {
             // A look tells whether the worker is silent or the answer was lost.
