--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -1,7 +1,7 @@
 //! Decides which process commands the workers of its failure domain.
 //!
-//! The claim is a key in the platform's store under a lease. Its creation revision is the fencing
-//! token, so that a later claim always has the higher token. A process that does not reach the
+//! The claim is a key in the platform's store under a lease. The revision of its last
+//! write is the fencing token, so that a later claim always has the higher token. A process that does not reach the
 //! store never takes command; one that has command and loses the store keeps it as long as no
 //! other process takes over.
 
--- a/crates/bramley-soak/src/callers.rs
+++ b/crates/bramley-soak/src/callers.rs
@@ -27,6 +27,10 @@
 /// Longest time to open a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Time after sending from which a connection that ends without an answer has cut the request off; the
+/// platform's bound.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
 /// Processor share of a task in thousandths of a core.
 const TASK_CPU: u64 = 10_000;
 
@@ -41,6 +45,8 @@
     pub sends: u32,
     /// Whether every time that it was sent it was refused as not run.
     pub refused: bool,
+    /// Connections that ended without an answer although the request had long been sent.
+    pub cuts: u32,
     /// State in the last answer, if one came.
     pub state: Option<String>,
     /// Time of the first send.
@@ -89,6 +95,7 @@
             tasks,
             sends: 0,
             refused: true,
+            cuts: 0,
             state: None,
             sent_at: Instant::now(),
         };
@@ -97,13 +104,17 @@
             outcome.sends += 1;
             let answer = send_job(&mut kept, host, &outcome.name, &body).await;
             match answer {
-                Some((StatusCode::OK, text)) => {
+                SendResult::Answered(StatusCode::OK, text) => {
                     outcome.refused = false;
                     outcome.state = Some(text);
                     break;
                 }
-                Some((StatusCode::SERVICE_UNAVAILABLE, _)) => break,
-                Some(_) | None => outcome.refused = false,
+                SendResult::Answered(StatusCode::SERVICE_UNAVAILABLE, _) => break,
+                SendResult::Answered(..) | SendResult::Unanswered => outcome.refused = false,
+                SendResult::CutOff => {
+                    outcome.refused = false;
+                    outcome.cuts += 1;
+                }
             }
             sleep(RESEND).await;
         }
@@ -112,30 +123,58 @@
     }
 }
 
-/// Sends a job over the kept connection, or a new one to `host`; none without an answer.
+/// What became of one sending of a job.
+#[derive(Debug)]
+enum SendResult {
+    /// It was answered with this status and body.
+    Answered(StatusCode, String),
+    /// It had no answer, and may not have been read.
+    Unanswered,
+    /// Its connection ended without an answer long after it had been sent.
+    CutOff,
+}
+
+/// Sends a job over the kept connection, or a new one to `host`.
 async fn send_job(
     kept: &mut Option<SendRequest<Full<Bytes>>>,
     host: SocketAddr,
     name: &str,
     body: &str,
-) -> Option<(StatusCode, String)> {
-    let mut sender = match kept.take().filter(SendRequest::is_ready) {
-        Some(sender) => sender,
-        None => connect(host).await?,
+) -> SendResult {
+    let usable = kept.take().filter(SendRequest::is_ready);
+    let connected = match usable {
+        Some(sender) => Some(sender),
+        None => connect(host).await,
+    };
+    let Some(mut sender) = connected else {
+        return SendResult::Unanswered;
     };
+    let sent_at = Instant::now();
+    match timeout(DEADLINE, exchange(&mut sender, name, body)).await {
+        Ok(Some((status, text))) => {
+            *kept = Some(sender);
+            SendResult::Answered(status, text)
+        }
+        Ok(None) if sent_at.elapsed() > LOSS_SLACK => SendResult::CutOff,
+        Ok(None) | Err(_) => SendResult::Unanswered,
+    }
+}
+
+/// Sends a request and reads the whole answer; none if the connection ends before.
+async fn exchange(
+    sender: &mut SendRequest<Full<Bytes>>,
+    name: &str,
+    body: &str,
+) -> Option<(StatusCode, String)> {
     let request = Request::post(format!("{ROUTE_PREFIX}{name}"))
         .header(HOST, ROUTE_HOST)
         .header(CONTENT_TYPE, "application/json")
         .header("Deadline-Ms", DEADLINE.as_millis().to_string())
         .body(Full::new(Bytes::from(String::from(body))))
         .ok()?;
-    let response = timeout(DEADLINE, sender.send_request(request))
-        .await
-        .ok()?
-        .ok()?;
+    let response = sender.send_request(request).await.ok()?;
     let status = response.status();
     let bytes = response.into_body().collect().await.ok()?.to_bytes();
-    *kept = Some(sender);
     Some((status, String::from_utf8_lossy(&bytes).into_owned()))
 }
 
--- a/crates/bramley-soak/src/checks.rs
+++ b/crates/bramley-soak/src/checks.rs
@@ -51,6 +51,16 @@
     found
 }
 
+/// Returns requests that were cut off, which planned work never does.
+#[must_use]
+pub fn find_cuts(outcomes: &[JobOutcome]) -> Vec<String> {
+    outcomes
+        .iter()
+        .filter(|outcome| outcome.cuts > 0)
+        .map(|outcome| format!("cut off in planned work: {outcome:?}"))
+        .collect()
+}
+
 /// Counts outcomes.
 #[must_use]
 pub fn count(ledger: &RunLedger, outcomes: &[JobOutcome]) -> SoakCounts {
--- a/crates/bramley-soak/src/faults.rs
+++ b/crates/bramley-soak/src/faults.rs
@@ -13,6 +13,12 @@
 use crate::deployment::{Deployment, configuration};
 use crate::proxy::ProxyMood;
 
+/// Kinds of planned work and of troubles of the store; the last is planned work only.
+const PLANNED_KINDS: [u32; 7] = [5, 6, 7, 8, 9, 15, 16];
+
+/// Number of kinds outside planned work; seeds that failed depend on it.
+const UNPLANNED_KINDS: u32 = 16;
+
 /// Time from the signal to stop to the forced end; the platform's grace.
 const STOP_GRACE: Duration = Duration::from_secs(6);
 
@@ -31,6 +37,8 @@
 #[derive(Debug)]
 pub struct FaultDriver {
     rng: ChaCha8Rng,
+    /// Whether only planned work and troubles of the store come.
+    planned: bool,
     undos: Vec<(Instant, Undo)>,
     version: u64,
     /// What was done, for the report.
@@ -43,9 +51,10 @@
 impl FaultDriver {
     /// Makes a driver of a seed.
     #[must_use]
-    pub fn new(seed: u64) -> Self {
+    pub fn new(seed: u64, planned: bool) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            planned,
             undos: Vec::new(),
             version: 1,
             log: Vec::new(),
@@ -120,7 +129,11 @@
     async fn strike(&mut self, deployment: &mut Deployment) -> std::io::Result<()> {
         let host = self.rng.random_range(0..deployment.hosts.len());
         let worker = self.rng.random_range(0..deployment.workers.len());
-        let kind = self.rng.random_range(0..16);
+        let kind = if self.planned {
+            PLANNED_KINDS[self.rng.random_range(0..PLANNED_KINDS.len())]
+        } else {
+            self.rng.random_range(0..UNPLANNED_KINDS)
+        };
         self.note(format!("strike kind={kind} host={host} worker={worker}"));
         match kind {
             0..=2 if !self.is_host_busy(host) => {
@@ -187,6 +200,8 @@
                     .store
                     .put("op/config", &configuration(self.version));
             }
+            16 => deployment.hosts[host].signal(Signal::HUP),
+            _ if self.planned => {}
             _ => deployment.workers[worker].worker.restart(),
         }
         Ok(())
--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -8,7 +8,7 @@
 
 use argh::FromArgs;
 use bramley_soak::callers::{OutcomeList, run_caller};
-use bramley_soak::checks::{count, find_violations};
+use bramley_soak::checks::{count, find_cuts, find_violations};
 use bramley_soak::deployment::{Deployment, DeploymentSize};
 use bramley_soak::faults::FaultDriver;
 
@@ -52,6 +52,10 @@
     #[argh(option, default = "12")]
     callers: u64,
 
+    /// only planned work and troubles of the store, during which no request may be cut off
+    #[argh(switch)]
+    planned: bool,
+
     /// program to run; default: bramley-dock beside this program
     #[argh(option)]
     program: Option<PathBuf>,
@@ -114,7 +118,7 @@
         );
         tokio::spawn(caller);
     }
-    let mut faults = FaultDriver::new(seed);
+    let mut faults = FaultDriver::new(seed, arguments.planned);
     faults.run(&mut deployment, span).await?;
     tokio::time::sleep(RECOVERY).await;
     let recovered_at = Instant::now();
@@ -124,6 +128,9 @@
     let all = outcomes.all();
     let mut violations = find_violations(&deployment.ledger, &all);
     violations.append(&mut faults.late_stops);
+    if arguments.planned {
+        violations.extend(find_cuts(&all));
+    }
     let served_again = all
         .iter()
         .filter(|outcome| outcome.sent_at >= recovered_at && outcome.state.is_some())
