An isolated pool works on until another host has its claim; without the store it keeps command

Its commanding host reached no other process, because the domain's other host had just been restarted and could not read the claims, and gave command up: 75 jobs were refused as no_pool although its workers were idle. Ruled out: loss of the workers (all 16 usable), the stop of the other host (planned, before). Change: giving up is meant for a host that reaches the store and so keeps its claim from others. Such a host now releases the key and works on until a worker refuses its token, as after a planned stop; one that reaches neither store nor others keeps everything. Tests: a_host_that_reaches_neither_store_nor_others_keeps_command and an_isolated_host_leaves_its_claim_to_others_and_works_on_until_one_has_it, both seen failing; the latter replaces an_isolated_host_gives_command_up, which expected the interruption of service; that others can take over is checked by the_claim_of_an_isolated_host_passes_to_one_that_is_not.

--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -230,9 +230,8 @@
             self.others_heard_at = Some(now);
         }
         let mut actions = Vec::new();
-        if commands && contacts.has_successor && self.is_isolated(now) {
+        if commands && contacts.has_successor && self.blocks_others(now) {
             self.others_heard_at = None;
-            actions.push(ClaimAction::GiveUp { cause: "isolated" });
             if let Some(grant) = self.grant() {
                 actions.push(ClaimAction::Release { lease: grant.lease });
             }
@@ -336,9 +335,14 @@
             .is_some_and(|view| view.incarnation != self.incarnation)
     }
 
-    fn is_isolated(&self, now: UnixTime) -> bool {
-        self.others_heard_at
-            .is_some_and(|heard| now.since(heard) > self.settings.isolation_limit)
+    /// Tells whether the process reaches no other host while its claim, which it renews, keeps them from
+    /// taking over. Without the store the claim ends by itself, and nobody else may be there.
+    fn blocks_others(&self, now: UnixTime) -> bool {
+        let limit = self.settings.isolation_limit;
+        let is_isolated = self
+            .others_heard_at
+            .is_some_and(|heard| now.since(heard) > limit);
+        is_isolated && now.since(self.store_heard_at) <= limit
     }
 }
 
