A pool that takes command anew starts nothing before it has read the list of workers

Change: placement and admission wait for the list after a change of command; the pause between two reads shrinks with the number of changes.

--- a/crates/bramley-dock/src/watch.rs
+++ b/crates/bramley-dock/src/watch.rs
@@ -18,6 +18,19 @@
 /// meanwhile are back within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Changes that one answer of the store is to hold at most: less than a half of what it puts into one
+/// answer.
+const USUAL_CHANGES: u32 = 200;
+
+/// Returns the time until the next read of the workers' entries, after one with `changes` changes since
+/// `span` before it. With thousands of workers the entries change faster than a usual pause allows, and
+/// a worker that leaves would get tasks for seconds.
+#[must_use]
+pub fn pause_after(changes: usize, span: Duration, usual: Duration) -> Duration {
+    let changes = u32::try_from(changes).unwrap_or(u32::MAX).max(1);
+    usual.min(span * USUAL_CHANGES / changes)
+}
+
 /// Which part of the store is followed.
 #[derive(Clone, Copy, Debug)]
 enum StorePart {
@@ -152,6 +165,7 @@
 pub async fn follow_workers<P: PlatformPort>(engine: Rc<Engine<P>>) {
     let mut health = PartHealth::new(StorePart::Workers);
     let mut after = None;
+    let mut read_at = engine.now();
     loop {
         if !engine.commands() {
             after = None;
@@ -160,6 +174,7 @@
             continue;
         }
         let is_complete = after.is_none();
+        let mut pause = engine.settings().worker_read_pause;
         let read = match after {
             None => engine.port().read_workers().await,
             Some(revision) => engine.port().watch_workers(revision).await,
@@ -168,6 +183,11 @@
             Ok(workers) => {
                 health.succeeded(&engine, "workers");
                 let settling = health.is_settling(engine.now());
+                let now = engine.now();
+                if !is_complete {
+                    pause = pause_after(workers.items.len(), now.since(read_at), pause);
+                }
+                read_at = now;
                 engine.workers_changed(workers.items, is_complete && !settling);
                 // While entries may still come back, the whole list is read again afterwards.
                 after = (!(is_complete && settling)).then_some(workers.revision);
@@ -177,7 +197,6 @@
                 health.failed(&engine, "workers", fault).await;
             }
         }
-        let pause = engine.settings().worker_read_pause;
         if timeout(pause, engine.command_change()).await.is_ok() {
             after = None;
         }
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -87,7 +87,7 @@
                 push_places(worker, job, ready_at, &mut places);
             }
         }
-        if self.workers.is_empty() {
+        if self.workers.is_empty() || self.awaits_list {
             return Err(StartEstimate::At(now.after(SYNC_TIME)));
         }
         if !places.is_empty() {
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -13,6 +13,7 @@
     /// Takes command of the workers with a fencing token that is higher than all before.
     pub fn take_command(&mut self, token: u64, now: UnixTime) {
         let is_new = self.token.is_none();
+        self.awaits_list |= is_new;
         self.commands_since = now;
         self.adopting_until = now.after(self.settings.adoption_window);
         self.claiming_until = now.after(self.settings.claim_wait);
@@ -95,6 +96,7 @@
     /// Notes that the list of workers was read up to now.
     pub const fn list_read(&mut self, now: UnixTime) {
         self.listed_at = now;
+        self.awaits_list = false;
     }
 
     /// Takes an entry of the platform's list.
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -97,6 +97,9 @@
     queue: Vec<JobName>,
     run_times: RunTimeTable,
     listed_at: UnixTime,
+    /// Whether entries that are known from an earlier command were not read anew: their workers may be
+    /// leaving.
+    awaits_list: bool,
     actions: Vec<PoolAction>,
     counts: PoolCounts,
     /// Times that a worker was weighed for a task.
@@ -129,6 +132,7 @@
             queue: Vec::new(),
             run_times: RunTimeTable::default(),
             listed_at: UnixTime::default(),
+            awaits_list: false,
             actions: Vec::new(),
             counts: PoolCounts::default(),
             weighed: Cell::new(0),
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -88,7 +88,8 @@
     }
 
     fn may_place(&self, now: UnixTime) -> bool {
-        self.token.is_some() && !self.queue.is_empty() && now >= self.placing_from
+        let is_ready = self.token.is_some() && !self.awaits_list && now >= self.placing_from;
+        is_ready && !self.queue.is_empty()
     }
 
     /// Returns the waiting jobs in order, at most as many as one round looks at.
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -206,3 +206,24 @@
     assert_eq!(world.overlaps(), Vec::<String>::new(), "{:#?}", world.log);
     assert_eq!(world.answer("job-1"), Some(JobAnswer::Completed));
 }
+
+/// Pattern: a worker announces that it leaves while another pool has command; the pool that takes command
+/// again knows the worker from before, and the list of thousands of workers takes long to read.
+#[test]
+fn a_pool_that_takes_command_again_starts_nothing_before_it_has_read_the_list() {
+    let mut world = World::new(2, 2);
+    world.take_command(1);
+    world.run_for(Duration::from_millis(50));
+    world.take_command(0);
+    let now = world.now;
+    world.hosts[1].pool.give_up_command(now);
+    world.run_for(Duration::from_millis(50));
+    world.workers[0].leaving = true;
+    world.workers[1].leaving = true;
+    world.list_workers(0);
+    world.run_for(Duration::from_millis(50));
+    world.take_command(1);
+    world.submit(1, &TestJob::default());
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.runs(), 0, "{:#?}", world.log);
+}
