A start is not sent again for a caller that may be gone

Cause: the second sending of a start did not look at whether the relay of its job was still connected or the process had just been resumed, as a first start does. Change: both are asked; else the run is stopped. Test seen failing: a_start_is_not_sent_again_for_a_caller_that_may_be_gone.

--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -391,8 +391,8 @@
 }
 
 impl Pool {
-    /// Sends a start that had no answer a second time, under the same number; returns whether its job
-    /// is still open.
+    /// Sends a start that had no answer a second time, under the same number; returns false if its caller
+    /// may be gone.
     pub(super) fn send_start_again(
         &mut self,
         index: WorkerIndex,
@@ -403,7 +403,8 @@
         let error = self.settings.clock_error_permille;
         let facts = self.worker(index).runs[position].facts();
         let (task, number) = (facts.task.clone(), facts.number);
-        let Some(job) = self.jobs.get(&task.job) else {
+        let job = self.jobs.get(&task.job);
+        let Some(job) = job.filter(|job| job.relay.is_some() && now >= self.placing_from) else {
             return false;
         };
         let spec = Arc::clone(&job.submission.work.spec);
--- a/crates/bramley-pool/tests/stragglers.rs
+++ b/crates/bramley-pool/tests/stragglers.rs
@@ -252,3 +252,22 @@
     assert!(in_time >= 54, "{in_time} of 60 in time");
     assert_eq!(world.overlaps(), Vec::<String>::new());
 }
+
+/// Pattern: the host of a caller is lost while a start of the caller's job has no answer yet.
+#[test]
+fn a_start_is_not_sent_again_for_a_caller_that_may_be_gone() {
+    let mut world = World::new(2, 2);
+    world.take_command(0);
+    world.run_for(Duration::from_millis(50));
+    world.late_orders.push(Duration::from_secs(3));
+    world.submit(1, &TestJob::default());
+    world.run_for(Duration::from_millis(10));
+    world.kill_host(1);
+    world.run_for(Duration::from_secs(1));
+    let sent_again = world
+        .log
+        .iter()
+        .any(|line| line.contains("start_sent_again"));
+    assert!(!sent_again, "{:#?}", world.log);
+    assert_eq!(world.runs(), 0);
+}
