--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -11,7 +11,8 @@
 use smallvec::SmallVec;
 
 use super::Pool;
-use super::placement::{USUAL_RUNS, expected_end};
+use super::placement::expected_end;
+use super::reservation::USUAL_RUNS;
 use crate::job::JobRecord;
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -1,17 +1,21 @@
 //! Places tasks on workers and follows their runs to the end.
 //!
 //! - `admission` decides whether a job can be in time.
+//! - `choice` chooses the best worker for a task.
 //! - `fleet` follows the platform's list of workers and changes of command.
 //! - `jobs` takes jobs in and answers them.
-//! - `placement` chooses workers and sends starts.
+//! - `placement` decides which tasks are started when, and sends starts.
 //! - `reports` reads the answers of workers.
+//! - `reservation` keeps workers free for jobs that have waited long.
 //! - `upkeep` renews leases, retries stops and ends what has lapsed.
 
 mod admission;
+mod choice;
 mod fleet;
 mod jobs;
 mod placement;
 mod reports;
+mod reservation;
 mod upkeep;
 
 use std::cell::Cell;
