--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -135,7 +135,9 @@
             ClaimAction::Release { lease } => {
                 let engine = Rc::clone(self);
                 spawn_local(async move {
-                    match engine.port.end_lease(lease).await {
+                    let ended = engine.port.end_lease(lease).await;
+                    engine.note_claim_call("claim_release", ended.as_ref().err());
+                    match ended {
                         Ok(()) => log::info!("event=claim_released lease={lease}"),
                         Err(fault) => {
                             log::warn!(
@@ -175,6 +177,7 @@
             .port
             .write_claim(&domain, expected_revision, &view, life)
             .await;
+        self.note_claim_call("claim_write", written.as_ref().err());
         let now = self.now();
         match written {
             Ok(grant) => {
@@ -216,6 +219,11 @@
         }
     }
 
+    fn note_claim_call(&self, kind: &'static str, fault: Option<&StoreFault>) {
+        let result = fault.map_or("ok", |fault| fault.as_str());
+        self.metrics.note_store_call(kind, result);
+    }
+
     pub(super) fn connect_own_pool(&self) {
         let mut state = self.state.borrow_mut();
         let home = &self.settings.host.domain;
@@ -226,6 +234,7 @@
 
     pub(super) async fn renew_claim(self: Rc<Self>, lease: u64) {
         let renewed = self.port.renew_lease(lease).await;
+        self.note_claim_call("claim_renewal", renewed.as_ref().err());
         let now = self.now();
         let mut state = self.state.borrow_mut();
         match renewed {
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -74,6 +74,8 @@
     next_relay: u64,
     pools: BTreeMap<DomainName, PoolLink>,
     routes: Arc<RouteTable>,
+    /// Time at which the routes came into force here.
+    routes_since: UnixTime,
     stopping_since: Option<UnixTime>,
     /// Whether a relay on another host of the own failure domain was ever connected.
     has_successor: bool,
@@ -128,6 +130,7 @@
             next_relay: OWN_RELAY.0 + 1,
             pools: BTreeMap::new(),
             routes: Arc::default(),
+            routes_since: UnixTime::default(),
             stopping_since: None,
             has_successor: false,
             sampler: RoutineSampler::new(routine_lines_per_s),
@@ -258,6 +261,7 @@
             table.version
         );
         state.routes = Arc::new(table);
+        state.routes_since = self.now();
     }
 
     /// The list of workers has changed; `complete` tells that workers not named are not listed.
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -79,6 +79,9 @@
             state.relay.pool_loaded(&home, load);
         }
         self.metrics.note_load(load, commands, state.callers.len());
+        let list_age = state.pool.list_age(now);
+        self.metrics
+            .note_ages(now.since(state.routes_since), list_age);
     }
 
     pub(super) fn beat_now(&self) {
--- a/crates/bramley-dock/src/logging.rs
+++ b/crates/bramley-dock/src/logging.rs
@@ -30,7 +30,10 @@
 #[derive(Debug, Default)]
 struct LineBuffer {
     lines: VecDeque<Vec<u8>>,
+    /// Lines dropped since the last report in the log.
     dropped: u64,
+    /// Lines dropped since the start.
+    dropped_in_all: u64,
     closed: bool,
 }
 
@@ -62,6 +65,7 @@
         };
         if buffer.lines.len() >= self.capacity * percent / 100 {
             buffer.dropped += 1;
+            buffer.dropped_in_all += 1;
             return;
         }
         let was_empty = buffer.lines.is_empty();
@@ -71,6 +75,15 @@
         }
     }
 
+    /// Returns the number of lines dropped since the start.
+    #[must_use]
+    pub fn dropped_lines(&self) -> u64 {
+        let buffer = self.shared.0.lock();
+        buffer
+            .unwrap_or_else(PoisonError::into_inner)
+            .dropped_in_all
+    }
+
     /// Returns the number of lines that wait.
     #[must_use]
     pub fn waiting_lines(&self) -> usize {
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counts for operators, in the OpenMetrics format.
 
+use std::cell::OnceCell;
 use std::fmt;
 use std::time::Duration;
 
@@ -14,6 +15,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::logging::BoundedLog;
+
 /// Smallest bucket of times in seconds.
 const FIRST_BUCKET_SECONDS: f64 = 0.001;
 
@@ -39,6 +42,11 @@
     free_cpu_milli: Gauge,
     workers: Gauge,
     waiting_tasks: Gauge,
+    configuration_age_seconds: Gauge,
+    list_age_seconds: Gauge,
+    log_lines_dropped: Gauge,
+    /// Log whose dropped lines are counted; set once at the start.
+    log: OnceCell<BoundedLog>,
 }
 
 impl fmt::Debug for DockMetrics {
@@ -65,6 +73,10 @@
             free_cpu_milli: Gauge::default(),
             workers: Gauge::default(),
             waiting_tasks: Gauge::default(),
+            configuration_age_seconds: Gauge::default(),
+            list_age_seconds: Gauge::default(),
+            log_lines_dropped: Gauge::default(),
+            log: OnceCell::new(),
         };
         metrics.register();
         metrics
@@ -124,6 +136,21 @@
             "Tasks that wait for room",
             self.waiting_tasks.clone(),
         );
+        registry.register(
+            "configuration_age_seconds",
+            "Time since the configuration came into force here",
+            self.configuration_age_seconds.clone(),
+        );
+        registry.register(
+            "list_age_seconds",
+            "Time since the list of workers was read",
+            self.list_age_seconds.clone(),
+        );
+        registry.register(
+            "log_lines_dropped",
+            "Log lines dropped since the start",
+            self.log_lines_dropped.clone(),
+        );
     }
 
     /// Counts an answer to a caller.
@@ -195,9 +222,26 @@
         self.waiting_tasks.set(i64::from(load.waiting_tasks));
     }
 
+    pub(crate) fn note_ages(&self, configuration: Duration, list: Duration) {
+        let seconds = |age: Duration| i64::try_from(age.as_secs()).unwrap_or(i64::MAX);
+        self.configuration_age_seconds.set(seconds(configuration));
+        self.list_age_seconds.set(seconds(list));
+    }
+
+    /// Counts the lines that a log drops.
+    pub fn count_dropped_lines(&self, log: BoundedLog) {
+        if self.log.set(log).is_err() {
+            log::warn!("event=metrics_unreadable error=\"a second log to count\"");
+        }
+    }
+
     /// Returns all counts as text.
     #[must_use]
     pub fn encode(&self) -> String {
+        if let Some(log) = self.log.get() {
+            let dropped = i64::try_from(log.dropped_lines()).unwrap_or(i64::MAX);
+            self.log_lines_dropped.set(dropped);
+        }
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::warn!("event=metrics_unreadable error=\"{error}\"");
--- a/crates/bramley-dock/tests/logging.rs
+++ b/crates/bramley-dock/tests/logging.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bramley_dock::logging::{BoundedLog, RoutineSampler};
+use bramley_dock::metrics::DockMetrics;
 use log::Level;
 
 /// An output whose reader never reads: writes end only when the test does.
@@ -113,3 +114,21 @@
     let end = ended.recv_timeout(Duration::from_secs(60));
     assert_eq!(end, Ok(()));
 }
+
+#[test]
+fn dropped_lines_are_counted_in_the_metrics() {
+    let log = BoundedLog::new(1);
+    let metrics = DockMetrics::default();
+    metrics.count_dropped_lines(log.clone());
+    for _ in 0..3 {
+        log.push(Level::Warn, b"line\n".to_vec());
+    }
+    assert_eq!(log.dropped_lines(), 2);
+    assert!(
+        metrics
+            .encode()
+            .contains("bramley_dock_log_lines_dropped 2"),
+        "{}",
+        metrics.encode()
+    );
+}
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -1,5 +1,7 @@
 //! Follows the platform's list of workers and changes of command.
 
+use std::time::Duration;
+
 use bramley_core::names::WorkerName;
 use bramley_core::units::UnixTime;
 
@@ -93,6 +95,15 @@
         self.note(decision);
     }
 
+    /// Returns the time since the list of workers was read; zero without command.
+    #[must_use]
+    pub fn list_age(&self, now: UnixTime) -> Duration {
+        match self.token {
+            Some(_) => now.since(self.listed_at),
+            None => Duration::ZERO,
+        }
+    }
+
     /// Notes that the list of workers was read up to now.
     pub const fn list_read(&mut self, now: UnixTime) {
         self.listed_at = now;
