--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -1,7 +1,7 @@
 //! Follows callers' jobs across pools.
 //!
-//! A relay offers each job to the pool of its own failure domain first, unless tasks wait there and
-//! another pool has ample room, and then to pools that have told it of free room. When the connection to a pool is lost, its jobs are in doubt: they go to
+//! A relay offers each job to the pool of its own failure domain first and then to pools that have
+//! told it of free room. When the connection to a pool is lost, its jobs are in doubt: they go to
 //! the pool that takes over the same workers, or anywhere else once their runs have surely ended.
 
 use std::time::Duration;
@@ -16,10 +16,6 @@
 use crate::refusal::Refusal;
 use crate::settings::RelaySettings;
 
-/// Multiple of a job's processor share that a pool must have free to get the job before the own one: free
-/// room lies in pieces, and other relays see the same room until the next heartbeat.
-const AMPLE_ROOM: u64 = 4;
-
 /// Answer to a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobAnswer {
@@ -167,31 +163,12 @@
 
     /// Sends a job to its first pool.
     fn offer(&mut self, name: &JobName) {
-        let domain = self.idle_pool(name).or_else(|| self.first_pool());
-        match domain {
+        match self.first_pool() {
             Some(domain) => self.move_job(name, domain),
             None => self.answer_unserved(name, Refusal::NoPool),
         }
     }
 
-    /// Returns another pool with ample room for a job while tasks wait at the own failure domain's, and
-    /// counts that room as taken until the pool tells its load again.
-    fn idle_pool(&mut self, name: &JobName) -> Option<DomainName> {
-        let home = self.pools.get(&self.home)?;
-        if !home.connected || home.load.waiting_tasks == 0 {
-            return None;
-        }
-        let work = &self.jobs.get(name)?.submission.work;
-        let needed = u64::from(work.tasks) * u64::from(work.room.cpu_milli);
-        let ample = needed.saturating_mul(AMPLE_ROOM);
-        let domain = self.freest_pool(|_, pool| {
-            pool.load.waiting_tasks == 0 && pool.load.free_cpu_milli >= ample
-        })?;
-        let pool = self.pools.get_mut(&domain)?;
-        pool.load.free_cpu_milli -= needed;
-        Some(domain)
-    }
-
     /// The caller of a job has left.
     pub fn caller_left(&mut self, name: &JobName) {
         let Some(job) = self.jobs.remove(name) else {
