A pool without waiting tasks forgets what its last round reserved

Found by reading: reservations and the lists of what has changed were kept while the queue was empty, so that the next job could find up to a quarter of the workers kept free for a job that had left, until the next tick. Change: forget_round at the begin of a full round and while nothing waits. A claim's lease is named once. Test: the_state_of_a_calm_pool_does_not_grow, which passed before as well, as each submission emptied the lists.

--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -245,22 +245,20 @@
                 renew_at,
                 is_renewing,
             } => {
+                let lease = grant.lease;
                 if !*is_renewing && *renew_at <= now {
                     *is_renewing = true;
-                    actions.push(ClaimAction::Renew { lease: grant.lease });
+                    actions.push(ClaimAction::Renew { lease });
                 }
                 if self.stopping && self.release_at <= now {
-                    let lease = grant.lease;
                     self.standing = ClaimStanding::Standby;
                     actions.push(ClaimAction::Release { lease });
                 } else if self.is_held_by_other() {
+                    self.standing = ClaimStanding::Standby;
                     actions.push(ClaimAction::GiveUp {
                         cause: "claimed_elsewhere",
                     });
-                    actions.push(ClaimAction::Release {
-                        lease: self.grant().map_or(0, |grant| grant.lease),
-                    });
-                    self.standing = ClaimStanding::Standby;
+                    actions.push(ClaimAction::Release { lease });
                 }
             }
             ClaimStanding::Writing => {}
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -17,9 +17,7 @@
         if !self.may_place(now) {
             return;
         }
-        self.freed_workers.clear();
-        self.fresh_jobs.clear();
-        self.reservations.clear();
+        self.forget_round();
         let mut least_failed_cpu = u32::MAX;
         for name in self.waiting_order(now) {
             let Some(job) = self.jobs.get(&name) else {
@@ -56,9 +54,20 @@
         self.drop_placed();
     }
 
-    fn may_place(&self, now: UnixTime) -> bool {
-        let is_ready = self.token.is_some() && !self.awaits_list && now >= self.placing_from;
-        is_ready && !self.queue.is_empty()
+    /// Tells whether tasks wait that may be started now.
+    fn may_place(&mut self, now: UnixTime) -> bool {
+        if self.queue.is_empty() {
+            self.forget_round();
+            return false;
+        }
+        self.token.is_some() && !self.awaits_list && now >= self.placing_from
+    }
+
+    /// Forgets what has changed since the last round and what it has reserved.
+    fn forget_round(&mut self) {
+        self.freed_workers.clear();
+        self.fresh_jobs.clear();
+        self.reservations.clear();
     }
 
     /// Returns the waiting jobs in order, at most as many as one round looks at.
--- a/crates/bramley-pool/tests/heavy_load.rs
+++ b/crates/bramley-pool/tests/heavy_load.rs
@@ -249,3 +249,19 @@
         "{weighed} workers weighed for {starts} starts"
     );
 }
+
+/// Pattern: a calm day on which no task ever waits; what a pool keeps must not grow with the day.
+#[test]
+fn the_state_of_a_calm_pool_does_not_grow() {
+    let mut world = started_world(8);
+    let mut sizes = Vec::new();
+    for number in 0..1_600 {
+        world.submit(0, &narrow_job(number));
+        world.run_for(Duration::from_millis(50));
+        // Jobs are remembered for 10 s.
+        if number % 400 == 399 {
+            sizes.push(format!("{:?}", world.hosts[0].pool).len());
+        }
+    }
+    assert!(sizes[3] < sizes[0] * 11 / 10, "{sizes:?}");
+}
