--- a/crates/bramley-soak/src/deployment.rs
+++ b/crates/bramley-soak/src/deployment.rs
@@ -10,6 +10,7 @@
 use bramley_fleet_stand_in::ledger::RunLedger;
 use bramley_fleet_stand_in::store::StoreStandIn;
 use bramley_fleet_stand_in::worker::{WorkerPlace, WorkerStandIn};
+use rand::Rng;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tokio::time::sleep;
@@ -22,6 +23,12 @@
 /// Beginning of the paths of the routes.
 pub const ROUTE_PREFIX: &str = "/jobs/";
 
+/// Ports of hosts: below the range from which systems take those of outgoing connections.
+const HOST_PORTS: std::ops::Range<u16> = 10_000..30_000;
+
+/// Tries to find a free port; most are free.
+const PORT_TRIES: u32 = 50;
+
 /// Time between two writes of a worker's entry.
 const BEAT: Duration = Duration::from_millis(500);
 
@@ -183,6 +190,18 @@
         Ok(())
     }
 
+    /// Returns the hosts whose process has ended by itself; all are to run when this is asked.
+    pub fn ended_hosts(&mut self) -> Vec<String> {
+        let mut ended = Vec::new();
+        for (index, host) in self.hosts.iter_mut().enumerate() {
+            let status = host.child.as_mut().map(Child::try_wait);
+            if !matches!(status, Some(Ok(None))) {
+                ended.push(format!("host {index} does not run: {status:?}"));
+            }
+        }
+        ended
+    }
+
     /// Starts a host's program again.
     ///
     /// # Errors
@@ -256,9 +275,17 @@
     }
 }
 
-/// Returns an address that was free a moment ago.
+/// Returns an address that was free a moment ago, at a port that no outgoing connection gets meanwhile.
 fn free_port(ip: IpAddr) -> std::io::Result<SocketAddr> {
-    TcpListener::bind(SocketAddr::new(ip, 0))?.local_addr()
+    let mut last = None;
+    for _try in 0..PORT_TRIES {
+        let port = rand::rng().random_range(HOST_PORTS);
+        match TcpListener::bind(SocketAddr::new(ip, port)) {
+            Ok(listener) => return listener.local_addr(),
+            Err(error) => last = Some(error),
+        }
+    }
+    Err(last.unwrap_or_else(|| std::io::ErrorKind::AddrInUse.into()))
 }
 
 /// Returns the configuration of a version.
--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -128,6 +128,7 @@
     let all = outcomes.all();
     let mut violations = find_violations(&deployment.ledger, &all);
     violations.append(&mut faults.late_stops);
+    violations.extend(deployment.ended_hosts());
     if arguments.planned {
         violations.extend(find_cuts(&all));
     }
