--- a/crates/bramleyctl/tests/explain.rs
+++ b/crates/bramleyctl/tests/explain.rs
@@ -13,8 +13,9 @@
 not a line of the program
 ";
 
-fn explain(id: &str, logs: &[&str]) -> Output {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join("explain");
+/// Runs the command in a folder of the test's own, as tests run at the same time.
+fn explain(test: &str, id: &str, logs: &[&str]) -> Output {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
     std::fs::create_dir_all(&folder).expect("the folder can be made");
     std::fs::write(folder.join("entry-1.log"), RELAY_LOG).expect("the log can be written");
     std::fs::write(folder.join("entry-2.log"), POOL_LOG).expect("the log can be written");
@@ -28,17 +29,17 @@
 
 #[test]
 fn a_request_is_explained_from_the_logs_of_its_hosts() {
-    let output = explain("14d2", &["entry-1.log", "entry-2.log"]);
+    let output = explain("explain-known", "14d2", &["entry-1.log", "entry-2.log"]);
     assert_eq!(output.status.code(), Some(0));
     insta::assert_snapshot!(String::from_utf8_lossy(&output.stdout));
 }
 
 #[test]
 fn an_unknown_request_and_a_missing_log_end_with_1() {
-    let unknown = explain("ffff", &["entry-1.log", "entry-2.log"]);
+    let unknown = explain("explain-unknown", "ffff", &["entry-1.log", "entry-2.log"]);
     assert_eq!(unknown.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&unknown.stderr).contains("ffff"));
-    let missing = explain("14d2", &["entry-9.log"]);
+    let missing = explain("explain-unknown", "14d2", &["entry-9.log"]);
     assert_eq!(missing.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&missing.stderr).contains("entry-9.log"));
 }
