--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -47,6 +47,7 @@
         acknowledged,
         earlier_workers,
         resumed,
+        accepts_late,
     } = submission;
     SubmitJob {
         job: String::from(work.job.as_str()),
@@ -72,6 +73,7 @@
         earlier_workers,
         acknowledged,
         resumed,
+        accepts_late,
     }
 }
 
@@ -126,6 +128,7 @@
         acknowledged: submit.acknowledged,
         earlier_workers: submit.earlier_workers,
         resumed: submit.resumed,
+        accepts_late: submit.accepts_late,
     }
 }
 
--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -49,6 +49,7 @@
         acknowledged: true,
         earlier_workers: 16,
         resumed: true,
+        accepts_late: true,
     }
 }
 
--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -132,6 +132,9 @@
     /// Whether the pool must accept the job even if it would miss its latency objective, because
     /// some of its tasks may already be running.
     pub resumed: bool,
+    /// Whether the pool may admit the job although it would miss its latency objective. Set once
+    /// no pool could serve it in time.
+    pub accepts_late: bool,
 }
 
 /// State of a task.
@@ -160,6 +163,17 @@
     pub avoided: Option<WorkerIndex>,
 }
 
+/// Time by which a waiting job is to be served.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum QueueClass {
+    /// The job is to meet its latency objective, so it has to start by
+    /// [`JobRecord::latest_start`].
+    InTime,
+    /// The job misses its objective and is to be answered while the answer has a value, so it has
+    /// to start by [`JobRecord::latest_useful_start`].
+    Late,
+}
+
 /// A pool's record of a job.
 #[derive(Clone, Debug)]
 pub struct JobRecord {
@@ -179,8 +193,13 @@
     pub expected: Duration,
     /// Time by which the job must end to meet its latency objective.
     pub objective_at: UnixTime,
+    /// Time after which an answer has no value: a multiple of the latency objective, or the
+    /// client's deadline if that is earlier.
+    pub useful_until: UnixTime,
     /// Whether any task may have been started, here or by an earlier pool.
     pub may_have_started: bool,
+    /// Time by which the job is to be served.
+    pub queue_class: QueueClass,
 }
 
 impl JobRecord {
@@ -190,4 +209,19 @@
     pub fn latest_start(&self) -> UnixTime {
         self.objective_at.before(self.expected)
     }
+
+    /// Returns the time by which the last task has to start to serve the job as admitted.
+    #[must_use]
+    pub fn start_limit(&self) -> UnixTime {
+        match self.queue_class {
+            QueueClass::InTime => self.latest_start(),
+            QueueClass::Late => self.latest_useful_start(),
+        }
+    }
+
+    /// Returns the latest time at which the last task can start and its answer still has a value.
+    #[must_use]
+    pub fn latest_useful_start(&self) -> UnixTime {
+        self.useful_until.before(self.expected)
+    }
 }
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -13,7 +13,7 @@
 use super::Pool;
 use super::placement::expected_end;
 use super::reservation::INLINE_RUNS;
-use crate::job::JobRecord;
+use crate::job::{JobRecord, QueueClass};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
 use crate::worker::WorkerRecord;
@@ -59,7 +59,7 @@
             Err(estimate) => return estimate,
         };
         let with_job = self.forecast(job, true, slots.clone(), now);
-        if with_job.missed > 0 && with_job.last_start <= job.latest_start() {
+        if with_job.missed > 0 && with_job.last_start <= job.start_limit() {
             let without_job = self.forecast(job, false, slots, now);
             if with_job.missed > without_job.missed {
                 return StartEstimate::DelaysOtherJobs(with_job.last_start);
@@ -131,7 +131,7 @@
             }
             if queued.submission.work.job == *name {
                 result.last_start = last_start;
-            } else if !queued.may_have_started && last_start > queued.latest_start() {
+            } else if !queued.may_have_started && last_start > queued.start_limit() {
                 result.missed += 1;
             }
         }
@@ -143,14 +143,12 @@
         match self.estimate_start(job, now) {
             StartEstimate::At(start) => {
                 let wait = start.since(now);
-                let margin = job.expected / MARGIN_DIVISOR;
-                let is_in_time = start.after(margin) <= job.latest_start();
-                // A late answer is better than none as long as it takes no capacity from others.
-                let is_late = !is_in_time && (self.is_contended || start > job.objective_at);
-                (
-                    is_late.then_some(JobOutcome::Refused(Refusal::Overloaded)),
-                    wait,
-                )
+                let is_admitted = match job.queue_class {
+                    QueueClass::InTime => self.can_admit_in_time(job, start),
+                    QueueClass::Late => self.can_serve_late(job, now),
+                };
+                let refusal = JobOutcome::Refused(Refusal::Overloaded);
+                ((!is_admitted).then_some(refusal), wait)
             }
             StartEstimate::DelaysOtherJobs(start) => {
                 let wait = start.since(now);
@@ -167,6 +165,28 @@
         }
     }
 
+    fn can_admit_in_time(&self, job: &JobRecord, start: UnixTime) -> bool {
+        let margin = job.expected / MARGIN_DIVISOR;
+        let is_in_time = start.after(margin) <= job.latest_start();
+        // A late answer is better than none as long as it takes no capacity from others.
+        is_in_time || (!self.is_contended && start <= job.objective_at)
+    }
+
+    /// Returns whether a job can be answered while the answer has a value, behind the jobs that
+    /// wait now and those that are expected to arrive meanwhile.
+    pub(super) fn can_serve_late(&self, job: &JobRecord, now: UnixTime) -> bool {
+        let Ok(slots) = self.find_slots(job, now) else {
+            return false;
+        };
+        let forecast = self.forecast(job, true, slots, now);
+        let wait = forecast.last_start.since(now);
+        let Some(wait) = self.utilization.stretch_wait(wait) else {
+            return false;
+        };
+        let margin = job.expected / MARGIN_DIVISOR;
+        now.after(wait).after(margin) <= job.latest_useful_start()
+    }
+
     /// Updates `is_contended` from the current load.
     pub(super) fn update_contention(&mut self, now: UnixTime) {
         let load = self.load(now);
@@ -174,19 +194,19 @@
     }
 
     /// Returns the sort key of a waiting job, lowest first. Jobs that may have started come first,
-    /// then jobs by their latest start; under contention, jobs that can no longer be in time come
-    /// last.
+    /// then jobs by the latest start that serves their class; under contention, jobs that have
+    /// missed it come last.
     pub(super) fn order_key(&self, job: &JobRecord, now: UnixTime) -> (u8, UnixTime) {
-        let latest = job.latest_start();
+        let limit = job.start_limit();
         let priority_delay = self.settings.priority_step * job.submission.policy.priority;
         let rank = if job.may_have_started {
             0
-        } else if latest >= now || !self.is_contended {
+        } else if limit >= now || !self.is_contended {
             1
         } else {
             2
         };
-        (rank, latest.after(priority_delay))
+        (rank, limit.after(priority_delay))
     }
 }
 
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -6,7 +6,7 @@
 
 use super::Pool;
 use crate::decision::Decision;
-use crate::job::{JobName, JobRecord, JobSubmission, TaskRecord, TaskState};
+use crate::job::{JobName, JobRecord, JobSubmission, QueueClass, TaskRecord, TaskState};
 use crate::message::{JobOutcome, PoolMessage, RelayId, RelayMessage, TaskPlacement};
 use crate::refusal::Refusal;
 use crate::run::StopCause;
@@ -99,6 +99,8 @@
                 waiting: self.waiting_tasks(),
                 list_age: now.since(self.listed_at),
             };
+            let resources = job.submission.work.resources;
+            self.utilization.observe_task(resources);
             self.log(decision);
         }
         self.enqueue(&name);
@@ -156,6 +158,13 @@
         let policy = &submission.policy;
         let objective = expected.mul_f64(policy.stretch_factor.max(1.0)) + policy.target;
         let objective_at = submission.arrived_at.after(objective);
+        let valued_for = objective.mul_f64(self.settings.give_up_factor);
+        let useful_until = submission.arrived_at.after(valued_for).min(submission.deadline);
+        let queue_class = if submission.accepts_late {
+            QueueClass::Late
+        } else {
+            QueueClass::InTime
+        };
         JobRecord {
             relay: Some(relay),
             abandoned_at: now,
@@ -166,6 +175,8 @@
             unfinished: waiting,
             expected,
             objective_at,
+            useful_until,
+            queue_class,
             submission,
         }
     }
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -5,7 +5,7 @@
 use bramley_core::units::UnixTime;
 
 use super::Pool;
-use crate::job::{JobName, JobRecord};
+use crate::job::{JobName, QueueClass};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
 use crate::run::{LiveRun, StopCause};
@@ -32,6 +32,10 @@
             return;
         }
         self.update_contention(now);
+        let usable = self.workers.iter().filter(|worker| {
+            worker.is_usable() && worker.health.suspended_until <= now
+        });
+        self.utilization.sample(usable, now);
         self.drop_abandoned_and_expired_jobs(now);
         self.expire_started_jobs(now);
         for index in self.indices() {
@@ -50,40 +54,61 @@
         for name in abandoned {
             self.cancel(&name, "relay_lost", now);
         }
-        let has_job_in_time = self.is_contended && self.has_job_in_time(now);
+        self.defer_late_jobs(now);
         let expired: Vec<JobName> = self
             .jobs
             .iter()
-            .filter(|(_, job)| !job.may_have_started && self.is_expired(job, has_job_in_time, now))
+            .filter(|(_, job)| !job.may_have_started && job.latest_useful_start() < now)
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
-            let wait = self.settings.min_suspension;
-            self.refuse(&name, JobOutcome::Refused(Refusal::Expired), wait, now);
+            self.refuse_expired(&name, now);
         }
     }
 
+    /// Moves jobs that can no longer meet their objective behind those that can, if both are
+    /// waiting for contended capacity. A job that could not be served there in time to be of use is
+    /// refused.
+    fn defer_late_jobs(&mut self, now: UnixTime) {
+        if !self.is_contended || !self.has_job_in_time(now) {
+            return;
+        }
+        let late: Vec<JobName> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| {
+                let is_late = job.latest_start() < now && job.queue_class == QueueClass::InTime;
+                is_late && !job.may_have_started
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in late {
+            let Some(job) = self.jobs.get(&name) else {
+                continue;
+            };
+            if self.can_serve_late(job, now) {
+                if let Some(job) = self.jobs.get_mut(&name) {
+                    job.queue_class = QueueClass::Late;
+                }
+            } else {
+                self.refuse_expired(&name, now);
+            }
+        }
+    }
+
+    fn refuse_expired(&mut self, name: &JobName, now: UnixTime) {
+        let wait = self.settings.min_suspension;
+        self.refuse(name, JobOutcome::Refused(Refusal::Expired), wait, now);
+    }
+
     /// Returns whether any waiting job that has not started can still meet its objective.
     fn has_job_in_time(&self, now: UnixTime) -> bool {
         let waiting = self.queue.iter().filter_map(|name| self.jobs.get(name));
         waiting
-            .filter(|job| !job.may_have_started)
+            .filter(|job| !job.may_have_started && job.queue_class == QueueClass::InTime)
             .any(|job| job.latest_start() >= now)
     }
 
-    /// Returns whether a job that has not started is dropped: as soon as it can no longer meet its
-    /// objective if other jobs that still can are waiting, else once its answer would have no
-    /// value.
-    fn is_expired(&self, job: &JobRecord, has_job_in_time: bool, now: UnixTime) -> bool {
-        if has_job_in_time && job.latest_start() < now {
-            return true;
-        }
-        let arrived = job.submission.arrived_at;
-        let objective = job.objective_at.since(arrived);
-        let drop_at = arrived.after(objective.mul_f64(self.settings.give_up_factor));
-        now >= drop_at.min(job.submission.deadline)
-    }
-
     fn maintain_worker(&mut self, index: WorkerIndex, now: UnixTime) {
         if self.worker(index).runs.is_empty() {
             self.maintain_idle_worker(index, now);
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -10,6 +10,7 @@
 //! - `reservation`: workers kept free for jobs that have waited long.
 //! - `scoring`: choice of the best worker for a task.
 //! - `starts`: start requests and their answers.
+//! - `utilization`: average utilization of the workers.
 
 mod admission;
 mod fleet;
@@ -21,6 +22,7 @@
 mod reservation;
 mod scoring;
 mod starts;
+mod utilization;
 
 use std::cell::Cell;
 use std::sync::Arc;
@@ -37,6 +39,7 @@
 use crate::run::StopCause;
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
+use utilization::SlotUtilization;
 
 /// Action for the driver of a pool.
 #[derive(Clone, Debug)]
@@ -125,6 +128,8 @@
     /// Whether so many tasks wait that a late job would delay jobs that can still meet their
     /// objective.
     is_contended: bool,
+    /// Average utilization of the usable workers.
+    utilization: SlotUtilization,
 }
 
 impl Pool {
@@ -153,6 +158,7 @@
             newly_waiting: Vec::new(),
             reservations: FxHashMap::default(),
             is_contended: false,
+            utilization: SlotUtilization::default(),
         }
     }
 
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -66,10 +66,22 @@
     state: JobState,
     /// Failure domains to whose pools the job was submitted.
     submitted_to: Vec<DomainName>,
+    /// Refusals of pools that could not serve the job in time.
+    declined: Vec<DeclinedOffer>,
+    /// Number of pools that were asked to serve the job late.
+    late_offers: usize,
     /// Whether a pool has reported that a task was placed.
     started: bool,
 }
 
+/// Refusal of a pool that could not serve a job in time.
+#[derive(Clone, Debug)]
+struct DeclinedOffer {
+    domain: DomainName,
+    /// Wait that the pool expects for such a job.
+    wait: Duration,
+}
+
 /// Last known state of a pool.
 #[derive(Clone, Copy, Debug, Default)]
 struct PoolView {
@@ -157,6 +169,8 @@
             submission,
             state: JobState::Held,
             submitted_to: Vec::new(),
+            declined: Vec::new(),
+            late_offers: 0,
             started: false,
         };
         self.jobs.insert(name.clone(), job);
@@ -321,8 +335,7 @@
             JobOutcome::Completed => JobAnswer::Completed,
             JobOutcome::Failed => JobAnswer::Failed,
             JobOutcome::Refused(refusal) => {
-                let can_retry_elsewhere = matches!(refusal, Refusal::Overloaded | Refusal::NoPool);
-                if can_retry_elsewhere && let Some(domain) = self.next_pool(name) {
+                if let Some(domain) = self.pool_after_refusal(name, refusal, wait) {
                     self.submit_to(name, domain);
                     return;
                 }
@@ -344,6 +357,8 @@
         job.state = JobState::AtPool(domain.clone());
         job.submitted_to.push(domain.clone());
         let submission = job.submission.clone();
+        // Only the new pool's acknowledgement counts from now on.
+        job.submission.acknowledged = false;
         self.send_submit(&domain, &submission);
     }
 
@@ -364,10 +379,6 @@
         };
         self.actions.push(RelayAction::LogDecision(decision));
         self.submit_to(name, domain);
-        // Only the new pool's acknowledgement counts from now on.
-        if let Some(job) = self.jobs.get_mut(name) {
-            job.submission.acknowledged = false;
-        }
     }
 
     fn refuse_unserved(&mut self, name: &JobName, refusal: Refusal) {
@@ -404,6 +415,63 @@
         self.pool_with_most_free_cpu(|_, _| true)
     }
 
+    /// Returns the pool to which a refused job is submitted next: first pools that may serve it in
+    /// time, then those that may serve it late. Returns `None` if its caller is to be refused.
+    fn pool_after_refusal(
+        &mut self,
+        name: &JobName,
+        refusal: Refusal,
+        wait: Duration,
+    ) -> Option<DomainName> {
+        let job = self.jobs.get_mut(name)?;
+        match refusal {
+            Refusal::Overloaded => {
+                if let JobState::AtPool(domain) = &job.state {
+                    let domain = domain.clone();
+                    job.declined.retain(|declined| declined.domain != domain);
+                    if !job.submission.accepts_late {
+                        job.declined.push(DeclinedOffer { domain, wait });
+                    }
+                }
+            }
+            Refusal::Expired => job.submission.accepts_late = true,
+            Refusal::NoPool => {}
+            Refusal::NeverFits
+            | Refusal::NoConfiguration
+            | Refusal::NoRoute
+            | Refusal::Malformed
+            | Refusal::TooLarge
+            | Refusal::Unsupported
+            | Refusal::Unknown => return None,
+        }
+        if !job.submission.accepts_late
+            && let Some(domain) = self.next_pool(name)
+        {
+            return Some(domain);
+        }
+        self.next_late_pool(name)
+    }
+
+    /// Returns the pool that expects to serve the job soonest, or one that was not asked yet.
+    fn next_late_pool(&mut self, name: &JobName) -> Option<DomainName> {
+        let max_offers = self.settings.max_late_offers;
+        let job = self.jobs.get(name)?;
+        if job.late_offers >= max_offers {
+            return None;
+        }
+        let soonest = job
+            .declined
+            .iter()
+            .filter(|declined| self.is_connected(&declined.domain))
+            .min_by_key(|declined| declined.wait)
+            .map(|declined| declined.domain.clone());
+        let domain = soonest.or_else(|| self.next_pool(name))?;
+        let job = self.jobs.get_mut(name)?;
+        job.late_offers += 1;
+        job.submission.accepts_late = true;
+        Some(domain)
+    }
+
     /// Returns a pool to which the job was not submitted yet and that has enough free CPU for one
     /// of its tasks.
     fn next_pool(&self, name: &JobName) -> Option<DomainName> {
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -98,6 +98,8 @@
     pub resume_wait: Duration,
     /// Minimum `Retry-After` time of a refusal.
     pub min_retry_after: Duration,
+    /// Maximum number of pools that are asked to serve a job late.
+    pub max_late_offers: usize,
 }
 
 impl Default for RelaySettings {
@@ -106,6 +108,7 @@
             lost_pool_wait: Duration::from_millis(2_500),
             resume_wait: Duration::from_millis(100),
             min_retry_after: Duration::from_secs(1),
+            max_late_offers: 2,
         }
     }
 }
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -303,6 +303,7 @@
             acknowledged: false,
             earlier_workers: 0,
             resumed: false,
+            accepts_late: false,
         }
     }
 
