--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -1,16 +1,20 @@
 //! Executes the actions of the pool and relay state machines.
 
+use std::pin::pin;
 use std::rc::Rc;
 
 use bramley_pool::decision::{Decision, LogPriority};
 use bramley_pool::pool::PoolAction;
 use bramley_pool::relay::RelayAction;
+use bramley_pool::worker::{CallAnswer, WorkerCall};
 use bramley_wire::pool::PoolFrame;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 use super::{Engine, LOCAL_RELAY};
 use crate::clock::wall_clock_now;
+use crate::deadline::timeout_at_with_grace;
 use crate::links::convert::{encode_pool_message, encode_relay_message};
 use crate::platform::Platform;
 
@@ -47,7 +51,7 @@
             PoolAction::Call(call) => {
                 let engine = Rc::clone(self);
                 spawn_local(async move {
-                    let answer = engine.platform.call_worker(&call).await;
+                    let answer = engine.await_answer(&call).await;
                     engine.detect_pause();
                     engine
                         .metrics
@@ -86,6 +90,23 @@
         }
     }
 
+    /// Calls a worker. If the answer is overdue, reports it to the pool and goes on waiting.
+    async fn await_answer(self: &Rc<Self>, call: &WorkerCall) -> CallAnswer {
+        let mut answer = pin!(self.platform.call_worker(call));
+        let Some(overdue_at) = call.overdue_at else {
+            return answer.await;
+        };
+        let overdue_at = Instant::now() + overdue_at.since(call.sent_at);
+        if let Ok(answer) = timeout_at_with_grace(overdue_at, answer.as_mut()).await {
+            return answer;
+        }
+        self.detect_pause();
+        let now = self.now();
+        self.state.borrow_mut().pool.start_overdue(call, now);
+        self.process_actions();
+        answer.await
+    }
+
     pub(super) fn execute_relay_action(&self, action: RelayAction) {
         match action {
             RelayAction::Send(domain, message) => {
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -159,7 +159,10 @@
         let objective = expected.mul_f64(policy.stretch_factor.max(1.0)) + policy.target;
         let objective_at = submission.arrived_at.after(objective);
         let valued_for = objective.mul_f64(self.settings.give_up_factor);
-        let useful_until = submission.arrived_at.after(valued_for).min(submission.deadline);
+        let useful_until = submission
+            .arrived_at
+            .after(valued_for)
+            .min(submission.deadline);
         let queue_class = if submission.accepts_late {
             QueueClass::Late
         } else {
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -32,9 +32,10 @@
             return;
         }
         self.update_contention(now);
-        let usable = self.workers.iter().filter(|worker| {
-            worker.is_usable() && worker.health.suspended_until <= now
-        });
+        let usable = self
+            .workers
+            .iter()
+            .filter(|worker| worker.is_usable() && worker.health.suspended_until <= now);
         self.utilization.sample(usable, now);
         self.drop_abandoned_and_expired_jobs(now);
         self.expire_started_jobs(now);
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -1,6 +1,7 @@
 //! Placement of tasks on workers and tracking of their runs.
 //!
 //! - `admission`: estimates whether a job can meet its latency objective.
+//! - `answer_time`: time that workers take to answer start requests.
 //! - `fleet`: the platform's list of workers and changes of leader.
 //! - `health`: worker health as judged from the outcome of runs.
 //! - `jobs`: submission, adoption, completion and cancellation of jobs.
@@ -13,6 +14,7 @@
 //! - `utilization`: average utilization of the workers.
 
 mod admission;
+mod answer_time;
 mod fleet;
 mod health;
 mod jobs;
@@ -39,8 +41,15 @@
 use crate::run::StopCause;
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
+use answer_time::AnswerTime;
 use utilization::SlotUtilization;
 
+/// Multiple of the usual answer time after which a start request is resent.
+const RESEND_FACTOR: u32 = 4;
+
+/// Multiple of the resend delay after which a start or stop request counts as unanswered.
+const TIMEOUT_FACTOR: u32 = 2;
+
 /// Action for the driver of a pool.
 #[derive(Clone, Debug)]
 pub enum PoolAction {
@@ -130,6 +139,8 @@
     is_contended: bool,
     /// Average utilization of the usable workers.
     utilization: SlotUtilization,
+    /// Time in which workers answer start requests.
+    answer_time: AnswerTime,
 }
 
 impl Pool {
@@ -159,6 +170,7 @@
             reservations: FxHashMap::default(),
             is_contended: false,
             utilization: SlotUtilization::default(),
+            answer_time: AnswerTime::default(),
         }
     }
 
@@ -270,6 +282,11 @@
             WorkerRequest::Stop { .. } => self.counts.stops += 1,
             WorkerRequest::Poll { .. } => self.counts.polls += 1,
         }
+        let overdue_at = match &request {
+            WorkerRequest::Start { .. } => Some(now.after(self.resend_delay())),
+            WorkerRequest::Stop { .. } | WorkerRequest::Poll { .. } => None,
+        };
+        let answer_by = now.after(self.answer_timeout(&request));
         let worker = self.worker(index);
         let call = WorkerCall {
             worker: index,
@@ -279,10 +296,32 @@
             token,
             request,
             sent_at: now,
+            overdue_at,
+            answer_by,
         };
         self.actions.push(PoolAction::Call(call));
     }
 
+    /// Returns the time after which a start request without an answer is resent.
+    fn resend_delay(&self) -> Duration {
+        let delay = self.answer_time.quantile() * RESEND_FACTOR;
+        delay.clamp(
+            self.settings.min_resend_delay,
+            self.settings.max_resend_delay,
+        )
+    }
+
+    /// Returns the time after which a request counts as unanswered.
+    fn answer_timeout(&self, request: &WorkerRequest) -> Duration {
+        match request {
+            WorkerRequest::Poll { wait, .. } => *wait + self.settings.poll_answer_margin,
+            WorkerRequest::Start { .. } | WorkerRequest::Stop { .. } => {
+                let timeout = self.resend_delay() * TIMEOUT_FACTOR;
+                timeout.max(self.settings.min_answer_timeout)
+            }
+        }
+    }
+
     /// Requests the stop of a run. Its resources stay allocated until it is known to have ended.
     fn stop_run(&mut self, index: WorkerIndex, position: usize, cause: StopCause, now: UnixTime) {
         let retry_at = now.after(self.settings.stop_retry_interval);
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -43,6 +43,9 @@
         }
         match &call.request {
             WorkerRequest::Start { task, number, .. } => {
+                let is_lost = matches!(answer, CallAnswer::Unanswered);
+                self.answer_time
+                    .observe((!is_lost).then(|| now.since(call.sent_at)));
                 self.start_answered(call.worker, task, *number, &answer, now);
             }
             WorkerRequest::Stop { task, number } => {
@@ -228,6 +231,7 @@
             expected: self.run_times.overall_mean(),
             needed: false,
             resent: false,
+            pending_starts: 0,
         };
         let mut duplicate = false;
         if let Some(job) = self.jobs.get_mut(&task.job)
--- a/crates/bramley-pool/src/pool/starts.rs
+++ b/crates/bramley-pool/src/pool/starts.rs
@@ -9,7 +9,7 @@
 use crate::decision::{Decision, StartFailure};
 use crate::job::{JobName, TaskName, TaskState};
 use crate::run::{LiveRun, Run, RunDetails, StopCause};
-use crate::worker::{CallAnswer, CallRefusal, RunEnd, WorkerIndex, WorkerRequest};
+use crate::worker::{CallAnswer, CallRefusal, RunEnd, WorkerCall, WorkerIndex, WorkerRequest};
 
 /// Increment of the run number after a worker refused it as old, because another pool may have
 /// assigned numbers that are not known here.
@@ -46,6 +46,7 @@
             expected: job.expected,
             needed: true,
             resent: false,
+            pending_starts: 1,
         };
         let task = details.task.clone();
         let worker = self.worker_mut(index);
@@ -82,6 +83,8 @@
         let Some(position) = self.worker(index).find_run(task, number) else {
             return;
         };
+        let details = self.worker_mut(index).runs[position].details_mut();
+        details.pending_starts = details.pending_starts.saturating_sub(1);
         let refusal = match answer {
             CallAnswer::Accepted(_) => {
                 let worker = self.worker_mut(index);
@@ -134,14 +137,40 @@
         }
     }
 
+    /// Resends a start request that is overdue; its answer may still arrive. The worker accepts the
+    /// repeated request without a second run.
+    pub fn start_overdue(&mut self, call: &WorkerCall, now: UnixTime) {
+        let known = self.workers.get(call.worker.0 as usize);
+        let is_current = known.is_some_and(|worker| worker.epoch == call.epoch);
+        let WorkerRequest::Start { task, number, .. } = &call.request else {
+            return;
+        };
+        if self.token != Some(call.token) || !is_current {
+            return;
+        }
+        let worker = self.worker(call.worker);
+        let Some(position) = worker.find_run(task, *number) else {
+            return;
+        };
+        let run = &worker.runs[position];
+        let may_resend =
+            matches!(run, LiveRun::Starting(_)) && !run.details().resent && worker.is_usable();
+        if may_resend {
+            self.resend_start(call.worker, position, now);
+        }
+    }
+
     /// Handles a start request without an answer. If a report has confirmed the run meanwhile, it
-    /// goes on. Else the request is resent once, which is idempotent on the worker; if that fails,
-    /// too, the run is stopped.
+    /// goes on. Else the request is resent unless it was before; if that fails, too, the run is
+    /// stopped.
     fn start_unanswered(&mut self, index: WorkerIndex, position: usize, now: UnixTime) {
         let worker = self.worker(index);
         let LiveRun::Starting(run) = &worker.runs[position] else {
             return;
         };
+        if run.details.pending_starts > 0 {
+            return;
+        }
         let is_silent = worker.report_requested_at < run.details.started_at;
         let may_resend = !run.details.resent && worker.is_usable();
         let (task, number) = (run.details.task.clone(), run.details.number);
@@ -186,7 +215,9 @@
         };
         let spec = Arc::clone(&job.submission.work.spec);
         let worker = self.worker_mut(index);
-        worker.runs[position].details_mut().resent = true;
+        let details = worker.runs[position].details_mut();
+        details.resent = true;
+        details.pending_starts += 1;
         let lease_end = worker.clock.extend_lease(now, lease, clock_error);
         let decision = Decision::StartSentAgain {
             task: task.clone(),
--- a/crates/bramley-pool/src/pool/utilization.rs
+++ b/crates/bramley-pool/src/pool/utilization.rs
@@ -53,7 +53,11 @@
             used += f64::from(u32::try_from(worker.runs.len()).unwrap_or(u32::MAX));
             free += (f64::from(worker.free().cpu_milli) / self.task_cpu_milli).floor();
         }
-        let current = if used + free > 0.0 { used / (used + free) } else { 1.0 };
+        let current = if used + free > 0.0 {
+            used / (used + free)
+        } else {
+            1.0
+        };
         let passed = now.since(self.sampled_at).as_secs_f64();
         let kept = (-passed / AVERAGING_TIME.as_secs_f64()).exp();
         self.share = self.share * kept + current * (1.0 - kept);
--- a/crates/bramley-pool/src/run.rs
+++ b/crates/bramley-pool/src/run.rs
@@ -72,6 +72,8 @@
     pub needed: bool,
     /// Whether the start was resent because the first request was not answered.
     pub resent: bool,
+    /// Number of start requests without an answer yet.
+    pub pending_starts: u32,
 }
 
 /// A run in phase `P`.
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -27,6 +27,15 @@
     /// with `relay_grace`, a stop request and its retries it stays within the 1,300 ms after which
     /// a client resends its job.
     pub orphaned_run_timeout: Duration,
+    /// Shortest time after which a start request without an answer is resent: several round trips
+    /// within a failure domain.
+    pub min_resend_delay: Duration,
+    /// Longest time after which a start request without an answer is resent.
+    pub max_resend_delay: Duration,
+    /// Shortest time after which a start or stop request counts as unanswered.
+    pub min_answer_timeout: Duration,
+    /// Time that a poll may take beyond its requested wait.
+    pub poll_answer_margin: Duration,
     /// Interval between attempts to stop a run.
     pub stop_retry_interval: Duration,
     /// Time after the last end of a run until it is acknowledged to an idle worker.
@@ -69,6 +78,10 @@
             takeover_bound: Duration::from_millis(1_500),
             adoption_window: Duration::from_millis(800),
             orphaned_run_timeout: Duration::from_millis(400),
+            min_resend_delay: Duration::from_millis(15),
+            max_resend_delay: Duration::from_millis(200),
+            min_answer_timeout: Duration::from_millis(60),
+            poll_answer_margin: Duration::from_millis(200),
             stop_retry_interval: Duration::from_millis(80),
             idle_acknowledgement: Duration::from_millis(300),
             priority_step: Duration::from_millis(100),
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -221,6 +221,11 @@
     pub request: WorkerRequest,
     /// Time at which the request was sent.
     pub sent_at: UnixTime,
+    /// Time from which a start request without an answer is overdue, to be reported to
+    /// [`crate::pool::Pool::start_overdue`]; the answer is awaited further.
+    pub overdue_at: Option<UnixTime>,
+    /// Time after which the request counts as unanswered.
+    pub answer_by: UnixTime,
 }
 
 /// A clock reading with its time of receipt.
--- a/crates/bramley-pool/tests/late_service.rs
+++ b/crates/bramley-pool/tests/late_service.rs
@@ -159,7 +159,10 @@
     asked.push(sent_submission(&mut relay).expect("a third pool is asked"));
     let third = asked[2].0.clone();
     end_job(&mut relay, &third, Refusal::Overloaded, 400);
-    assert!(asked.iter().all(|(_, accepts_late)| !accepts_late), "{asked:?}");
+    assert!(
+        asked.iter().all(|(_, accepts_late)| !accepts_late),
+        "{asked:?}"
+    );
     assert_eq!(sent_submission(&mut relay), Some((second, true)));
 }
 
@@ -167,7 +170,10 @@
 fn a_job_that_was_dropped_as_late_goes_to_another_pool() {
     let mut relay = connected_relay();
     relay.accept(submission(), NOW);
-    assert_eq!(sent_submission(&mut relay), Some((String::from("home"), false)));
+    assert_eq!(
+        sent_submission(&mut relay),
+        Some((String::from("home"), false))
+    );
     end_job(&mut relay, "home", Refusal::Expired, 500);
     let (domain, accepts_late) = sent_submission(&mut relay).expect("another pool is asked");
     assert!(domain != "home" && accepts_late, "{domain} {accepts_late}");
--- a/crates/bramley-pool/tests/stragglers.rs
+++ b/crates/bramley-pool/tests/stragglers.rs
@@ -277,3 +277,56 @@
     assert!(!sent_again, "{:#?}", world.log);
     assert_eq!(world.runs(), 0);
 }
+
+/// Pattern: orders that are lost. The repetition must follow within a few round trips, because the
+/// slack of a short job is less than the timeout of a request.
+#[test]
+fn a_lost_start_is_repeated_within_a_few_round_trips() {
+    let mut world = started_world(4);
+    let job = |name: &str| TestJob {
+        name: String::from(name),
+        run: Duration::from_millis(60),
+        ..TestJob::default()
+    };
+    for number in 0..40 {
+        world.submit(0, &job(&format!("warm-up-{number}")));
+        world.run_for(Duration::from_millis(20));
+    }
+    world.run_for(Duration::from_millis(200));
+    world.late_requests.push(Duration::from_secs(3));
+    let sent_at = world.now;
+    world.submit(0, &job("lost"));
+    world.run_for(Duration::from_secs(4));
+    let (answer, answered_at) = world.answers["lost"];
+    assert_eq!(answer, JobAnswer::Completed, "{:#?}", world.log);
+    let elapsed = answered_at.since(sent_at);
+    assert!(elapsed <= Duration::from_millis(100), "{elapsed:?}");
+    assert_eq!(world.overlaps(), Vec::<String>::new());
+}
+
+/// Pattern: a leader whose link is congested. Workers start what they are told, but their answers
+/// arrive late. Their work must not be stopped for that.
+#[test]
+fn slow_answers_do_not_stop_runs() {
+    let mut world = started_world(8);
+    for worker in &mut world.workers {
+        worker.answer_delay = Duration::from_millis(130);
+    }
+    let mut stops_after_warm_up = 0;
+    for number in 0..120 {
+        if number == 40 {
+            stops_after_warm_up = world.hosts[0].pool.counts().stops;
+        }
+        let job = TestJob {
+            name: format!("job-{number}"),
+            tasks: 2,
+            run: Duration::from_millis(400),
+            ..TestJob::default()
+        };
+        world.submit(0, &job);
+        world.run_for(Duration::from_millis(60));
+    }
+    world.run_for(Duration::from_secs(3));
+    let stops = world.hosts[0].pool.counts().stops - stops_after_warm_up;
+    assert_eq!(stops, 0, "{:#?}", world.log);
+}
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -31,12 +31,6 @@
 /// Interval between ticks.
 const TICK: Duration = Duration::from_millis(25);
 
-/// Timeout of a start or stop request.
-const REQUEST_TIMEOUT: Duration = Duration::from_millis(60);
-
-/// Timeout of a poll, in addition to its own wait.
-const POLL_TIMEOUT: Duration = Duration::from_millis(200);
-
 /// Delay of requests that are carried out late; the platform specifies at least 2 s.
 const LATE_DELAY: Duration = Duration::from_secs(3);
 
@@ -53,6 +47,8 @@
     PollEnds(usize, WorkerCall, UnixTime),
     Answer(usize, WorkerCall, CallAnswer),
     CallTimesOut(usize, WorkerCall),
+    /// The answer to a start request is overdue.
+    CallOverdue(usize, WorkerCall),
     /// The host's pool reads the list of workers.
     List(usize),
     /// The first host's pool notices that the second host's relay is lost.
@@ -441,6 +437,12 @@
                     self.become_leader(host);
                 }
             }
+            Event::CallOverdue(host, call) => {
+                let key = (host, call_key(&call));
+                if self.hosts[host].alive && !self.answered.contains(&key) {
+                    self.hosts[host].pool.start_overdue(&call, now);
+                }
+            }
             Event::CallTimesOut(host, call) => {
                 let key = (host, call_key(&call));
                 if self.hosts[host].alive && self.answered.insert(key) {
@@ -556,10 +558,11 @@
     fn run_pool_action(&mut self, host: usize, action: PoolAction) {
         match action {
             PoolAction::Call(call) => {
-                let limit = match &call.request {
-                    WorkerRequest::Poll { wait, .. } => *wait + POLL_TIMEOUT,
-                    WorkerRequest::Start { .. } | WorkerRequest::Stop { .. } => REQUEST_TIMEOUT,
-                };
+                if let Some(overdue_at) = call.overdue_at {
+                    let delay = overdue_at.since(self.now);
+                    self.schedule(delay, Event::CallOverdue(host, call.clone()));
+                }
+                let limit = call.answer_by.since(self.now);
                 self.schedule(limit, Event::CallTimesOut(host, call.clone()));
                 self.schedule(DELAY, Event::CallArrives(host, call));
             }
