Size reads of worker entries to the host's link

Cause: on a link of 2 Mbit/s (small twin of the large site) the entries of 120 workers that change in the usual 400 ms are 19 KB, which occupy the link for 77 ms; starts and their answers wait behind them.

Change: the delay between two reads is such that a response occupies the link for 15 ms at most, but not less than 60 ms. The link's speed is read from the host's settings file. Wide links keep 400 ms.

--- a/crates/bramley-dock/src/platform.rs
+++ b/crates/bramley-dock/src/platform.rs
@@ -56,6 +56,8 @@
     pub items: Vec<T>,
     /// Revision from which a watch continues.
     pub revision: u64,
+    /// Size of the response in bytes.
+    pub bytes: usize,
 }
 
 /// State of the claim on a failure domain.
--- a/crates/bramley-dock/src/settings.rs
+++ b/crates/bramley-dock/src/settings.rs
@@ -21,6 +21,8 @@
     pub peer_port: u16,
     /// Processor share of the host in thousandths of a core.
     pub cpu_milli: u32,
+    /// Speed of the host's network link in bytes per second.
+    pub link_bytes_per_s: u64,
 }
 
 /// All settings of the driver.
--- a/crates/bramley-dock/src/watch.rs
+++ b/crates/bramley-dock/src/watch.rs
@@ -22,16 +22,41 @@
 /// what the store puts into one response.
 const TARGET_CHANGES_PER_READ: u32 = 200;
 
-/// Returns the delay before the next read of the worker entries, given that the last read returned
-/// `changes` changes of the preceding `span`.
+/// Longest time for which one response of the store should occupy the host's link. Starts and their
+/// answers wait behind it, and the slack of the shortest jobs is some tens of milliseconds.
+const MAX_LINK_OCCUPANCY: Duration = Duration::from_millis(15);
+
+/// Shortest delay between two reads of the worker entries, which bounds the calls to the store.
+const MIN_READ_DELAY: Duration = Duration::from_millis(60);
+
+/// Read of the changes of worker entries.
+#[derive(Clone, Copy, Debug)]
+pub struct EntryRead {
+    /// Number of changes.
+    pub changes: usize,
+    /// Size of the response in bytes.
+    pub bytes: usize,
+    /// Time in which the changes were made.
+    pub span: Duration,
+}
+
+/// Returns the delay before the next read of the worker entries, given the last one and the host's
+/// link in bytes per second.
 ///
 /// With thousands of workers, more entries change during the usual delay than one response of the
 /// store holds. Reads would fall behind, and a leaving worker would still get tasks for several
-/// seconds.
+/// seconds. On a narrow link, a large response would hold up the requests of callers.
 #[must_use]
-pub fn next_read_delay(changes: usize, span: Duration, usual_delay: Duration) -> Duration {
-    let changes = u32::try_from(changes).unwrap_or(u32::MAX).max(1);
-    usual_delay.min(span * TARGET_CHANGES_PER_READ / changes)
+pub fn next_read_delay(read: EntryRead, usual_delay: Duration, link_bytes_per_s: u64) -> Duration {
+    let changes = u32::try_from(read.changes).unwrap_or(u32::MAX).max(1);
+    let span_for_changes = read.span * TARGET_CHANGES_PER_READ / changes;
+    let seconds_on_link = read.bytes.max(1) as f64 / link_bytes_per_s.max(1) as f64;
+    let occupied_share = MAX_LINK_OCCUPANCY.as_secs_f64() / seconds_on_link;
+    // The usual delay bounds the result, so that larger factors make no difference.
+    let span_for_link = read.span.mul_f64(occupied_share.min(1_000.0));
+    usual_delay
+        .min(span_for_changes)
+        .min(span_for_link.max(MIN_READ_DELAY))
 }
 
 /// Part of the store that is kept in sync.
@@ -190,7 +215,13 @@
                 let is_settling = availability.is_settling(engine.now());
                 let now = engine.now();
                 if !is_complete {
-                    delay = next_read_delay(workers.items.len(), now.since(read_at), delay);
+                    let entry_read = EntryRead {
+                        changes: workers.items.len(),
+                        bytes: workers.bytes,
+                        span: now.since(read_at),
+                    };
+                    let link_bytes_per_s = engine.settings().host.link_bytes_per_s;
+                    delay = next_read_delay(entry_read, delay, link_bytes_per_s);
                 }
                 read_at = now;
                 engine.workers_changed(workers.items, is_complete && !is_settling);
