--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -228,6 +228,7 @@
         self.allocated = crate::resources::TaskResources::default();
         self.poll_in_flight = false;
         self.poll_sent_at = UnixTime::default();
+        self.poll_overdue_at = UnixTime::default();
         self.missed_polls = 0;
         self.retrying_probe = false;
         self.next_poll_at = UnixTime::default();
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -5,6 +5,7 @@
 use bramley_core::units::UnixTime;
 
 use super::Pool;
+use super::placement::expected_end;
 use crate::job::{JobName, QueueClass};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
@@ -15,8 +16,8 @@
 /// interval between probes.
 const MISSED_POLL_BACKOFF: Duration = Duration::from_millis(60);
 
-/// Time beyond its timeout after which a poll counts as overdue; many times a round trip.
-const POLL_SLACK: Duration = Duration::from_millis(40);
+/// Divisor of a run's time that gives the margin by which a poll outlasts its expected end.
+const POLL_MARGIN_DIVISOR: u32 = 4;
 
 /// Maximum multiple of the backoff after missed polls.
 const MAX_BACKOFF_STEPS: u32 = 10;
@@ -233,7 +234,8 @@
     pub(super) fn poll_if_needed(&mut self, index: WorkerIndex, now: UnixTime) {
         let lease = self.settings.run_lease;
         let clock_error = self.settings.clock_error_permille;
-        let wait = self.settings.poll_wait;
+        let wait = self.choose_poll_wait(index, now);
+        let overdue_at = now.after(wait).after(self.resend_delay());
         let worker = self.worker_mut(index);
         if worker.poll_in_flight || worker.runs.is_empty() || worker.next_poll_at > now {
             return;
@@ -247,6 +249,7 @@
         let renews = has_needed_run && worker.missed_polls == 0 && worker.clock.is_known();
         worker.poll_in_flight = true;
         worker.poll_sent_at = now;
+        worker.poll_overdue_at = overdue_at;
         worker.acknowledgement_sent = worker.acknowledged;
         let request = WorkerRequest::Poll {
             lease_end: renews.then(|| worker.clock.extend_lease(now, lease, clock_error)),
@@ -260,8 +263,23 @@
     /// unresponsive.
     pub(super) fn is_poll_overdue(&self, index: WorkerIndex, now: UnixTime) -> bool {
         let worker = self.worker(index);
-        let due_at = worker.poll_sent_at.after(self.settings.poll_wait);
-        worker.poll_in_flight && now >= due_at.after(POLL_SLACK)
+        worker.poll_in_flight && now >= worker.poll_overdue_at
+    }
+
+    /// Returns the timeout of the next long poll. It ends soon after the next run is expected to
+    /// end, so that a lost answer is noticed in time; if that run takes longer, the polls become
+    /// rarer.
+    fn choose_poll_wait(&self, index: WorkerIndex, now: UnixTime) -> Duration {
+        let worker = self.worker(index);
+        let longest = self.settings.poll_wait;
+        let waits = worker.runs.iter().map(|run| {
+            let details = run.details();
+            let remaining = expected_end(worker, details, now).since(now);
+            let elapsed = now.since(details.started_at);
+            remaining + (remaining + elapsed) / POLL_MARGIN_DIVISOR
+        });
+        let soonest = waits.min().unwrap_or(longest);
+        soonest.clamp(self.settings.min_poll_wait, longest)
     }
 
     /// Requests an immediate report from a worker without renewing its lease.
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -10,9 +10,11 @@
     pub run_lease: Duration,
     /// Longest run lease that a worker grants, whatever is requested.
     pub max_lease: Duration,
-    /// Timeout of a long poll to a worker with active runs. A quarter of the run lease, so that one
+    /// Longest timeout of a long poll to a worker with active runs. A quarter of the run lease, so that one
     /// lost answer does not let the lease expire.
     pub poll_wait: Duration,
+    /// Shortest timeout of such a poll.
+    pub min_poll_wait: Duration,
     /// Maximum rate error of a worker's clock in thousandths; the platform specifies 2 %.
     pub clock_error_permille: u32,
     /// Time that a disconnected relay has to reconnect before its jobs are cancelled.
@@ -73,6 +75,7 @@
             run_lease: Duration::from_millis(800),
             max_lease: Duration::from_millis(1_000),
             poll_wait: Duration::from_millis(200),
+            min_poll_wait: Duration::from_millis(40),
             clock_error_permille: 20,
             relay_grace: Duration::from_millis(300),
             takeover_bound: Duration::from_millis(1_500),
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -359,6 +359,8 @@
     pub poll_in_flight: bool,
     /// Time at which the latest long poll was sent.
     pub poll_sent_at: UnixTime,
+    /// Time from which the answer to the latest long poll is overdue.
+    pub poll_overdue_at: UnixTime,
     /// Consecutive polls without an answer.
     pub missed_polls: u32,
     /// Whether an unanswered probe of the idle worker is being retried before it counts as missed.
@@ -395,6 +397,7 @@
             allocated: TaskResources::default(),
             poll_in_flight: false,
             poll_sent_at: UnixTime::default(),
+            poll_overdue_at: UnixTime::default(),
             missed_polls: 0,
             retrying_probe: false,
             next_poll_at: UnixTime::default(),
--- a/crates/bramley-pool/tests/stragglers.rs
+++ b/crates/bramley-pool/tests/stragglers.rs
@@ -330,3 +330,28 @@
     let stops = world.hosts[0].pool.counts().stops - stops_after_warm_up;
     assert_eq!(stops, 0, "{:#?}", world.log);
 }
+
+/// Pattern: polls that are lost. The end of a short run must not go unnoticed until a poll with the
+/// longest wait would have ended.
+#[test]
+fn the_end_of_a_short_run_is_noticed_although_a_poll_was_lost() {
+    let mut world = started_world(1);
+    let job = |name: &str| TestJob {
+        name: String::from(name),
+        run: Duration::from_millis(60),
+        ..TestJob::default()
+    };
+    for number in 0..20 {
+        world.submit(0, &job(&format!("warm-up-{number}")));
+        world.run_for(Duration::from_millis(100));
+    }
+    world.lost_polls.insert(0, 1);
+    let sent_at = world.now;
+    world.submit(0, &job("short"));
+    world.run_for(Duration::from_secs(1));
+    let (answer, answered_at) = world.answers["short"];
+    assert_eq!(answer, JobAnswer::Completed, "{:#?}", world.log);
+    let elapsed = answered_at.since(sent_at);
+    // The latency objective is 1.6 times the run time plus 60 ms.
+    assert!(elapsed <= Duration::from_millis(156), "{elapsed:?}");
+}
