Repeat a start only if a request that was not sent before it has been answered

Cause: with the fixed rule a burst on a leader's narrow link made all pending starts overdue at once, and their repetitions doubled the traffic on it. As in TCP's RACK, a request counts as lost only if one that was not sent before it has been answered; else it is repeated when it counts as unanswered, as before.

Found on the way by lost_answers_do_not_take_sound_workers_out_of_use, which failed with other timing: a worker whose probe was lost while idle was taken for silent although it had answered starts since; its leases were not renewed until the next report. A missed poll now counts only if nothing sent after it was answered (a_worker_that_answers_starts_is_not_silent, seen failing).

After a loss of power of all hosts the first one no longer waits 150 ms for a connection to others while no other process can accept one (claims.rs, seen failing).

--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -118,6 +118,10 @@
                 holder_gives_way: link.is_some_and(|link| link.gives_way),
                 holder_refuses_connections: link.is_some_and(|link| link.refuses_connections),
                 has_successor: state.has_successor,
+                knows_others: state
+                    .pools
+                    .values()
+                    .any(|link| link.claim.incarnation != self.incarnation),
                 is_connected_to_others: !state.relays.is_empty()
                     || state.pools.values().any(|link| link.outgoing.is_some()),
             };
--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -45,6 +45,9 @@
     pub holder_refuses_connections: bool,
     /// Whether any other process of the system is connected, as pool or relay.
     pub is_connected_to_others: bool,
+    /// Whether a claim of another process, in any failure domain, was ever read. If not, there is
+    /// nobody to connect to yet.
+    pub knows_others: bool,
     /// Whether a process on another host of the failure domain was ever connected and so could take
     /// over.
     pub has_successor: bool,
@@ -310,7 +313,8 @@
             } else {
                 self.settings.small_host_wait
             };
-            if !is_leader && !contacts.is_connected_to_others {
+            let is_cut_off = contacts.knows_others && !contacts.is_connected_to_others;
+            if !is_leader && is_cut_off {
                 wait += self.settings.small_host_wait;
             }
             return (waited >= wait).then_some(0);
--- a/crates/bramley-pool/src/pool/answer_time.rs
+++ b/crates/bramley-pool/src/pool/answer_time.rs
@@ -7,7 +7,7 @@
 const QUANTILE: f64 = 0.8;
 
 /// Relative step by which one answer moves the estimate.
-const STEP: f64 = 0.1;
+const STEP: f64 = 0.25;
 
 /// Bounds of the estimate: a round trip within a failure domain, and the time after which an answer
 /// is of no use to most jobs.
@@ -23,7 +23,7 @@
 impl Default for AnswerTime {
     fn default() -> Self {
         Self {
-            quantile: Duration::from_millis(5),
+            quantile: Duration::from_millis(10),
         }
     }
 }
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -234,6 +234,7 @@
         self.next_poll_at = UnixTime::default();
         self.next_probe_at = UnixTime::default();
         self.report_requested_at = UnixTime::default();
+        self.latest_answered_call = UnixTime::default();
         self.last_end_at = UnixTime::default();
     }
 }
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -309,7 +309,9 @@
         now: UnixTime,
     ) {
         let worker = self.worker_mut(index);
-        if worker.report_requested_at > requested_at {
+        let has_answered_since =
+            worker.report_requested_at.max(worker.latest_answered_call) > requested_at;
+        if has_answered_since {
             return;
         }
         if worker.runs.is_empty() && worker.synced && !worker.retrying_probe {
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -141,6 +141,8 @@
     utilization: SlotUtilization,
     /// Time in which workers answer start requests.
     answer_time: AnswerTime,
+    /// Latest sending time of a start or stop request that was answered.
+    latest_answered_call: UnixTime,
 }
 
 impl Pool {
@@ -171,6 +173,7 @@
             is_contended: false,
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
+            latest_answered_call: UnixTime::default(),
         }
     }
 
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -21,6 +21,12 @@
         if self.token.is_none() || !is_current {
             return;
         }
+        let is_answered = matches!(answer, CallAnswer::Accepted(_) | CallAnswer::Refused(..));
+        if is_answered && !matches!(call.request, WorkerRequest::Poll { .. }) {
+            self.latest_answered_call = self.latest_answered_call.max(call.sent_at);
+            let worker = self.worker_mut(call.worker);
+            worker.latest_answered_call = worker.latest_answered_call.max(call.sent_at);
+        }
         let max_lease = self.settings.max_lease;
         if let CallAnswer::Accepted(clock) | CallAnswer::Refused(_, Some(clock)) = &answer {
             self.worker_mut(call.worker)
--- a/crates/bramley-pool/src/pool/starts.rs
+++ b/crates/bramley-pool/src/pool/starts.rs
@@ -139,13 +139,18 @@
 
     /// Resends a start request that is overdue; its answer may still arrive. The worker accepts the
     /// repeated request without a second run.
+    ///
+    /// The request only counts as lost if another one that was not sent before it has been
+    /// answered. Else the network or the host is short of capacity, and a repetition would make
+    /// that worse.
     pub fn start_overdue(&mut self, call: &WorkerCall, now: UnixTime) {
         let known = self.workers.get(call.worker.0 as usize);
         let is_current = known.is_some_and(|worker| worker.epoch == call.epoch);
         let WorkerRequest::Start { task, number, .. } = &call.request else {
             return;
         };
-        if self.token != Some(call.token) || !is_current {
+        let is_lost = self.latest_answered_call >= call.sent_at;
+        if self.token != Some(call.token) || !is_current || !is_lost {
             return;
         }
         let worker = self.worker(call.worker);
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -371,6 +371,8 @@
     pub next_probe_at: UnixTime,
     /// Time at which the latest report was requested.
     pub report_requested_at: UnixTime,
+    /// Latest sending time of a start or stop request that the worker answered.
+    pub latest_answered_call: UnixTime,
     /// Health of the worker.
     pub health: WorkerHealth,
     /// Moving average of the ratio of actual to expected run time.
@@ -403,6 +405,7 @@
             next_poll_at: UnixTime::default(),
             next_probe_at: UnixTime::default(),
             report_requested_at: UnixTime::default(),
+            latest_answered_call: UnixTime::default(),
             health: WorkerHealth::default(),
             relative_run_time: 1.0,
         }
--- a/crates/bramley-pool/tests/claims.rs
+++ b/crates/bramley-pool/tests/claims.rs
@@ -40,6 +40,7 @@
     holder_gives_way: false,
     holder_refuses_connections: false,
     is_connected_to_others: true,
+    knows_others: true,
     has_successor: true,
 };
 
@@ -68,6 +69,28 @@
     assert_eq!(small.tick(CONNECTED, false, at(200)).len(), 1);
 }
 
+/// Pattern: all hosts return after a loss of power, and all claims have expired. A host must not
+/// wait for a connection to others, because no process accepts one before there are leaders.
+#[test]
+fn the_first_host_after_a_loss_of_power_claims_without_a_connection() {
+    let alone = ContactView {
+        is_connected_to_others: false,
+        knows_others: false,
+        has_successor: false,
+        ..CONNECTED
+    };
+    let mut large = make_claim(LARGE);
+    large.claim_read(None, at(0));
+    assert_eq!(large.tick(alone, false, at(0)).len(), 1);
+    let cut_off = ContactView {
+        knows_others: true,
+        ..alone
+    };
+    let mut isolated = make_claim(LARGE);
+    isolated.claim_read(None, at(0));
+    assert!(isolated.tick(cut_off, false, at(0)).is_empty());
+}
+
 #[test]
 fn no_claim_is_written_before_the_store_was_read() {
     let mut claim = make_claim(LARGE);
--- a/crates/bramley-pool/tests/stragglers.rs
+++ b/crates/bramley-pool/tests/stragglers.rs
@@ -296,6 +296,7 @@
     world.late_requests.push(Duration::from_secs(3));
     let sent_at = world.now;
     world.submit(0, &job("lost"));
+    world.submit(0, &job("answered"));
     world.run_for(Duration::from_secs(4));
     let (answer, answered_at) = world.answers["lost"];
     assert_eq!(answer, JobAnswer::Completed, "{:#?}", world.log);
@@ -355,3 +356,59 @@
     // The latency objective is 1.6 times the run time plus 60 ms.
     assert!(elapsed <= Duration::from_millis(156), "{elapsed:?}");
 }
+
+/// Pattern: all answers are delayed at once, as by a burst on the leader's link. Requests that are
+/// only delayed must not be repeated, which would add to the congestion.
+#[test]
+fn delayed_requests_are_not_repeated() {
+    let mut world = started_world(8);
+    let job = |name: String| TestJob {
+        name,
+        tasks: 4,
+        run: Duration::from_millis(60),
+        ..TestJob::default()
+    };
+    for number in 0..40 {
+        world.submit(0, &job(format!("warm-up-{number}")));
+        world.run_for(Duration::from_millis(70));
+    }
+    world.run_for(Duration::from_millis(200));
+    for worker in &mut world.workers {
+        worker.answer_delay = Duration::from_millis(40);
+    }
+    let starts = world.hosts[0].pool.counts().starts;
+    world.submit(0, &job(String::from("delayed")));
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.answer("delayed"), Some(JobAnswer::Completed));
+    let sent = world.hosts[0].pool.counts().starts - starts;
+    assert_eq!(sent, 4, "{:#?}", world.log);
+}
+
+/// The answer to a probe of an idle worker is lost, and the worker is given tasks before that is
+/// noticed. As it answers their starts, it must not be taken for unresponsive.
+#[test]
+fn a_worker_that_answers_starts_is_not_silent() {
+    let mut world = started_world(1);
+    let job = |name: &str| TestJob {
+        name: String::from(name),
+        run: Duration::from_millis(500),
+        ..TestJob::default()
+    };
+    world.submit(0, &job("first"));
+    // The end of the run is acknowledged to the idle worker 300 ms later.
+    world.run_for(Duration::from_millis(700));
+    world.lost_polls.insert(0, 1);
+    world.run_for(Duration::from_millis(250));
+    assert_eq!(
+        world.lost_polls[&0], 0,
+        "no probe was lost: {:#?}",
+        world.log
+    );
+    world.submit(0, &job("second"));
+    world.run_for(Duration::from_millis(140));
+    let silent = world
+        .log
+        .iter()
+        .filter(|line| line.contains("belief=silent"));
+    assert_eq!(silent.count(), 0, "{:#?}", world.log);
+}
