Bound what a submission can make a pool do; restart parts of a process that panic

The pool now refuses such submissions as malformed, with their values in the log. A task that needs next to nothing fitted a worker thousands of times, and the estimate of a start took a slot for each; it is bounded to 64 slots a worker.

A panic in the timers or in the watches of the store left a process that went on without them.

worker_changed says report_age_ms=none of a worker that has not reported; job_admitted has the class, job_deferred is new, and explain tells why a job was served late.

--- a/crates/bramley-dock/src/lib.rs
+++ b/crates/bramley-dock/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`platform`] defines the interface to the platform.
 //! - [`routes`] matches requests to routes.
 //! - [`settings`] defines the settings.
+//! - [`supervisor`] restarts parts of the process that end unexpectedly.
 //! - [`watch`] keeps claims, routes and workers in sync with the store.
 
 pub mod clock;
@@ -26,4 +27,5 @@
 pub mod platform;
 pub mod routes;
 pub mod settings;
+pub mod supervisor;
 pub mod watch;
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -37,6 +37,7 @@
     run_ends: Family<Labels<1>, Counter>,
     refusals: Family<Labels<1>, Counter>,
     store_calls: Family<Labels<2>, Counter>,
+    part_failures: Family<Labels<1>, Counter>,
     commands: Gauge,
     callers: Gauge,
     free_cpu_milli: Gauge,
@@ -68,6 +69,7 @@
             run_ends: Family::default(),
             refusals: Family::default(),
             store_calls: Family::default(),
+            part_failures: Family::default(),
             commands: Gauge::default(),
             callers: Gauge::default(),
             free_cpu_milli: Gauge::default(),
@@ -119,6 +121,11 @@
             "Calls to the store by kind and result",
             self.store_calls.clone(),
         );
+        registry.register(
+            "part_failures",
+            "Parts of the process that failed and were restarted",
+            self.part_failures.clone(),
+        );
         registry.register(
             "commands",
             "Whether the process commands workers",
@@ -163,6 +170,13 @@
         self.request_seconds.observe(time.as_secs_f64());
     }
 
+    /// Counts an unexpected end of a part of the process.
+    pub fn record_part_failure(&self, part: &'static str) {
+        self.part_failures
+            .get_or_create(&[("part", String::from(part))])
+            .inc();
+    }
+
     /// Records a call to the store.
     pub fn record_store_call(&self, kind: &'static str, result: &'static str) {
         let labels = [
--- a/crates/bramley-explain/src/finding.rs
+++ b/crates/bramley-explain/src/finding.rs
@@ -27,6 +27,20 @@
         /// Latency objective in milliseconds.
         objective_ms: u64,
     },
+    /// No pool could meet the latency objective, and one admitted the job behind others.
+    AdmittedLate {
+        /// Host of the pool.
+        host: String,
+        /// Expected wait in milliseconds.
+        wait_ms: String,
+    },
+    /// The job could no longer meet its objective and was moved behind others.
+    Deferred {
+        /// Host of the pool.
+        host: String,
+        /// Tasks that waited then.
+        waiting: String,
+    },
     /// The longest gap between two log lines of a late job.
     LongestWait {
         /// Length of the gap in milliseconds.
@@ -84,6 +98,16 @@
                 f,
                 "late: {age_ms} ms against an objective of {objective_ms} ms"
             ),
+            Self::AdmittedLate { host, wait_ms } => write!(
+                f,
+                "admitted by {host} to be served late, as no pool could meet the objective \
+                 (expected wait {wait_ms} ms)"
+            ),
+            Self::Deferred { host, waiting } => write!(
+                f,
+                "deferred by {host} behind jobs that could still meet their objective \
+                 ({waiting} tasks waited)"
+            ),
             Self::LongestWait {
                 gap_ms,
                 after,
@@ -117,6 +141,7 @@
         .job_events("job_refused")
         .map(describe_refusal)
         .collect();
+    findings.extend(find_late_admissions(timeline));
     findings.extend(find_lateness(timeline));
     findings.extend(find_failed_runs(timeline));
     findings.extend(find_handovers(timeline));
@@ -145,6 +170,23 @@
     }
 }
 
+fn find_late_admissions(timeline: &Timeline) -> Vec<Finding> {
+    let admitted = timeline
+        .job_events("job_admitted")
+        .filter(|line| field_text(line, "class") == "late")
+        .map(|line| Finding::AdmittedLate {
+            host: line.host.to_string(),
+            wait_ms: field_text(line, "wait_ms"),
+        });
+    let deferred = timeline
+        .job_events("job_deferred")
+        .map(|line| Finding::Deferred {
+            host: line.host.to_string(),
+            waiting: field_text(line, "waiting"),
+        });
+    admitted.chain(deferred).collect()
+}
+
 fn find_lateness(timeline: &Timeline) -> Vec<Finding> {
     let Some(end) = timeline.job_events("job_ended").last() else {
         return Vec::new();
--- a/crates/bramley-explain/tests/explained.rs
+++ b/crates/bramley-explain/tests/explained.rs
@@ -40,6 +40,25 @@
 time_ms=36300 level=debug event=job_ended job=b903 outcome=completed failures=0 age_ms=2759 objective_ms=492
 time_ms=36301 level=debug event=request_answered job=b903 request=5 status=200 ms=2760";
 
+/// Log lines of a job that two pools refused and one of them then served late.
+const SERVED_LATE: [(&str, &str); 2] = [
+    (
+        "a-1",
+        "\
+time_ms=1000 level=debug event=request_received job=ed1f request=1eb8 tasks=2 declared_ms=200
+time_ms=1000 level=warn event=job_refused job=ed1f route=r-1 reason=overloaded wait_ms=310 workers=12 waiting=20 age_ms=0
+time_ms=1445 level=debug event=request_answered job=ed1f request=1eb8 status=200 ms=445",
+    ),
+    (
+        "b-1",
+        "\
+time_ms=1001 level=warn event=job_refused job=ed1f route=r-1 reason=overloaded wait_ms=240 workers=12 waiting=18 age_ms=1
+time_ms=1002 level=debug event=job_admitted job=ed1f route=r-1 tasks=2 class=late wait_ms=240 slack_ms=178 waiting=18
+time_ms=1240 level=debug event=task_placed job=ed1f task=0 run=1 worker=i-1 age_ms=240
+time_ms=1444 level=debug event=job_ended job=ed1f outcome=completed failures=0 age_ms=444 objective_ms=380",
+    ),
+];
+
 fn explain(id: &str, logs: &[(&str, &str)]) -> String {
     let logs: Vec<(Arc<str>, String)> = logs
         .iter()
@@ -66,6 +85,11 @@
     insta::assert_snapshot!(explain("b903", &[("b-2", MOVED)]));
 }
 
+#[test]
+fn an_answer_that_no_pool_could_give_in_time_is_explained() {
+    insta::assert_snapshot!(explain("1eb8", &SERVED_LATE));
+}
+
 #[test]
 fn an_id_that_no_line_names_is_not_explained() {
     let logs = [(Arc::from("b-1"), String::from(LATE))];
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -6,7 +6,7 @@
 
 use bramley_core::names::WorkerName;
 
-use crate::job::{JobName, RouteName, TaskName};
+use crate::job::{JobName, QueueClass, RouteName, TaskName};
 use crate::refusal::Refusal;
 use crate::run::StopCause;
 use crate::worker::{CallRefusal, RunEnd};
@@ -56,6 +56,8 @@
         route: RouteName,
         /// Number of tasks to run.
         tasks: u32,
+        /// Time by which the job is to be served.
+        queue_class: QueueClass,
         /// Estimated wait for free capacity.
         wait: Duration,
         /// Time left until the latest start that meets the latency objective.
@@ -65,6 +67,17 @@
         /// Time since the worker list was last read.
         list_age: Duration,
     },
+    /// An admitted job can no longer meet its objective and now waits behind those that can.
+    Deferred {
+        /// Name of the job.
+        job: JobName,
+        /// Time left until the latest start of use to the caller.
+        left: Duration,
+        /// Tasks already waiting.
+        waiting: u32,
+        /// Time since the request arrived.
+        age: Duration,
+    },
     /// A job was refused, or dropped before any of its tasks was started.
     JobRefused {
         /// Name of the job.
@@ -194,8 +207,8 @@
         runs: u32,
         /// Time at which the worker started.
         born_unix_ms: u64,
-        /// Age of the latest report from the worker.
-        report_age: Duration,
+        /// Age of the latest report from the worker; `None` if it has not reported yet.
+        report_age: Option<Duration>,
     },
     /// The pool has become leader or has stepped down.
     LeadershipChanged {
@@ -221,6 +234,7 @@
     pub fn job(&self) -> Option<&str> {
         match self {
             Self::Admitted { job, .. }
+            | Self::Deferred { job, .. }
             | Self::JobRefused { job, .. }
             | Self::JobEnded { job, .. }
             | Self::JobCancelled { job, .. }
@@ -254,6 +268,7 @@
             Self::StartRefused { .. }
             | Self::StartSentAgain { .. }
             | Self::Stopping { .. }
+            | Self::Deferred { .. }
             | Self::JobCancelled { .. } => LogPriority::Notable,
             Self::JobRefused { .. }
             | Self::JobResumed { .. }
@@ -271,18 +286,31 @@
                 job,
                 route,
                 tasks,
+                queue_class,
                 wait,
                 slack,
                 waiting,
                 list_age,
             } => write!(
                 f,
-                "event=job_admitted job={job} route={route} tasks={tasks} wait_ms={} slack_ms={} \
-                 waiting={waiting} list_age_ms={}",
+                "event=job_admitted job={job} route={route} tasks={tasks} class={} wait_ms={} \
+                 slack_ms={} waiting={waiting} list_age_ms={}",
+                queue_class.as_str(),
                 wait.as_millis(),
                 slack.as_millis(),
                 list_age.as_millis(),
             ),
+            Self::Deferred {
+                job,
+                left,
+                waiting,
+                age,
+            } => write!(
+                f,
+                "event=job_deferred job={job} left_ms={} waiting={waiting} age_ms={}",
+                left.as_millis(),
+                age.as_millis(),
+            ),
             Self::JobRefused {
                 job,
                 route,
@@ -410,7 +438,7 @@
                 f,
                 "event=worker_changed worker={worker} belief={belief} runs={runs} \
                  born_ms={born_unix_ms} report_age_ms={}",
-                report_age.as_millis(),
+                report_age.map_or_else(|| String::from("none"), |age| age.as_millis().to_string()),
             ),
             Self::LeadershipChanged {
                 token,
--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -137,6 +137,28 @@
     pub accepts_late: bool,
 }
 
+/// Largest number of tasks of one job; the largest known jobs have 32.
+pub const MAX_TASKS: u32 = 2_000;
+
+/// Largest stretch factor of a policy.
+const MAX_STRETCH_FACTOR: f64 = 1_000.0;
+
+/// Longest time in a policy or a job: a day.
+pub const MAX_TIME: Duration = Duration::from_secs(86_400);
+
+impl JobSubmission {
+    /// Returns whether all values are within the bounds that the pool can calculate with. A caller,
+    /// the configuration or another process may have sent anything.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let Self { work, policy, .. } = self;
+        (1..=MAX_TASKS).contains(&work.tasks)
+            && (0.0..=MAX_STRETCH_FACTOR).contains(&policy.stretch_factor)
+            && policy.target <= MAX_TIME
+            && work.declared <= MAX_TIME
+    }
+}
+
 /// State of a task.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TaskState {
@@ -174,6 +196,17 @@
     Late,
 }
 
+impl QueueClass {
+    /// Returns the label for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::InTime => "in_time",
+            Self::Late => "late",
+        }
+    }
+}
+
 /// A pool's record of a job.
 #[derive(Clone, Debug)]
 pub struct JobRecord {
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -42,6 +42,10 @@
 /// Capacity counts as contended when more than one task waits per this many usable workers.
 const CONTENTION_DIVISOR: u32 = 4;
 
+/// Maximum number of slots of one worker in the estimate. Tiny tasks would fit thousands of times,
+/// and the estimate would take time and memory for each slot.
+const MAX_SLOTS_PER_WORKER: u32 = 64;
+
 /// Result of simulating the queue.
 #[derive(Clone, Copy, Debug, Default)]
 struct QueueForecast {
@@ -219,7 +223,9 @@
     slots: &mut BinaryHeap<Reverse<UnixTime>>,
 ) {
     let resources = job.submission.work.resources;
-    let total = resources.count_fitting(worker.entry.capacity);
+    let total = resources
+        .count_fitting(worker.entry.capacity)
+        .min(MAX_SLOTS_PER_WORKER);
     let free = resources.count_fitting(worker.free()).min(total);
     for _ in 0..free {
         slots.push(Reverse(ready_at));
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -56,12 +56,21 @@
             return;
         }
         if self.token.is_none() {
-            let message = PoolMessage::Ended {
-                job: name,
-                outcome: JobOutcome::Refused(Refusal::NoPool),
-                wait: Duration::ZERO,
-            };
-            self.send(Some(relay), message);
+            self.refuse_unread(relay, name, Refusal::NoPool);
+            return;
+        }
+        if !submission.is_valid() {
+            let text = format!(
+                "event=job_refused job={name} reason=malformed tasks={} stretch_factor={} \
+                 target_ms={} declared_ms={}",
+                submission.work.tasks,
+                submission.policy.stretch_factor,
+                submission.policy.target.as_millis(),
+                submission.work.declared.as_millis(),
+            );
+            let job = Some(name.as_str().into());
+            self.log(Decision::Text { job, text });
+            self.refuse_unread(relay, name, Refusal::Malformed);
             return;
         }
         self.update_contention(now);
@@ -94,6 +103,7 @@
                 job: name.clone(),
                 route: job.submission.policy.route.clone(),
                 tasks: job.waiting,
+                queue_class: job.queue_class,
                 wait,
                 slack: job.latest_start().since(now),
                 waiting: self.waiting_tasks(),
@@ -114,6 +124,16 @@
         }
     }
 
+    /// Refuses a job for which no record was made.
+    fn refuse_unread(&mut self, relay: RelayId, job: JobName, refusal: Refusal) {
+        let message = PoolMessage::Ended {
+            job,
+            outcome: JobOutcome::Refused(refusal),
+            wait: Duration::ZERO,
+        };
+        self.send(Some(relay), message);
+    }
+
     /// Reports placements and completed tasks to a relay that may have missed them.
     fn report_progress(&mut self, relay: RelayId, name: &JobName, done: &[u32]) {
         let placements: Vec<TaskPlacement> = self.jobs.get(name).map_or_else(Vec::new, |job| {
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -6,6 +6,7 @@
 
 use super::Pool;
 use super::placement::expected_end;
+use crate::decision::Decision;
 use crate::job::{JobName, QueueClass};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
@@ -89,6 +90,13 @@
                 continue;
             };
             if self.can_serve_late(job, now) {
+                let decision = Decision::Deferred {
+                    job: name.clone(),
+                    left: job.latest_useful_start().since(now),
+                    waiting: self.waiting_tasks(),
+                    age: now.since(job.submission.arrived_at),
+                };
+                self.log(decision);
                 if let Some(job) = self.jobs.get_mut(&name) {
                     job.queue_class = QueueClass::Late;
                 }
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -395,7 +395,8 @@
             belief,
             runs: u32::try_from(worker.runs.len()).unwrap_or(u32::MAX),
             born_unix_ms: worker.entry.born_unix_ms,
-            report_age: report_age(worker, now),
+            report_age: (worker.report_requested_at > UnixTime::default())
+                .then(|| report_age(worker, now)),
         };
         self.log(decision);
     }
