--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -202,7 +202,9 @@
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let state = self.state.borrow();
-        state.stopping_since.is_none() && state.routes.version > 0 && state.relay.reaches_pool()
+        state.stopping_since.is_none()
+            && state.routes.version > 0
+            && state.relay.is_well_connected(state.pools.len())
     }
 
     /// Returns whether a planned stop has begun.
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -139,10 +139,14 @@
             .count()
     }
 
-    /// Returns whether any pool is connected.
+    /// Returns whether callers are served here as well as elsewhere: the local pool is connected, or
+    /// at least half of the `known_pools`. A relay that is cut off with a single foreign pool would
+    /// overload it with the callers of its own failure domain.
     #[must_use]
-    pub fn reaches_pool(&self) -> bool {
-        self.pools.values().any(|pool| pool.connected)
+    pub fn is_well_connected(&self, known_pools: usize) -> bool {
+        let connected = self.pools.values().filter(|pool| pool.connected).count();
+        let reaches_most = connected > 0 && connected * 2 >= known_pools;
+        reaches_most || self.is_connected(&self.local_domain)
     }
 
     /// Returns whether the pool of a failure domain is connected.
--- a/crates/bramley-pool/tests/late_service.rs
+++ b/crates/bramley-pool/tests/late_service.rs
@@ -192,3 +192,29 @@
     }
     assert_eq!(relay.open_jobs(), 0);
 }
+
+/// Pattern: some hosts of all domains are cut off together with the leader of one of them. Its pool
+/// would get the callers of all of these hosts, so those of other domains must not take new ones.
+#[test]
+fn a_relay_cut_off_with_a_single_foreign_pool_takes_no_new_callers() {
+    let mut relay = connected_relay();
+    assert!(relay.is_well_connected(4));
+    for domain in ["home", "west"] {
+        relay.pool_lost(&DomainName::from(domain), NOW);
+    }
+    assert!(!relay.is_well_connected(4));
+    // With two domains, one foreign pool is all there is.
+    assert!(relay.is_well_connected(2));
+}
+
+/// A whole domain that is cut off serves its own callers.
+#[test]
+fn a_relay_that_reaches_its_local_pool_takes_callers() {
+    let mut relay = connected_relay();
+    for domain in ["east", "west"] {
+        relay.pool_lost(&DomainName::from(domain), NOW);
+    }
+    assert!(relay.is_well_connected(4));
+    relay.pool_lost(&DomainName::from("home"), NOW);
+    assert!(!relay.is_well_connected(4));
+}
