Publish the admission state of routes and evacuation with a pool's heartbeat

Relays cannot tell by themselves which jobs a pool would refuse, so each refusal costs a message and an evaluation at the pool. The heartbeat carries the state per route; pools publish none yet, and relays ignore it.

--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 
 use bramley_core::names::DomainName;
-use bramley_pool::message::{PoolLoad, PoolMessage, RelayId, RelayMessage};
-use bramley_wire::pool::{PoolFrame, RelayFrame, RelayHello};
+use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
+use bramley_wire::pool::{PoolBeat, PoolFrame, RelayFrame, RelayHello};
 use tokio::sync::mpsc;
 
 use super::Engine;
 use super::actions::queue_frame;
 use crate::links::DisconnectReason;
-use crate::links::convert::encode_heartbeat;
+use crate::links::convert::{decode_admissions, decode_load, encode_heartbeat};
 use crate::platform::Platform;
 
 impl<P: Platform> Engine<P> {
@@ -32,7 +32,10 @@
         );
         let now = self.now();
         let load = state.pool.load(now);
-        let heartbeat = encode_heartbeat(load, state.pool.token().is_some(), state.gives_way(now));
+        let admissions = state.pool.route_admissions(now);
+        let is_leader = state.pool.token().is_some();
+        let gives_way = state.gives_way(now);
+        let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
         queue_frame(&outgoing, heartbeat);
         state.relays.insert(relay, outgoing);
         relay
@@ -86,11 +89,14 @@
         self.process_actions();
     }
 
-    pub(crate) fn pool_load_received(&self, domain: &DomainName, load: PoolLoad, gives_way: bool) {
+    pub(crate) fn heartbeat_received(&self, domain: &DomainName, beat: &PoolBeat) {
+        let now = self.now();
+        let admissions = decode_admissions(beat, now);
         let mut state = self.state.borrow_mut();
-        state.relay.update_pool_load(domain, load);
+        state.relay.update_pool_load(domain, decode_load(beat));
+        state.relay.update_route_admissions(domain, admissions, now);
         if let Some(link) = state.pools.get_mut(domain) {
-            link.gives_way = gives_way;
+            link.gives_way = beat.gives_way;
         }
     }
 
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -73,12 +73,17 @@
         let load = state.pool.load(now);
         let is_leader = state.pool.token().is_some();
         let gives_way = state.gives_way(now);
+        let admissions = state.pool.route_admissions(now);
+        let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
         for outgoing in state.relays.values() {
-            queue_frame(outgoing, encode_heartbeat(load, is_leader, gives_way));
+            queue_frame(outgoing, heartbeat.clone());
         }
         let local_domain = self.settings.host.domain.clone();
         if is_leader {
             state.relay.update_pool_load(&local_domain, load);
+            state
+                .relay
+                .update_route_admissions(&local_domain, admissions, now);
         }
         self.metrics
             .record_load(load, is_leader, state.callers.len());
--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -6,7 +6,9 @@
 use bramley_core::units::UnixTime;
 use bramley_pool::crash::{CrashEvidence, TaskCrash};
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
-use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
+use bramley_pool::message::{
+    JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
+};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::resources::TaskResources;
 use bramley_wire::pool::{
@@ -187,9 +189,18 @@
     PoolFrame { body: Some(body) }
 }
 
-/// Encodes a pool's heartbeat.
+/// Code of a route whose late jobs are refused.
+const NO_LATE_WAIT: u32 = u32::MAX;
+
+/// Encodes a pool's heartbeat at the time `now`.
 #[must_use]
-pub const fn encode_heartbeat(load: PoolLoad, commands: bool, gives_way: bool) -> PoolFrame {
+pub fn encode_heartbeat(
+    load: PoolLoad,
+    admissions: &[RouteAdmission],
+    commands: bool,
+    gives_way: bool,
+    now: UnixTime,
+) -> PoolFrame {
     PoolFrame {
         body: Some(pool_frame::Body::Beat(PoolBeat {
             commands,
@@ -197,10 +208,48 @@
             free_cpu_milli: load.free_cpu_milli,
             listed_workers: load.listed_workers,
             waiting_tasks: load.waiting_tasks,
+            evacuated: load.evacuated,
+            admissions: admissions
+                .iter()
+                .map(|admission| encode_admission(admission, now))
+                .collect(),
         })),
     }
 }
 
+fn encode_admission(admission: &RouteAdmission, now: UnixTime) -> wire::RouteAdmission {
+    wire::RouteAdmission {
+        route: String::from(admission.route.as_str()),
+        pass_permille: admission.pass_permille,
+        wait_ms: millis(admission.wait),
+        late_wait_ms: admission.late_wait.map_or(NO_LATE_WAIT, millis),
+        age_ms: millis(now.since(admission.computed_at)),
+    }
+}
+
+/// Decodes the admission state of a pool's routes from a heartbeat that arrived at `now`.
+#[must_use]
+pub fn decode_admissions(beat: &PoolBeat, now: UnixTime) -> Vec<RouteAdmission> {
+    beat.admissions
+        .iter()
+        .map(|admission| RouteAdmission {
+            route: RouteName::new(admission.route.as_str()),
+            pass_permille: admission.pass_permille,
+            wait: Duration::from_millis(u64::from(admission.wait_ms)),
+            late_wait: (admission.late_wait_ms != NO_LATE_WAIT)
+                .then(|| Duration::from_millis(u64::from(admission.late_wait_ms))),
+            computed_at: now.before(Duration::from_millis(u64::from(admission.age_ms))),
+        })
+        .collect()
+}
+
+/// Converts to whole milliseconds, below the code for no late wait.
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis())
+        .unwrap_or(NO_LATE_WAIT)
+        .min(NO_LATE_WAIT - 1)
+}
+
 /// Decodes the load of a pool from its heartbeat.
 #[must_use]
 pub const fn decode_load(beat: &PoolBeat) -> PoolLoad {
@@ -209,6 +258,7 @@
         listed_workers: beat.listed_workers,
         usable_workers: 0,
         waiting_tasks: beat.waiting_tasks,
+        evacuated: beat.evacuated,
     }
 }
 
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -10,7 +10,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep, timeout};
 
-use super::convert::{decode_load, decode_pool_message};
+use super::convert::decode_pool_message;
 use super::{
     DisconnectReason, FrameReader, configure_stream, read_frame, split_stream, write_frames,
 };
@@ -106,7 +106,7 @@
                 is_connected = true;
                 engine.pool_connected(domain, outgoing.clone());
             }
-            engine.pool_load_received(domain, decode_load(beat), beat.gives_way);
+            engine.heartbeat_received(domain, beat);
         } else if let Some(message) = decode_pool_message(body) {
             engine.handle_pool_message(domain, message);
         }
--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -5,12 +5,14 @@
 use bramley_core::names::WorkerName;
 use bramley_core::units::UnixTime;
 use bramley_dock::links::convert::{
-    decode_load, decode_pool_message, decode_submission, encode_heartbeat, encode_pool_message,
-    encode_relay_message,
+    decode_admissions, decode_load, decode_pool_message, decode_submission, encode_heartbeat,
+    encode_pool_message, encode_relay_message,
 };
 use bramley_pool::crash::{CrashEvidence, TaskCrash};
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
-use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
+use bramley_pool::message::{
+    JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
+};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::resources::TaskResources;
 use bramley_wire::pool::{pool_frame, relay_frame};
@@ -133,6 +135,21 @@
     }
 }
 
+fn admission(
+    route: &str,
+    pass_permille: u32,
+    late_wait: Option<Duration>,
+    now: UnixTime,
+) -> RouteAdmission {
+    RouteAdmission {
+        route: RouteName::from(route),
+        pass_permille,
+        wait: Duration::from_millis(30),
+        late_wait,
+        computed_at: now.before(Duration::from_millis(25)),
+    }
+}
+
 #[test]
 fn a_heartbeat_tells_the_load() {
     let load = PoolLoad {
@@ -140,10 +157,18 @@
         listed_workers: 16,
         usable_workers: 0,
         waiting_tasks: 5,
+        evacuated: true,
     };
-    let Some(pool_frame::Body::Beat(beat)) = encode_heartbeat(load, true, false).body else {
+    let now = UnixTime::from_micros(5_000_000);
+    let admissions = [
+        admission("in-time", 1_000, Some(Duration::from_millis(70)), now),
+        admission("refused", 0, None, now),
+    ];
+    let frame = encode_heartbeat(load, &admissions, true, false, now);
+    let Some(pool_frame::Body::Beat(beat)) = frame.body else {
         panic!("the frame does not hold a heartbeat");
     };
     assert_eq!(decode_load(&beat), load);
+    assert_eq!(decode_admissions(&beat, now), admissions);
     assert!(beat.commands && !beat.gives_way);
 }
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use bramley_core::names::WorkerName;
+use bramley_core::units::UnixTime;
 
 use crate::crash::TaskCrash;
-use crate::job::{JobName, JobSubmission};
+use crate::job::{JobName, JobSubmission, RouteName};
 use crate::refusal::Refusal;
 
 /// Identifies one incarnation of a relay to a pool.
@@ -102,4 +103,22 @@
     pub usable_workers: u32,
     /// Tasks waiting for a worker.
     pub waiting_tasks: u32,
+    /// Whether the failure domain is evacuated, so that no task is started there.
+    pub evacuated: bool,
+}
+
+/// Admission state of one route at a pool, published with each heartbeat. Relays refuse by
+/// themselves what the pool could not serve.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RouteAdmission {
+    /// Route that the state applies to.
+    pub route: RouteName,
+    /// Share of the jobs offered now that relays should submit, in thousandths; 1000 passes all.
+    pub pass_permille: u32,
+    /// Expected wait of a job that is served in time.
+    pub wait: Duration,
+    /// Expected wait of a late job; `None` if late jobs are refused.
+    pub late_wait: Option<Duration>,
+    /// Time at which the pool computed the state, on the clock of the process that holds it.
+    pub computed_at: UnixTime,
 }
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -40,7 +40,7 @@
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
 use crate::job::{JobName, JobPolicy, JobRecord, JobWork};
-use crate::message::{PoolLoad, PoolMessage, RelayId};
+use crate::message::{PoolLoad, PoolMessage, RelayId, RouteAdmission};
 use crate::run::StopCause;
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
@@ -241,6 +241,12 @@
         load
     }
 
+    /// Returns the admission state of the routes with recent traffic, to be published.
+    #[must_use]
+    pub const fn route_admissions(&self, _now: UnixTime) -> Vec<RouteAdmission> {
+        Vec::new()
+    }
+
     fn waiting_tasks(&self) -> u32 {
         self.queue
             .iter()
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -14,7 +14,9 @@
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
 use crate::job::{JobName, JobSubmission};
-use crate::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
+use crate::message::{
+    JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
+};
 use crate::refusal::Refusal;
 use crate::settings::RelaySettings;
 
@@ -262,6 +264,17 @@
         }
     }
 
+    /// Records the admission state of routes as published by a pool, which replaces its earlier
+    /// state.
+    pub fn update_route_admissions(
+        &mut self,
+        domain: &DomainName,
+        admissions: Vec<RouteAdmission>,
+        now: UnixTime,
+    ) {
+        let _ = (domain, admissions, now);
+    }
+
     /// Handles a message of a pool.
     pub fn handle_pool_message(
         &mut self,
--- a/crates/bramley-pool/tests/late_service.rs
+++ b/crates/bramley-pool/tests/late_service.rs
@@ -84,6 +84,7 @@
             listed_workers: 12,
             usable_workers: 12,
             waiting_tasks: 0,
+            evacuated: false,
         };
         relay.update_pool_load(&domain, load);
     }
