--- a/crates/bramley-dock/src/engine/dump.rs
+++ b/crates/bramley-dock/src/engine/dump.rs
@@ -20,6 +20,7 @@
                     "address": link.claim.address,
                     "incarnation": link.claim.incarnation,
                     "connected": state.relay.is_connected(domain),
+                    "evacuated": state.relay.is_evacuated(domain),
                     "heard_ms_ago": now.since(link.last_heard_at).as_millis(),
                 });
                 (domain.as_str(), value)
@@ -38,6 +39,7 @@
                     "runs": worker.runs.len(),
                     "free_cpu_milli": worker.free().cpu_milli,
                     "pace": worker.relative_run_time,
+                    "cold_ms": worker.cold_until.since(now).as_millis(),
                     "missed_looks": worker.missed_polls,
                 })
             })
@@ -48,6 +50,7 @@
             "incarnation": self.incarnation,
             "token": state.pool.token(),
             "configuration": state.routes.version,
+            "evacuated": load.evacuated,
             "open_jobs": state.relay.open_jobs(),
             "pool_jobs": state.pool.open_jobs(),
             "free_cpu_milli": load.free_cpu_milli,
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -37,7 +37,7 @@
 use crate::clock::{MonotonicClock, time_since_boot};
 use crate::logging::JobLogSampler;
 use crate::metrics::DockMetrics;
-use crate::platform::{Platform, WorkerChange};
+use crate::platform::{EvacuationItem, Platform, WorkerChange};
 use crate::routes::RouteTable;
 use crate::settings::DockSettings;
 
@@ -298,6 +298,34 @@
         self.process_actions();
     }
 
+    /// Applies evacuations read by a request that was sent at `requested_at`. If `complete` is set,
+    /// failure domains without an item are not evacuated. Those of other failure domains are left to
+    /// their leaders.
+    pub fn evacuations_changed(
+        self: &Rc<Self>,
+        items: Vec<EvacuationItem>,
+        complete: bool,
+        requested_at: UnixTime,
+    ) {
+        let now = self.now();
+        let has_changed = {
+            let mut state = self.state.borrow_mut();
+            let was_evacuated = state.pool.is_evacuated();
+            let mut is_evacuated = was_evacuated && !complete;
+            for item in items {
+                if item.domain == self.settings.host.domain {
+                    is_evacuated = item.is_evacuated;
+                }
+            }
+            state.pool.evacuation_read(is_evacuated, requested_at, now);
+            is_evacuated != was_evacuated
+        };
+        if has_changed {
+            self.send_heartbeats_now();
+        }
+        self.process_actions();
+    }
+
     /// Begins the planned stop: leadership is handed over, and callers with open jobs are still
     /// served.
     pub fn stop(self: &Rc<Self>) {
--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -22,6 +22,10 @@
 /// Outcome code of a failed job.
 const FAILED: u32 = 1;
 
+/// Outcome code of a job that was returned to its relay. It lies beyond the codes of refusals;
+/// processes that do not know it take the outcome for unknown.
+const RETURNED: u32 = 1_000;
+
 /// Outcome code of the first refusal; the refusal's own code is added to it.
 const FIRST_REFUSAL: u32 = 2;
 
@@ -295,6 +299,7 @@
     match outcome {
         JobOutcome::Completed => COMPLETED,
         JobOutcome::Failed => FAILED,
+        JobOutcome::Returned => RETURNED,
         JobOutcome::Refused(refusal) => FIRST_REFUSAL + refusal.code(),
     }
 }
@@ -303,6 +308,7 @@
     match code {
         COMPLETED => JobOutcome::Completed,
         FAILED => JobOutcome::Failed,
+        RETURNED => JobOutcome::Returned,
         code => JobOutcome::Refused(Refusal::from_code(code - FIRST_REFUSAL)),
     }
 }
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -37,10 +37,12 @@
     run_ends: Family<Labels<1>, Counter>,
     runs_lost: Family<Labels<1>, Counter>,
     tasks_given_up: Counter,
+    jobs_returned: Counter,
     refusals: Family<Labels<1>, Counter>,
     store_calls: Family<Labels<2>, Counter>,
     part_failures: Family<Labels<1>, Counter>,
     commands: Gauge,
+    evacuated: Gauge,
     callers: Gauge,
     free_cpu_milli: Gauge,
     workers: Gauge,
@@ -71,10 +73,12 @@
             run_ends: Family::default(),
             runs_lost: Family::default(),
             tasks_given_up: Counter::default(),
+            jobs_returned: Counter::default(),
             refusals: Family::default(),
             store_calls: Family::default(),
             part_failures: Family::default(),
             commands: Gauge::default(),
+            evacuated: Gauge::default(),
             callers: Gauge::default(),
             free_cpu_milli: Gauge::default(),
             workers: Gauge::default(),
@@ -129,6 +133,16 @@
             "Tasks not started again because too many workers were lost under them",
             self.tasks_given_up.clone(),
         );
+        registry.register(
+            "jobs_returned",
+            "Begun jobs returned to their relays because of an evacuation",
+            self.jobs_returned.clone(),
+        );
+        registry.register(
+            "evacuated",
+            "Whether the failure domain of the local pool, which is the leader, is evacuated",
+            self.evacuated.clone(),
+        );
         registry.register("refusals", "Refused jobs by reason", self.refusals.clone());
         registry.register(
             "store_calls",
@@ -241,6 +255,9 @@
             Decision::TaskGivenUp { .. } => {
                 self.tasks_given_up.inc();
             }
+            Decision::JobReturned { .. } => {
+                self.jobs_returned.inc();
+            }
             Decision::JobRefused { refusal, .. } => {
                 let labels = [("reason", String::from(refusal.answer().reason))];
                 self.refusals.get_or_create(&labels).inc();
@@ -251,6 +268,7 @@
 
     pub(crate) fn record_load(&self, load: PoolLoad, is_leader: bool, callers: usize) {
         self.commands.set(i64::from(is_leader));
+        self.evacuated.set(i64::from(load.evacuated));
         self.callers.set(i64::try_from(callers).unwrap_or(i64::MAX));
         let free = i64::try_from(load.free_cpu_milli).unwrap_or(i64::MAX);
         self.free_cpu_milli.set(free);
--- a/crates/bramley-dock/src/platform.rs
+++ b/crates/bramley-dock/src/platform.rs
@@ -69,6 +69,15 @@
     pub view: Option<ClaimView>,
 }
 
+/// Whether a failure domain is evacuated.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EvacuationItem {
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Whether it is evacuated.
+    pub is_evacuated: bool,
+}
+
 /// Change of the worker list.
 #[derive(Clone, Debug)]
 pub enum WorkerChange {
@@ -117,6 +126,17 @@
         after: u64,
     ) -> impl Future<Output = Result<AtRevision<WorkerChange>, StoreError>>;
 
+    /// Reads all evacuations; failure domains without an item are not evacuated.
+    fn read_evacuations(
+        &self,
+    ) -> impl Future<Output = Result<AtRevision<EvacuationItem>, StoreError>>;
+
+    /// Waits for changes of evacuations after the revision `after`.
+    fn watch_evacuations(
+        &self,
+        after: u64,
+    ) -> impl Future<Output = Result<AtRevision<EvacuationItem>, StoreError>>;
+
     /// Reads the configuration; the list is empty if there is none.
     fn read_routes(&self) -> impl Future<Output = Result<AtRevision<RouteTable>, StoreError>>;
 
--- a/crates/bramley-dock/src/watch.rs
+++ b/crates/bramley-dock/src/watch.rs
@@ -1,4 +1,4 @@
-//! Keeps claims, routes and workers in sync with the store.
+//! Keeps claims, routes, workers and evacuations in sync with the store.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -63,6 +63,7 @@
 #[derive(Clone, Copy, Debug)]
 enum StorePart {
     Claims,
+    Evacuations,
     Routes,
     Workers,
 }
@@ -71,6 +72,7 @@
     const fn as_str(self) -> &'static str {
         match self {
             Self::Claims => "claims",
+            Self::Evacuations => "evacuations",
             Self::Routes => "routes",
             Self::Workers => "workers",
         }
@@ -241,3 +243,48 @@
         }
     }
 }
+
+/// Keeps the evacuations in sync while the local pool is the leader. Each term begins with a read of
+/// all of them, before which the pool starts no task; an unavailable store leaves the last state in
+/// force.
+pub async fn sync_evacuations<P: Platform>(engine: Rc<Engine<P>>) {
+    let mut availability = PartAvailability::new(StorePart::Evacuations);
+    let mut after = None;
+    loop {
+        if !engine.is_leader() {
+            after = None;
+            availability = PartAvailability::new(StorePart::Evacuations);
+            engine.wait_for_leadership_change().await;
+            continue;
+        }
+        let requested_at = engine.now();
+        let read = async {
+            match after {
+                None => engine.platform().read_evacuations().await,
+                Some(revision) => engine.platform().watch_evacuations(revision).await,
+            }
+        };
+        // A response to a request of an earlier term must not count as the first read of the
+        // current one, and a process that is not the leader must have no watch pending.
+        let read = tokio::select! {
+            biased;
+            () = engine.wait_for_leadership_change() => None,
+            read = read => Some(read),
+        };
+        match read {
+            None => after = None,
+            Some(Ok(evacuations)) => {
+                availability.record_success(&engine, "evacuations");
+                let is_complete = after.is_none();
+                after = Some(evacuations.revision);
+                engine.evacuations_changed(evacuations.items, is_complete, requested_at);
+            }
+            Some(Err(error)) => {
+                after = None;
+                availability
+                    .record_failure(&engine, "evacuations", error)
+                    .await;
+            }
+        }
+    }
+}
--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -102,7 +102,11 @@
 
 #[test]
 fn every_outcome_arrives_as_it_was_sent() {
-    let mut outcomes = vec![JobOutcome::Completed, JobOutcome::Failed];
+    let mut outcomes = vec![
+        JobOutcome::Completed,
+        JobOutcome::Failed,
+        JobOutcome::Returned,
+    ];
     outcomes.extend(Refusal::ALL.map(JobOutcome::Refused));
     for outcome in outcomes {
         let sent = PoolMessage::Ended {
--- a/crates/bramley-dock/tests/hostile_frames.rs
+++ b/crates/bramley-dock/tests/hostile_frames.rs
@@ -38,10 +38,12 @@
             cpu_milli: 32_000,
             memory_mb: 65_536,
         },
+        cold_remaining: std::time::Duration::ZERO,
         labels: Vec::new(),
     };
     pool.worker_listed(entry, NOW);
     pool.worker_list_read(NOW);
+    pool.evacuation_read(false, NOW, NOW);
     for action in pool.take_actions() {
         if let PoolAction::Call(call) = action {
             let report = WorkerReport {
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -225,6 +225,15 @@
         /// Latency objective.
         objective: Duration,
     },
+    /// A job that has begun was returned to its relay because the failure domain is evacuated.
+    JobReturned {
+        /// Name of the job.
+        job: JobName,
+        /// Tasks that had not succeeded.
+        left: u32,
+        /// Time since the request arrived.
+        age: Duration,
+    },
     /// A job was cancelled because no caller waits for it.
     JobCancelled {
         /// Name of the job.
@@ -286,6 +295,7 @@
             | Self::JobRefused { job, .. }
             | Self::JobEnded { job, .. }
             | Self::JobCancelled { job, .. }
+            | Self::JobReturned { job, .. }
             | Self::JobResumed { job, .. } => Some(job.as_str()),
             Self::Placed { task, .. }
             | Self::StartRefused { task, .. }
@@ -320,7 +330,8 @@
             | Self::StartSentAgain { .. }
             | Self::Stopping { .. }
             | Self::Deferred { .. }
-            | Self::JobCancelled { .. } => LogPriority::Notable,
+            | Self::JobCancelled { .. }
+            | Self::JobReturned { .. } => LogPriority::Notable,
             Self::JobRefused { .. }
             | Self::JobResumed { .. }
             | Self::RunLost { .. }
@@ -532,6 +543,11 @@
                 "event=job_cancelled job={job} reason={cause} left={left} age_ms={}",
                 age.as_millis(),
             ),
+            Self::JobReturned { job, left, age } => write!(
+                f,
+                "event=job_returned job={job} reason=evacuated left={left} age_ms={}",
+                age.as_millis(),
+            ),
             Self::JobResumed { job, done, adopted } => write!(
                 f,
                 "event=job_resumed job={job} done={done} adopted={adopted}"
--- a/crates/bramley-pool/src/lib.rs
+++ b/crates/bramley-pool/src/lib.rs
@@ -16,6 +16,7 @@
 //! - [`resources`]: CPU, memory and accelerator amounts.
 //! - [`run`]: life cycle of a run.
 //! - [`settings`]: limits, intervals and timeouts.
+//! - `spread`: distribution of jobs over pools.
 //! - [`worker`]: workers, their clocks, requests and reports.
 
 pub mod claim;
@@ -29,4 +30,5 @@
 pub mod resources;
 pub mod run;
 pub mod settings;
+mod spread;
 pub mod worker;
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -40,6 +40,9 @@
     Completed,
     /// A task used up the attempts that its route allows, or crashes its workers.
     Failed,
+    /// The failure domain is evacuated and the job has begun: its runs have ended, no task of it will
+    /// be started, and its relay is to submit it to another pool.
+    Returned,
     /// No task was started, and none will be; for [`Refusal::Unknown`], tasks may have run.
     Refused(Refusal),
 }
@@ -51,6 +54,7 @@
         match self {
             Self::Completed => "completed",
             Self::Failed => "failed",
+            Self::Returned => "returned",
             Self::Refused(refusal) => refusal.answer().reason,
         }
     }
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -92,7 +92,7 @@
                 push_slots(worker, job, ready_at, &mut slots);
             }
         }
-        if self.workers.is_empty() || self.awaits_list {
+        if self.workers.is_empty() || self.awaits_list || self.evacuation.awaits_read() {
             return Err(StartEstimate::At(now.after(SYNC_TIME)));
         }
         if !slots.is_empty() {
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -6,6 +6,7 @@
 use bramley_core::units::UnixTime;
 
 use super::Pool;
+use super::evacuation::EvacuationState;
 use super::losses::other_runs;
 use crate::crash::CrashEvidence;
 use crate::decision::Decision;
@@ -18,6 +19,9 @@
     pub fn become_leader(&mut self, token: u64, now: UnixTime) {
         let is_new = self.token.is_none();
         self.awaits_list |= is_new;
+        if is_new {
+            self.evacuation = EvacuationState::at_term_start();
+        }
         self.leader_since = now;
         self.orphaned_ends_kept_until = now.after(self.settings.adoption_window);
         self.orphaned_runs_kept_until = now.after(self.settings.orphaned_run_timeout);
@@ -63,7 +67,7 @@
 
     /// Returns whether the list and the runs of all listed workers were read since the pool became
     /// leader, and whether there are at least as many workers as the previous pool knew.
-    fn has_synced_workers(&self, earlier_workers: u32) -> bool {
+    pub(super) fn has_synced_workers(&self, earlier_workers: u32) -> bool {
         let listed = self.workers.iter().filter(|worker| worker.listed);
         let mut synced = 0;
         for worker in listed {
@@ -81,6 +85,7 @@
             return;
         }
         self.token = None;
+        self.evacuation = EvacuationState::default();
         self.log_leadership_change();
         self.jobs.clear();
         self.queue.clear();
@@ -118,7 +123,11 @@
         let Some(index) = self.by_name.get(&entry.name).copied() else {
             let index = WorkerIndex(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
             self.by_name.insert(entry.name.clone(), index);
-            self.workers.push(WorkerRecord::new(entry));
+            let cold_until = now.after(entry.cold_remaining);
+            self.workers.push(WorkerRecord {
+                cold_until,
+                ..WorkerRecord::new(entry)
+            });
             self.log_worker_change(index, "new", now);
             self.probe(index, now);
             return;
@@ -135,7 +144,9 @@
         if has_restarted {
             self.worker_restarted(index, born, now);
         }
-        self.worker_mut(index).entry = entry;
+        let worker = self.worker_mut(index);
+        worker.cold_until = now.after(entry.cold_remaining);
+        worker.entry = entry;
         if starts_leaving {
             self.log_worker_change(index, "leaving", now);
         }
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -105,7 +105,7 @@
             let tasks: Vec<u32> = job.done_tasks().collect();
             self.log(decision);
             self.report_progress(relay, &name, &tasks);
-        } else {
+        } else if !self.is_evacuated() {
             let (refused, wait) = self.admit(job, now);
             if let Some(outcome) = refused {
                 self.refuse(&name, outcome, wait, now);
@@ -126,6 +126,7 @@
             self.log(decision);
         }
         self.enqueue(&name);
+        self.move_if_evacuated(&name, now);
         self.place_due(now);
         if self
             .jobs
@@ -327,6 +328,7 @@
         match outcome {
             JobOutcome::Completed => self.counts.jobs_completed += 1,
             JobOutcome::Failed => self.counts.jobs_failed += 1,
+            JobOutcome::Returned => self.counts.jobs_returned += 1,
             JobOutcome::Refused(_) => self.counts.jobs_refused += 1,
         }
         // The answer may get lost, and the client may resend the job.
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -45,6 +45,7 @@
         for index in self.indices() {
             self.maintain_worker(index, now);
         }
+        self.move_evacuated_jobs(now);
         self.place_all(now);
     }
 
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `admission`: estimates whether a job can meet its latency objective.
 //! - `answer_time`: time that workers take to answer start requests.
+//! - `evacuation`: evacuation of the failure domain and its gradual return to use.
 //! - `fleet`: the platform's list of workers and changes of leader.
 //! - `health`: worker health as judged from the outcome of runs.
 //! - `jobs`: submission, adoption, completion and cancellation of jobs.
@@ -16,6 +17,7 @@
 
 mod admission;
 mod answer_time;
+mod evacuation;
 mod fleet;
 mod health;
 mod jobs;
@@ -45,6 +47,7 @@
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
+use evacuation::EvacuationState;
 use utilization::SlotUtilization;
 
 /// Multiple of the usual answer time after which a start request is resent.
@@ -95,6 +98,8 @@
     pub jobs_refused: u64,
     /// Number of times a worker was scored for a task, as a measure of the cost of placement.
     pub workers_scored: u64,
+    /// Begun jobs returned to their relays because the failure domain is evacuated.
+    pub jobs_returned: u64,
     /// Jobs cancelled because their relay or client disconnected.
     pub jobs_cancelled: u64,
     /// Active runs adopted after a change of leader.
@@ -131,6 +136,8 @@
     /// Whether the worker list is still to be read since the pool became leader. Entries from an
     /// earlier term may be out of date, for example for workers that are being drained.
     awaits_list: bool,
+    /// Evacuation of the failure domain.
+    evacuation: EvacuationState,
     actions: Vec<PoolAction>,
     counts: PoolCounts,
     /// Number of times a worker was scored for a task.
@@ -172,6 +179,7 @@
             run_times: RunTimeEstimator::default(),
             listed_at: UnixTime::default(),
             awaits_list: false,
+            evacuation: EvacuationState::default(),
             actions: Vec::new(),
             counts: PoolCounts::default(),
             scored: Cell::new(0),
@@ -229,6 +237,7 @@
     pub fn load(&self, now: UnixTime) -> PoolLoad {
         let mut load = PoolLoad {
             waiting_tasks: self.waiting_tasks(),
+            evacuated: self.is_evacuated(),
             ..PoolLoad::default()
         };
         for worker in &self.workers {
@@ -238,6 +247,9 @@
                 load.free_cpu_milli += u64::from(worker.free().cpu_milli);
             }
         }
+        if self.is_evacuated() || self.evacuation.awaits_read() {
+            load.free_cpu_milli = 0;
+        }
         load
     }
 
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -69,7 +69,10 @@
             self.clear_round();
             return false;
         }
-        self.token.is_some() && !self.awaits_list && now >= self.placement_paused_until
+        self.token.is_some()
+            && !self.awaits_list
+            && self.evacuation.allows_starts(now)
+            && now >= self.placement_paused_until
     }
 
     /// Clears the changes since the last round and the reservations.
@@ -129,7 +132,7 @@
 
     /// Starts the waiting tasks of a job on the workers that `choose` returns, until it returns
     /// `None`; returns false in that case. Tasks that cannot be started safely yet are skipped, and
-    /// so are jobs whose relay is disconnected.
+    /// so are jobs whose relay is disconnected and, during an evacuation, those that have not begun.
     fn place_tasks(
         &mut self,
         name: &JobName,
@@ -139,7 +142,7 @@
         let Some(job) = self.jobs.get(name) else {
             return true;
         };
-        if job.relay.is_none() {
+        if job.relay.is_none() || (self.is_evacuated() && !job.may_have_started) {
             return true;
         }
         let (tasks, relay) = (job.tasks.len(), job.relay);
--- a/crates/bramley-pool/src/pool/starts.rs
+++ b/crates/bramley-pool/src/pool/starts.rs
@@ -218,15 +218,15 @@
     }
 
     /// Resends an unanswered start request with the same run number; returns false if the caller
-    /// may be gone.
+    /// may be gone or the failure domain is evacuated.
     fn resend_start(&mut self, index: WorkerIndex, position: usize, now: UnixTime) -> bool {
         let lease = self.settings.run_lease;
         let clock_error = self.settings.clock_error_permille;
         let details = self.worker(index).runs[position].details();
         let (task, number) = (details.task.clone(), details.number);
         let job = self.jobs.get(&task.job);
-        let Some(job) = job.filter(|job| job.relay.is_some() && now >= self.placement_paused_until)
-        else {
+        let is_allowed = now >= self.placement_paused_until && self.evacuation.allows_starts(now);
+        let Some(job) = job.filter(|job| job.relay.is_some() && is_allowed) else {
             return false;
         };
         let spec = Arc::clone(&job.submission.work.spec);
--- a/crates/bramley-pool/src/refusal.rs
+++ b/crates/bramley-pool/src/refusal.rs
@@ -30,6 +30,8 @@
     Expired,
     /// the job may have run, and its outcome is unknown
     Unknown,
+    /// the failure domain is evacuated
+    Evacuated,
 }
 
 /// Response to a refused request.
@@ -45,7 +47,7 @@
 
 impl Refusal {
     /// All refusals, in declaration order.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Overloaded,
         Self::NeverFits,
         Self::NoPool,
@@ -56,6 +58,7 @@
         Self::Unsupported,
         Self::Expired,
         Self::Unknown,
+        Self::Evacuated,
     ];
 
     /// Returns the response for the caller.
@@ -72,6 +75,7 @@
             Self::Unsupported => (503, false, "unsupported"),
             Self::Expired => (503, true, "expired"),
             Self::Unknown => (502, false, "unknown"),
+            Self::Evacuated => (503, true, "evacuated"),
         };
         RefusalAnswer {
             status,
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -1,7 +1,8 @@
 //! Routing of callers' jobs to pools and failover between pools.
 //!
 //! A relay submits each job to the pool of its own failure domain first, and then to pools that
-//! have reported free capacity. When the connection to a pool is lost, its jobs are in doubt: they
+//! have reported free capacity. While the local failure domain is evacuated, jobs are distributed
+//! over the other pools in proportion to their free CPU. When the connection to a pool is lost, its jobs are in doubt: they
 //! are resubmitted to the pool that takes over the same workers, or to any other pool once their
 //! runs have certainly ended.
 
@@ -19,6 +20,7 @@
 };
 use crate::refusal::Refusal;
 use crate::settings::RelaySettings;
+use crate::spread::PoolSpread;
 
 /// Answer to a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -99,6 +101,8 @@
     local_domain: DomainName,
     jobs: FxHashMap<JobName, RelayJob>,
     pools: FxHashMap<DomainName, PoolView>,
+    /// Distribution of jobs while the local failure domain is evacuated.
+    spread: PoolSpread,
     /// Crashes of workers under the tasks of recent jobs, as pools have reported them.
     crashes: CrashMemory,
     /// Time until which no job is submitted after a process pause.
@@ -117,6 +121,7 @@
             local_domain,
             jobs: FxHashMap::default(),
             pools: FxHashMap::default(),
+            spread: PoolSpread::default(),
             crashes: CrashMemory::default(),
             sending_paused_until: UnixTime::default(),
             connected_while_paused: Vec::new(),
@@ -161,6 +166,13 @@
         self.pools.get(domain).is_some_and(|pool| pool.connected)
     }
 
+    /// Returns whether the failure domain of a connected pool is evacuated, as it last reported.
+    #[must_use]
+    pub fn is_evacuated(&self, domain: &DomainName) -> bool {
+        let pool = self.pools.get(domain);
+        pool.is_some_and(|pool| pool.connected && pool.load.evacuated)
+    }
+
     /// Delays submissions after a process pause, so that closed connections of callers are handled
     /// first: a caller may have resent its job elsewhere in the meantime.
     pub fn process_resumed(&mut self, now: UnixTime) {
@@ -189,10 +201,14 @@
         }
     }
 
-    /// Submits a job to its first pool, or refuses it if no pool is connected.
+    /// Submits a job to its first pool, or refuses it if no pool is connected or the failure domains
+    /// of all connected pools are evacuated.
     fn submit_to_first_pool(&mut self, name: &JobName) {
-        match self.first_pool() {
+        match self.first_pool(name) {
             Some(domain) => self.submit_to(name, domain),
+            None if self.pools.values().any(|pool| pool.connected) => {
+                self.refuse_unserved(name, Refusal::Evacuated);
+            }
             None => self.refuse_unserved(name, Refusal::NoPool),
         }
     }
@@ -306,6 +322,10 @@
                 let Some(record) = self.job_at(&job, domain) else {
                     return;
                 };
+                if outcome == JobOutcome::Returned {
+                    self.job_returned(&job, domain);
+                    return;
+                }
                 let may_have_run = record.started || record.submission.resumed;
                 let is_unknown = outcome == JobOutcome::Refused(Refusal::Unknown);
                 if may_have_run && matches!(outcome, JobOutcome::Refused(_)) && !is_unknown {
@@ -344,7 +364,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in due {
-            match self.first_pool() {
+            match self.first_pool(&name) {
                 Some(domain) => self.resume(&name, domain),
                 None => self.refuse_unserved(&name, Refusal::Unknown),
             }
@@ -357,10 +377,35 @@
         is_there.then_some(job)
     }
 
+    /// Resubmits a begun job whose runs have all ended at the pool of an evacuated failure domain.
+    fn job_returned(&mut self, name: &JobName, domain: &DomainName) {
+        self.record_evacuation(domain);
+        if let Some(job) = self.jobs.get_mut(name) {
+            // The pool knows that no run is left, so the next one has no earlier runs to wait for.
+            job.submission.placements.clear();
+            job.submission.earlier_workers = 0;
+            job.submission.acknowledged = true;
+        }
+        match self.first_pool(name) {
+            Some(domain) => self.resume(name, domain),
+            None => self.refuse_unserved(name, Refusal::Unknown),
+        }
+    }
+
+    /// Records that a pool's failure domain is evacuated, which its next load report would tell.
+    fn record_evacuation(&mut self, domain: &DomainName) {
+        if let Some(pool) = self.pools.get_mut(domain) {
+            pool.load.evacuated = true;
+            pool.load.free_cpu_milli = 0;
+        }
+    }
+
     fn job_ended(&mut self, name: &JobName, outcome: JobOutcome, wait: Duration) {
         let answer = match outcome {
             JobOutcome::Completed => JobAnswer::Completed,
             JobOutcome::Failed => JobAnswer::Failed,
+            // Handled by `job_returned`.
+            JobOutcome::Returned => return,
             JobOutcome::Refused(refusal) => {
                 if let Some(domain) = self.pool_after_refusal(name, refusal, wait) {
                     self.submit_to(name, domain);
@@ -437,12 +482,35 @@
     }
 
     /// Returns the pool of the local failure domain if it is connected, else the pool with the most
-    /// free CPU.
-    fn first_pool(&self) -> Option<DomainName> {
-        if self.is_connected(&self.local_domain) {
-            return Some(self.local_domain.clone());
+    /// free CPU. While the local failure domain is evacuated, returns the pool whose turn it is.
+    fn first_pool(&mut self, name: &JobName) -> Option<DomainName> {
+        let local = self.pools.get(&self.local_domain);
+        match local.filter(|pool| pool.connected) {
+            Some(pool) if pool.load.evacuated => self.spread_over_others(name),
+            Some(_) => Some(self.local_domain.clone()),
+            None => self.pool_with_most_free_cpu(|_, _| true),
         }
-        self.pool_with_most_free_cpu(|_, _| true)
+    }
+
+    /// Returns the pool whose turn it is among those that have free CPU for a task of the job, or
+    /// among all if none has.
+    fn spread_over_others(&mut self, name: &JobName) -> Option<DomainName> {
+        let job = self.jobs.get(name)?;
+        let cpu_milli = u64::from(job.submission.work.resources.cpu_milli);
+        let mut pools: Vec<(DomainName, u64)> = self
+            .pools
+            .iter()
+            .filter(|(_, pool)| pool.accepts_jobs())
+            .map(|(domain, pool)| (domain.clone(), pool.load.free_cpu_milli))
+            .collect();
+        pools.sort_unstable();
+        if pools
+            .iter()
+            .any(|(_, free_cpu_milli)| *free_cpu_milli >= cpu_milli)
+        {
+            pools.retain(|(_, free_cpu_milli)| *free_cpu_milli >= cpu_milli);
+        }
+        self.spread.choose(&pools)
     }
 
     /// Returns the pool to which a refused job is submitted next: first pools that may serve it in
@@ -465,6 +533,7 @@
                 }
             }
             Refusal::Expired => job.submission.accepts_late = true,
+            Refusal::Evacuated => return self.pool_after_evacuation(name),
             Refusal::NoPool => {}
             Refusal::NeverFits
             | Refusal::NoConfiguration
@@ -482,6 +551,30 @@
         self.next_late_pool(name)
     }
 
+    /// Returns the pool to which a job is submitted next that an evacuated pool has refused. That
+    /// pool has not evaluated the job, so the submission to it does not count as an offer.
+    fn pool_after_evacuation(&mut self, name: &JobName) -> Option<DomainName> {
+        let job = self.jobs.get_mut(name)?;
+        let JobState::AtPool(domain) = &job.state else {
+            return None;
+        };
+        let domain = domain.clone();
+        job.declined.retain(|declined| declined.domain != domain);
+        let accepts_late = job.submission.accepts_late;
+        if accepts_late {
+            job.late_offers = job.late_offers.saturating_sub(1);
+        }
+        let is_evaluated = accepts_late || !job.declined.is_empty();
+        self.record_evacuation(&domain);
+        if !is_evaluated {
+            return self.first_pool(name);
+        }
+        if !accepts_late && let Some(next) = self.next_pool(name) {
+            return Some(next);
+        }
+        self.next_late_pool(name)
+    }
+
     /// Returns the pool that expects to serve the job soonest, or one that was not asked yet.
     fn next_late_pool(&mut self, name: &JobName) -> Option<DomainName> {
         let max_offers = self.settings.max_late_offers;
@@ -492,7 +585,10 @@
         let soonest = job
             .declined
             .iter()
-            .filter(|declined| self.is_connected(&declined.domain))
+            .filter(|declined| {
+                let pool = self.pools.get(&declined.domain);
+                pool.is_some_and(PoolView::accepts_jobs)
+            })
             .min_by_key(|declined| declined.wait)
             .map(|declined| declined.domain.clone());
         let domain = soonest.or_else(|| self.next_pool(name))?;
@@ -518,12 +614,19 @@
     ) -> Option<DomainName> {
         self.pools
             .iter()
-            .filter(|(domain, pool)| pool.connected && is_eligible(domain, pool))
+            .filter(|(domain, pool)| pool.accepts_jobs() && is_eligible(domain, pool))
             .max_by_key(|(domain, pool)| (pool.load.free_cpu_milli, (*domain).clone()))
             .map(|(domain, _)| domain.clone())
     }
 }
 
+impl PoolView {
+    /// Returns whether jobs that are not running there can be submitted to the pool.
+    const fn accepts_jobs(&self) -> bool {
+        self.connected && !self.load.evacuated
+    }
+}
+
 impl RelayJob {
     fn record_placements(&mut self, placements: Vec<TaskPlacement>) {
         let known = &mut self.submission.placements;
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -71,6 +71,12 @@
     /// Longest time from a worker's last answer to a sign that its process has ended, for which the
     /// sign shows that its runs ended with it: one long poll and the connection attempt after it.
     pub crash_notice_limit: Duration,
+    /// Time after the acknowledgement of an evacuation from which no task may be started in the
+    /// failure domain.
+    pub evacuation_bound: Duration,
+    /// Time in which all workers return to use after an evacuation. It spreads the load that comes
+    /// back over some ten heartbeats of 200 ms.
+    pub evacuation_return_time: Duration,
     /// Maximum number of waiting jobs considered in one placement round.
     pub scan_limit: usize,
 }
@@ -105,6 +111,8 @@
             started_job_retention: Duration::from_secs(10),
             crash_retention: Duration::from_secs(30),
             crash_notice_limit: Duration::from_millis(300),
+            evacuation_bound: Duration::from_millis(5_000),
+            evacuation_return_time: Duration::from_secs(2),
             scan_limit: 64,
         }
     }
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -51,6 +51,9 @@
     pub leaving: bool,
     /// Total resources.
     pub capacity: TaskResources,
+    /// Time for which the worker is still cold, counted from the writing of the entry; zero if it
+    /// is not.
+    pub cold_remaining: Duration,
     /// Labels such as its kind and its rack.
     pub labels: Vec<Arc<str>>,
 }
@@ -346,6 +349,8 @@
     pub entry: WorkerEntry,
     /// Epoch of the record, incremented whenever its state is reset.
     pub epoch: u32,
+    /// Time until which the worker is cold, as its latest entry states.
+    pub cold_until: UnixTime,
     /// Whether the platform currently lists the worker.
     pub listed: bool,
     /// Whether the worker has reported its runs since the pool became leader or the worker
@@ -411,6 +416,7 @@
         Self {
             entry,
             epoch: 0,
+            cold_until: UnixTime::default(),
             listed: true,
             synced: false,
             fenced: false,
--- a/crates/bramley-pool/tests/crashing_tasks.rs
+++ b/crates/bramley-pool/tests/crashing_tasks.rs
@@ -298,7 +298,7 @@
         match rng.random_range(0..30) {
             0 if world.hosts[host].alive => world.become_leader(host),
             1 if host > 0 && world.hosts[host].alive => {
-                let was_leader = world.leader == Some(host);
+                let was_leader = world.leader() == Some(host);
                 world.kill_host(host);
                 for (_, job) in open.iter().filter(|(at, _)| *at == host) {
                     world.submit_after(Duration::from_millis(1_300), 0, job);
@@ -343,7 +343,7 @@
     for worker in &mut world.workers {
         worker.silent = false;
     }
-    if world.leader.is_none() {
+    if world.leader().is_none() {
         world.become_leader(0);
     }
     world.run_for(Duration::from_secs(20));
--- a/crates/bramley-pool/tests/random_runs.rs
+++ b/crates/bramley-pool/tests/random_runs.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use bramley_core::units::UnixTime;
 use bramley_pool::relay::JobAnswer;
+use bramley_pool::settings::PoolSettings;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -28,9 +30,25 @@
 /// Time after which a client resends a job whose connection was closed.
 const RESEND: Duration = Duration::from_millis(1_300);
 
+/// Failure domains of runs with evacuations: that of the faults, which is evacuated, and one without
+/// faults.
+const DOMAINS: [&str; 2] = ["domain-1", "domain-2"];
+
+/// Bound of runs with evacuations. It is shorter than in use, so that more of them reach it.
+const EVACUATION_BOUND: Duration = Duration::from_millis(2_000);
+
+/// Probability that the first domain is evacuated or taken back in a step, so that an evacuation
+/// lasts about 2.5 s.
+const EVACUATION_PROBABILITY: f64 = 0.04;
+
 /// A simulation with faults drawn from a seeded generator.
 struct RandomRun {
     rng: ChaCha8Rng,
+    /// Draws evacuations, if there are any. A generator of its own leaves the other draws of a seed as
+    /// they are.
+    evacuation_rng: Option<ChaCha8Rng>,
+    /// Time of the bound and end of each evacuation.
+    barred_spans: Vec<(UnixTime, UnixTime)>,
     world: World,
     next_job: u32,
     /// Submitted jobs with the host of their caller.
@@ -46,6 +64,8 @@
         world.run_for(Duration::from_millis(50));
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
+            evacuation_rng: None,
+            barred_spans: Vec::new(),
             world,
             next_job: 0,
             open: Vec::new(),
@@ -53,7 +73,56 @@
         }
     }
 
+    fn with_evacuations(seed: u64) -> Self {
+        let settings = PoolSettings {
+            evacuation_bound: EVACUATION_BOUND,
+            ..PoolSettings::default()
+        };
+        let mut world = World::with_domains(&DOMAINS, HOSTS, WORKERS, &settings);
+        world.become_leader(1);
+        world.become_leader(HOSTS);
+        world.run_for(Duration::from_millis(50));
+        Self {
+            evacuation_rng: Some(ChaCha8Rng::seed_from_u64(!seed)),
+            world,
+            ..Self::new(seed)
+        }
+    }
+
+    fn toggle_evacuation(&mut self) {
+        let now = self.world.now;
+        let is_evacuated = !self.world.evacuated.is_empty();
+        if is_evacuated && let Some((_, until)) = self.barred_spans.last_mut() {
+            *until = now;
+        } else {
+            self.barred_spans
+                .push((now.after(EVACUATION_BOUND), UnixTime::NEVER));
+        }
+        self.world.set_evacuated(DOMAINS[0], !is_evacuated);
+    }
+
+    /// Returns the runs that were started in the evacuated domain after the bound.
+    fn barred_starts(&self) -> Vec<(String, UnixTime)> {
+        let workers = self.world.workers.iter();
+        let history = workers
+            .filter(|worker| worker.domain == DOMAINS[0])
+            .flat_map(|worker| worker.history(self.world.now));
+        let is_barred = |start: UnixTime| {
+            let mut spans = self.barred_spans.iter();
+            spans.any(|(from, until)| (*from..*until).contains(&start))
+        };
+        history
+            .map(|(task, start, _)| (task, start))
+            .filter(|(_, start)| is_barred(*start))
+            .collect()
+    }
+
     fn step(&mut self) {
+        if let Some(rng) = &mut self.evacuation_rng
+            && rng.random_bool(EVACUATION_PROBABILITY)
+        {
+            self.toggle_evacuation();
+        }
         for _ in 0..self.rng.random_range(0..4) {
             self.submit();
         }
@@ -100,7 +169,7 @@
     fn change_leader(&mut self) {
         let alive = self.alive_hosts();
         if let Some(host) = alive.choose(&mut self.rng).copied()
-            && self.world.leader != Some(host)
+            && self.world.leader() != Some(host)
         {
             self.world.become_leader(host);
         }
@@ -111,7 +180,7 @@
         if !self.world.hosts[host].alive {
             return;
         }
-        let was_leader = self.world.leader == Some(host);
+        let was_leader = self.world.leader() == Some(host);
         self.world.kill_host(host);
         for (at, job) in &self.open {
             if *at == host {
@@ -141,7 +210,7 @@
         let index = self.rng.random_range(0..WORKERS);
         let worker = &mut self.world.workers[index];
         worker.listed = !worker.listed;
-        if let Some(host) = self.world.leader {
+        if let Some(host) = self.world.leader() {
             self.world.list_workers(host);
         }
     }
@@ -183,11 +252,14 @@
             worker.listed = true;
             worker.behaviour = Behaviour::RunTimeFactor(1.0);
         }
+        if !self.world.evacuated.is_empty() {
+            self.toggle_evacuation();
+        }
         self.world.late_requests.clear();
-        if self.world.leader.is_none() {
+        if self.world.leader().is_none() {
             self.world.become_leader(0);
         }
-        if let Some(host) = self.world.leader {
+        if let Some(host) = self.world.leader() {
             self.world.list_workers(host);
         }
         self.world.run_for(Duration::from_secs(20));
@@ -273,6 +345,45 @@
     }
 }
 
+/// Guards against starts after the bound, jobs that run twice when they are returned, and jobs that
+/// are stuck, with changes of leader and lost requests at the same time.
+#[test]
+fn evacuations_keep_their_bound_among_other_faults() {
+    check_evacuations(SEEDS);
+}
+
+/// Run with `cargo test --release -p bramley-pool --test random_runs -- --ignored`.
+#[test]
+#[ignore = "takes minutes"]
+fn evacuations_keep_their_bound_in_many_seeds() {
+    check_evacuations(SEEDS.end..1_000);
+}
+
+fn check_evacuations(seeds: std::ops::Range<u64>) {
+    let mut evacuations = 0;
+    for seed in seeds {
+        let mut run = RandomRun::with_evacuations(seed);
+        for _ in 0..STEPS {
+            run.step();
+        }
+        run.clear_faults_and_drain();
+        evacuations += run.barred_spans.len();
+        let barred = run.barred_starts();
+        assert!(barred.is_empty(), "seed {seed}: {barred:?}");
+        let overlaps = run.world.overlaps();
+        assert_eq!(overlaps, Vec::<String>::new(), "seed {seed}");
+        for host in run.alive_hosts() {
+            let open = run.world.hosts[host].relay.open_jobs();
+            assert_eq!(
+                open, 0,
+                "seed {seed}: jobs without an answer at host {host}"
+            );
+        }
+        assert_refused_have_not_run(&run, seed);
+    }
+    assert!(evacuations > 0);
+}
+
 #[test]
 fn a_refused_job_has_not_run() {
     for seed in SEEDS {
@@ -281,25 +392,29 @@
             run.step();
         }
         run.clear_faults_and_drain();
-        for (name, (answer, _)) in &run.world.answers {
-            let JobAnswer::Refused { refusal, .. } = answer else {
-                continue;
-            };
-            // For a resent job, the relay and the pool that knew of the first submission may both
-            // be gone.
-            if refusal.answer().status != 503 || run.resent_jobs.contains(name) {
-                continue;
-            }
-            let prefix = format!("{name}.");
-            let now = run.world.now;
-            let runs = run
-                .world
-                .workers
-                .iter()
-                .flat_map(|worker| worker.history(now))
-                .filter(|(task, ..)| task.starts_with(&prefix))
-                .count();
-            assert_eq!(runs, 0, "seed {seed}: {name} was refused with {refusal:?}");
+        assert_refused_have_not_run(&run, seed);
+    }
+}
+
+fn assert_refused_have_not_run(run: &RandomRun, seed: u64) {
+    for (name, (answer, _)) in &run.world.answers {
+        let JobAnswer::Refused { refusal, .. } = answer else {
+            continue;
+        };
+        // For a resent job, the relay and the pool that knew of the first submission may both
+        // be gone.
+        if refusal.answer().status != 503 || run.resent_jobs.contains(name) {
+            continue;
         }
+        let prefix = format!("{name}.");
+        let now = run.world.now;
+        let runs = run
+            .world
+            .workers
+            .iter()
+            .flat_map(|worker| worker.history(now))
+            .filter(|(task, ..)| task.starts_with(&prefix))
+            .count();
+        assert_eq!(runs, 0, "seed {seed}: {name} was refused with {refusal:?}");
     }
 }
--- a/crates/bramley-pool/tests/shrinking_capacity.rs
+++ b/crates/bramley-pool/tests/shrinking_capacity.rs
@@ -132,7 +132,7 @@
                 _ => {}
             }
             if number % 3 == 0
-                && let Some(leader) = world.leader
+                && let Some(leader) = world.leader()
             {
                 world.list_workers(leader);
             }
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -21,7 +21,7 @@
 use bramley_pool::settings::{PoolSettings, RelaySettings};
 use bramley_pool::worker::{CallAnswer, CallRefusal, WorkerCall, WorkerRequest};
 
-use workers::VirtualWorker;
+use workers::{FIRST_DOMAIN, VirtualWorker};
 
 /// One-way delay between any two processes.
 pub const DELAY: Duration = Duration::from_millis(1);
@@ -90,9 +90,10 @@
     }
 }
 
-/// A host with a relay and a pool of the only failure domain.
+/// A host with a relay and a pool of its failure domain.
 #[derive(Debug)]
 pub struct VirtualHost {
+    pub domain: DomainName,
     pub relay: Relay,
     pub pool: Pool,
     pub alive: bool,
@@ -128,8 +129,12 @@
     pub now: UnixTime,
     pub hosts: Vec<VirtualHost>,
     pub workers: Vec<VirtualWorker>,
-    /// Host whose pool is the leader.
-    pub leader: Option<usize>,
+    /// Hosts whose pools are leaders, by failure domain.
+    pub leaders: BTreeMap<DomainName, usize>,
+    /// Evacuated failure domains, as the store holds them.
+    pub evacuated: BTreeSet<DomainName>,
+    /// Whether leaders reach the store to read the evacuations.
+    pub reads_evacuations: bool,
     /// Answers by job, with the time of each.
     pub answers: BTreeMap<String, (JobAnswer, UnixTime)>,
     /// Log lines, shown when a test fails.
@@ -156,7 +161,6 @@
     events: BinaryHeap<Scheduled>,
     /// Sequence number of the last scheduled event.
     sequence: u64,
-    domain: DomainName,
     token: u64,
 }
 
@@ -193,17 +197,35 @@
     }
 
     pub fn with_settings(hosts: usize, workers: usize, settings: &PoolSettings) -> Self {
-        let domain = DomainName::from("domain-1");
-        let make_host = |_| VirtualHost {
-            relay: Relay::new(RelaySettings::default(), domain.clone()),
+        Self::with_domains(&[FIRST_DOMAIN], hosts, workers, settings)
+    }
+
+    /// Creates a simulation with this number of hosts and workers in each failure domain.
+    pub fn with_domains(
+        domains: &[&str],
+        hosts: usize,
+        workers: usize,
+        settings: &PoolSettings,
+    ) -> Self {
+        let make_host = |domain: &str| VirtualHost {
+            domain: DomainName::from(domain),
+            relay: Relay::new(RelaySettings::default(), DomainName::from(domain)),
             pool: Pool::new(settings.clone()),
             alive: true,
         };
+        let make_worker = |(index, domain): (usize, &str)| {
+            let mut worker = VirtualWorker::new(index);
+            worker.domain = String::from(domain);
+            worker
+        };
+        let each = |count: usize| domains.iter().flat_map(move |name| vec![*name; count]);
         let mut world = Self {
             now: UnixTime::from_millis(1_000_000),
-            hosts: (0..hosts).map(make_host).collect(),
-            workers: (0..workers).map(VirtualWorker::new).collect(),
-            leader: None,
+            hosts: each(hosts).map(make_host).collect(),
+            workers: each(workers).enumerate().map(make_worker).collect(),
+            leaders: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            reads_evacuations: true,
             answers: BTreeMap::new(),
             log: Vec::new(),
             lost_answers: BTreeMap::new(),
@@ -218,7 +240,6 @@
             answered: BTreeSet::new(),
             events: BinaryHeap::new(),
             sequence: 0,
-            domain,
             token: 0,
         };
         world.schedule(TICK, Event::Tick);
@@ -239,34 +260,36 @@
         let now = self.now;
         self.token += 1;
         let token = self.token;
-        if let Some(before) = self.leader
+        let domain = self.hosts[host].domain.clone();
+        if let Some(before) = self.leaders.get(&domain).copied()
             && before != host
         {
             for relay in &mut self.hosts {
-                relay.relay.pool_lost(&self.domain, now);
+                relay.relay.pool_lost(&domain, now);
             }
             for relay in 0..self.hosts.len() {
                 self.schedule(DELAY, Event::RelayLost(before, relay));
             }
         }
-        self.leader = Some(host);
+        self.leaders.insert(domain.clone(), host);
         self.hosts[host].pool.become_leader(token, now);
         self.schedule(LIST_DELAY, Event::List(host));
         for index in 0..self.hosts.len() {
             if self.hosts[index].alive {
-                self.hosts[index].relay.pool_connected(&self.domain, now);
+                self.hosts[index].relay.pool_connected(&domain, now);
             }
         }
         self.run_actions();
     }
 
-    /// Passes the list of workers to a host's pool.
+    /// Passes the list of workers and the evacuations to a host's pool.
     pub fn list_workers(&mut self, host: usize) {
         let now = self.now;
+        let domain = self.hosts[host].domain.clone();
         let entries: Vec<_> = self
             .workers
             .iter()
-            .filter(|worker| worker.listed)
+            .filter(|worker| worker.listed && worker.domain == domain.as_str())
             .map(VirtualWorker::entry)
             .collect();
         let pool = &mut self.hosts[host].pool;
@@ -274,27 +297,56 @@
             pool.worker_listed(entry, now);
         }
         pool.worker_list_read(now);
+        if self.reads_evacuations {
+            let is_evacuated = self.evacuated.contains(&domain);
+            pool.evacuation_read(is_evacuated, now, now);
+        }
         self.run_actions();
     }
 
+    /// Evacuates a failure domain or takes it back; its leader learns of it if it reaches the store.
+    pub fn set_evacuated(&mut self, domain: &str, is_evacuated: bool) {
+        let domain = DomainName::from(domain);
+        if is_evacuated {
+            self.evacuated.insert(domain.clone());
+        } else {
+            self.evacuated.remove(&domain);
+        }
+        if let Some(leader) = self.leaders.get(&domain).copied() {
+            self.list_workers(leader);
+        }
+    }
+
     /// Ends a host's process, including its relay's jobs and its leadership.
     pub fn kill_host(&mut self, host: usize) {
         self.hosts[host].alive = false;
         let now = self.now;
         let line = format!("{} host={host} event=host_killed", now.as_millis());
         self.log.push(line);
-        if self.leader == Some(host) {
+        let domain = self.hosts[host].domain.clone();
+        if self.leads(host) {
             for relay in &mut self.hosts {
-                relay.relay.pool_lost(&self.domain, now);
+                relay.relay.pool_lost(&domain, now);
             }
-            self.leader = None;
-        } else if let Some(leader) = self.leader {
+            self.leaders.remove(&domain);
+        }
+        for leader in self.leaders.clone().into_values() {
             // As on a TCP connection, the end is seen after the messages that were sent before it.
             self.schedule(DELAY, Event::RelayLost(leader, host));
         }
         self.run_actions();
     }
 
+    /// Returns the host whose pool is the leader of the first failure domain.
+    pub fn leader(&self) -> Option<usize> {
+        self.leaders.get(FIRST_DOMAIN).copied()
+    }
+
+    /// Returns whether a host's pool is the leader of its failure domain.
+    fn leads(&self, host: usize) -> bool {
+        self.leaders.get(&self.hosts[host].domain) == Some(&host)
+    }
+
     /// Submits a job at a host.
     pub fn submit(&mut self, host: usize, job: &TestJob) {
         let submission = self.submission(job);
@@ -307,7 +359,7 @@
         self.run_actions();
     }
 
-    fn submission(&self, job: &TestJob) -> JobSubmission {
+    pub fn submission(&self, job: &TestJob) -> JobSubmission {
         JobSubmission {
             work: JobWork {
                 job: JobName::new(job.name.as_str()),
@@ -436,10 +488,11 @@
                 }
             }
             Event::ToRelay(from, to, message) => {
-                if self.hosts[to].alive && self.leader == Some(from) {
+                if self.hosts[to].alive && self.leads(from) {
+                    let domain = self.hosts[from].domain.clone();
                     self.hosts[to]
                         .relay
-                        .handle_pool_message(&self.domain, message, now);
+                        .handle_pool_message(&domain, message, now);
                 }
             }
             Event::CallArrives(host, call) => self.call_arrives(host, call),
@@ -453,7 +506,7 @@
                 }
             }
             Event::List(host) => {
-                if self.leader == Some(host) {
+                if self.leads(host) {
                     self.list_workers(host);
                 }
             }
@@ -499,12 +552,11 @@
     }
 
     fn send_load(&mut self) {
-        let Some(leader) = self.leader else {
-            return;
-        };
-        let load = self.hosts[leader].pool.load(self.now);
-        for host in &mut self.hosts {
-            host.relay.update_pool_load(&self.domain, load);
+        for (domain, leader) in &self.leaders {
+            let load = self.hosts[*leader].pool.load(self.now);
+            for host in &mut self.hosts {
+                host.relay.update_pool_load(domain, load);
+            }
         }
     }
 
@@ -601,7 +653,7 @@
         } else {
             worker.restart(now);
         }
-        if let Some(leader) = self.leader {
+        for leader in self.leaders.clone().into_values() {
             self.list_workers(leader);
         }
     }
@@ -690,8 +742,8 @@
 
     fn run_relay_action(&mut self, host: usize, action: RelayAction) {
         match action {
-            RelayAction::Send(_, message) => {
-                if let Some(leader) = self.leader {
+            RelayAction::Send(domain, message) => {
+                if let Some(leader) = self.leaders.get(&domain).copied() {
                     self.schedule(DELAY, Event::ToPool(host, leader, message));
                 }
             }
--- a/crates/bramley-pool/tests/world/workers.rs
+++ b/crates/bramley-pool/tests/world/workers.rs
@@ -15,6 +15,9 @@
 /// Time that a worker takes to stop a run.
 const STOP_TIME: Duration = Duration::from_millis(20);
 
+/// Failure domain of all hosts and workers unless a test has several.
+pub const FIRST_DOMAIN: &str = "domain-1";
+
 /// Run time of jobs for which the test sets none.
 const DEFAULT_RUN: Duration = Duration::from_millis(100);
 
@@ -43,6 +46,8 @@
 #[derive(Debug)]
 pub struct VirtualWorker {
     pub name: String,
+    /// Name of its failure domain.
+    pub domain: String,
     pub born_unix_ms: u64,
     pub capacity_milli: u32,
     pub alive: bool,
@@ -52,6 +57,8 @@
     pub answer_delay: Duration,
     pub listed: bool,
     pub leaving: bool,
+    /// Time for which its entry says that it is cold.
+    pub cold: Duration,
     pub behaviour: Behaviour,
     pub run_times: BTreeMap<String, Duration>,
     pub starts_refused: u32,
@@ -84,6 +91,7 @@
     pub fn new(index: usize) -> Self {
         Self {
             name: format!("worker-{index}"),
+            domain: String::from(FIRST_DOMAIN),
             born_unix_ms: 1,
             capacity_milli: 32_000,
             alive: true,
@@ -91,6 +99,7 @@
             answer_delay: Duration::ZERO,
             listed: true,
             leaving: false,
+            cold: Duration::ZERO,
             behaviour: Behaviour::RunTimeFactor(1.0),
             run_times: BTreeMap::new(),
             starts_refused: 0,
@@ -117,7 +126,7 @@
             name: WorkerName::new(self.name.as_str()),
             born_unix_ms: self.born_unix_ms,
             service: ServiceName::new("service-1"),
-            failure_domain: "domain-1".into(),
+            failure_domain: self.domain.as_str().into(),
             address: "10.0.0.1:1".into(),
             leaving: self.leaving,
             capacity: TaskResources {
@@ -125,6 +134,7 @@
                 cpu_milli: self.capacity_milli,
                 memory_mb: 65_536,
             },
+            cold_remaining: self.cold,
             labels: Vec::new(),
         }
     }
