Evacuate domains in the soak test

The soak test had no fault that takes a whole failure domain out of use. A generator of its own draws evacuations, so that seeds keep their other faults, and a run that starts in the domain after the bound is a violation unless the store, its connections or a suspended host kept the leader from learning of it.

--- a/crates/bramley-soak/src/deployment.rs
+++ b/crates/bramley-soak/src/deployment.rs
@@ -40,6 +40,11 @@
 /// CPU capacity of a worker in thousandths of a core.
 const WORKER_CPU_MILLI: u64 = 32_000;
 
+/// Time after the acknowledgement of an evacuation from which no task may be started in the failure
+/// domain. It is shorter than in use, so that a short run reaches it, and longer than one wait of a
+/// watch, whose connection may just have been lost.
+pub const EVACUATION_BOUND: Duration = Duration::from_millis(4_000);
+
 /// Number of hosts and workers in a deployment.
 #[derive(Clone, Debug)]
 pub struct DeploymentSize {
@@ -204,7 +209,7 @@
             "internal_port_range": [peer_address.port(), peer_address.port()],
             "limits": {"cpu_share": 0.25},
             "platform": {"address": proxy_address.to_string()},
-            "bounds": {"grace_s": 6, "max_hold_ms": 1_000, "remote_factor": 2},
+            "bounds": {"grace_s": 6, "max_hold_ms": 1_000, "remote_factor": 2, "evacuate_ms": EVACUATION_BOUND.as_millis() as u64},
         });
         File::create(&settings)?.write_all(text.to_string().as_bytes())?;
         self.hosts.push(HostProcess {
--- a/crates/bramley-soak/src/faults.rs
+++ b/crates/bramley-soak/src/faults.rs
@@ -11,6 +11,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::deployment::{Deployment, build_configuration};
+use crate::evacuations::EvacuationInjector;
 use crate::proxy::ProxyMode;
 
 /// Fault kinds that are planned operations or store faults. The last one is drawn only with
@@ -42,6 +43,16 @@
     WorkerOpen(usize),
 }
 
+impl Undo {
+    /// Returns whether a leader may not learn of an evacuation until the fault is reverted.
+    const fn hides_evacuations(self) -> bool {
+        match self {
+            Self::ResumeHost(_) | Self::StoreSound | Self::HostStoreOpen(_) => true,
+            Self::StartHost(_) | Self::WorkerSound(_) | Self::WorkerOpen(_) => false,
+        }
+    }
+}
+
 /// Injects faults and reverts them later, so several faults can be active at once.
 #[derive(Debug)]
 pub struct FaultInjector {
@@ -55,6 +66,8 @@
     /// Injected and reverted faults with their times, printed when a check fails.
     pub log: Vec<String>,
     started_at: Instant,
+    /// Evacuations of failure domains.
+    pub evacuations: EvacuationInjector,
     /// Messages for hosts that did not exit in time after SIGTERM.
     pub stop_timeouts: Vec<String>,
 }
@@ -62,7 +75,7 @@
 impl FaultInjector {
     /// Creates an injector whose faults are determined by `seed`.
     #[must_use]
-    pub fn new(seed: u64, planned: bool) -> Self {
+    pub fn new(seed: u64, planned: bool, domains: usize) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             planned,
@@ -70,6 +83,7 @@
             configuration_version: 1,
             log: Vec::new(),
             started_at: Instant::now(),
+            evacuations: EvacuationInjector::new(seed, domains),
             stop_timeouts: Vec::new(),
         }
     }
@@ -88,11 +102,19 @@
         while Instant::now() < deadline {
             self.undo_due(deployment, Instant::now())?;
             self.inject_fault(deployment).await?;
+            let line = self.evacuations.step(&deployment.store, Instant::now());
+            if let Some(line) = line {
+                self.record(line);
+            }
             let pause = self.rng.random_range(100..1_500);
             sleep(Duration::from_millis(pause)).await;
         }
         let far_future = Instant::now() + Duration::from_secs(3_600);
-        self.undo_due(deployment, far_future)
+        self.undo_due(deployment, far_future)?;
+        if let Some(line) = self.evacuations.end(&deployment.store, Instant::now()) {
+            self.record(line);
+        }
+        Ok(())
     }
 
     /// Appends a line with the time since the start in milliseconds to the log.
@@ -104,6 +126,9 @@
     /// Schedules `undo` after a random wait within `range`, in milliseconds.
     fn schedule_undo(&mut self, range: std::ops::Range<u64>, undo: Undo) {
         let wait = Duration::from_millis(self.rng.random_range(range));
+        if undo.hides_evacuations() {
+            self.evacuations.disturbance_began(Instant::now());
+        }
         self.pending_undos.push((Instant::now() + wait, undo));
     }
 
@@ -112,6 +137,10 @@
         let (due, pending) = self.pending_undos.drain(..).partition(|(at, _)| *at <= now);
         self.pending_undos = pending;
         let due: Vec<(Instant, Undo)> = due;
+        let is_any_hidden = self
+            .pending_undos
+            .iter()
+            .any(|(_, undo)| undo.hides_evacuations());
         for (_, undo) in due {
             self.record(format!("{undo:?}"));
             match undo {
@@ -131,6 +160,8 @@
                 }
             }
         }
+        self.evacuations
+            .disturbance_ended(!is_any_hidden, Instant::now());
         Ok(())
     }
 
--- a/crates/bramley-soak/src/lib.rs
+++ b/crates/bramley-soak/src/lib.rs
@@ -9,11 +9,13 @@
 //!   do.
 //! - [`checks`] compares responses with the runs that workers recorded.
 //! - [`deployment`] starts the host processes and terminates only the ones it started.
+//! - [`evacuations`] evacuates failure domains and checks that no task starts there after the bound.
 //! - [`faults`] injects a random sequence of faults that is determined by a seed.
 //! - [`proxy`] forwards connections and can delay, stall or reset them.
 
 pub mod callers;
 pub mod checks;
 pub mod deployment;
+pub mod evacuations;
 pub mod faults;
 pub mod proxy;
--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -125,7 +125,7 @@
         );
         tokio::spawn(caller);
     }
-    let mut faults = FaultInjector::new(seed, arguments.planned);
+    let mut faults = FaultInjector::new(seed, arguments.planned, arguments.domains);
     faults.run(&mut deployment, fault_duration).await?;
     tokio::time::sleep(RECOVERY_WAIT).await;
     let recovered_at = Instant::now();
@@ -135,6 +135,8 @@
     let all = outcomes.all();
     let mut violations = find_violations(&deployment.recorder, &all);
     violations.extend(find_misjudged_crashes(&deployment.recorder, &all));
+    let (barred, excused) = faults.evacuations.find_barred_starts(&deployment.recorder);
+    violations.extend(barred);
     violations.append(&mut faults.stop_timeouts);
     violations.extend(deployment.find_stopped_hosts());
     if arguments.planned {
@@ -149,7 +151,9 @@
     }
     let counts = count_outcomes(&deployment.recorder, &all);
     println!(
-        "seed {seed}: {counts:?} served_again={served_again} violations={}",
+        "seed {seed}: {counts:?} evacuations={} excused_starts={excused} \
+         served_again={served_again} violations={}",
+        faults.evacuations.count(),
         violations.len()
     );
     if !violations.is_empty() {
