Keep waiting jobs in queue order with a running count of tasks

Each submission and refusal summed over all waiting jobs and searched the queue, and each freed worker sorted it. The queue is now an ordered map; the order of starts is unchanged.

--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -251,6 +251,12 @@
         self.objective_at.before(self.expected)
     }
 
+    /// Returns whether the job goes before those of which no task has started.
+    #[must_use]
+    pub const fn goes_first(&self) -> bool {
+        self.may_have_started
+    }
+
     /// Returns the resources that a run of a task takes up on a worker. A suspected task takes up
     /// the whole worker, so that its crash hits no other task and tells who is to blame.
     #[must_use]
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -116,7 +116,7 @@
         let name = &job.submission.work.job;
         let mut order: Vec<&JobRecord> = self
             .queue
-            .iter()
+            .in_order(self.is_contended, now)
             .filter(|queued| *queued != name)
             .filter_map(|queued| self.jobs.get(queued))
             .collect();
@@ -202,15 +202,14 @@
     /// missed it come last.
     pub(super) fn order_key(&self, job: &JobRecord, now: UnixTime) -> (u8, UnixTime) {
         let limit = job.start_limit();
-        let priority_delay = self.settings.priority_step * job.submission.policy.priority;
-        let rank = if job.may_have_started {
+        let rank = if job.goes_first() {
             0
         } else if limit >= now || !self.is_contended {
             1
         } else {
             2
         };
-        (rank, limit.after(priority_delay))
+        (rank, self.due_time(job))
     }
 }
 
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -118,7 +118,7 @@
                 queue_class: job.queue_class,
                 wait,
                 slack: job.latest_start().since(now),
-                waiting: self.waiting_tasks(),
+                waiting: self.queue.waiting_tasks(),
                 list_age: now.since(self.listed_at),
             };
             let resources = job.submission.work.resources;
@@ -271,17 +271,6 @@
         adopted
     }
 
-    pub(super) fn enqueue(&mut self, name: &JobName) {
-        let waits = self.jobs.get(name).is_some_and(|job| job.waiting > 0);
-        if !waits {
-            return;
-        }
-        self.newly_waiting.push(name.clone());
-        if !self.queue.contains(name) {
-            self.queue.push(name.clone());
-        }
-    }
-
     pub(super) fn refuse(
         &mut self,
         name: &JobName,
@@ -292,7 +281,7 @@
         let Some(job) = self.jobs.remove(name) else {
             return;
         };
-        self.queue.retain(|queued| queued != name);
+        self.queue.remove(name);
         self.counts.jobs_refused += 1;
         if let JobOutcome::Refused(refusal) = outcome {
             let load = self.load(now);
@@ -323,7 +312,7 @@
         let Some(job) = self.jobs.remove(name) else {
             return;
         };
-        self.queue.retain(|queued| queued != name);
+        self.queue.remove(name);
         match outcome {
             JobOutcome::Completed => self.counts.jobs_completed += 1,
             JobOutcome::Failed => self.counts.jobs_failed += 1,
@@ -353,7 +342,7 @@
         let Some(job) = self.jobs.remove(name) else {
             return;
         };
-        self.queue.retain(|queued| queued != name);
+        self.queue.remove(name);
         self.counts.jobs_cancelled += 1;
         let decision = Decision::JobCancelled {
             job: name.clone(),
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -94,13 +94,14 @@
                 let decision = Decision::Deferred {
                     job: name.clone(),
                     left: job.latest_useful_start().since(now),
-                    waiting: self.waiting_tasks(),
+                    waiting: self.queue.waiting_tasks(),
                     age: now.since(job.submission.arrived_at),
                 };
                 self.log(decision);
                 if let Some(job) = self.jobs.get_mut(&name) {
                     job.queue_class = QueueClass::Late;
                 }
+                self.update_queued(&name);
             } else {
                 self.refuse_expired(&name, now);
             }
@@ -114,8 +115,9 @@
 
     /// Returns whether any waiting job that has not started can still meet its objective.
     fn has_job_in_time(&self, now: UnixTime) -> bool {
-        let waiting = self.queue.iter().filter_map(|name| self.jobs.get(name));
-        waiting
+        let names = self.queue.in_order(self.is_contended, now);
+        names
+            .filter_map(|name| self.jobs.get(name))
             .filter(|job| !job.may_have_started && job.queue_class == QueueClass::InTime)
             .any(|job| job.latest_start() >= now)
     }
@@ -219,6 +221,7 @@
         if let Some(job) = self.jobs.get_mut(name) {
             job.expected = job.expected.max(raised);
         }
+        self.update_queued(name);
     }
 
     /// Resends unanswered stop requests. If the worker has acknowledged a stop, requests a report
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -8,6 +8,7 @@
 //! - `losses`: runs that are lost together with their worker, and tasks that are to blame for it.
 //! - `maintenance`: timed work such as polls, lease expiry and repeated stop requests.
 //! - `placement`: order and rounds in which waiting tasks are started.
+//! - `queue`: jobs with waiting tasks in the order in which they are to be started.
 //! - `reports`: answers and reports of workers.
 //! - `reservation`: workers kept free for jobs that have waited long.
 //! - `scoring`: choice of the best worker for a task.
@@ -22,6 +23,7 @@
 mod losses;
 mod maintenance;
 mod placement;
+mod queue;
 mod reports;
 mod reservation;
 mod scoring;
@@ -45,6 +47,7 @@
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
+use queue::WaitQueue;
 use utilization::SlotUtilization;
 
 /// Multiple of the usual answer time after which a start request is resent.
@@ -124,8 +127,8 @@
     started_jobs: FxHashMap<JobName, UnixTime>,
     /// Crashes of workers under the tasks of recent jobs.
     crashes: CrashMemory,
-    /// Jobs with waiting tasks, unordered.
-    queue: Vec<JobName>,
+    /// Jobs with waiting tasks.
+    queue: WaitQueue,
     run_times: RunTimeEstimator,
     listed_at: UnixTime,
     /// Whether the worker list is still to be read since the pool became leader. Entries from an
@@ -168,7 +171,7 @@
             jobs: FxHashMap::default(),
             started_jobs: FxHashMap::default(),
             crashes: CrashMemory::default(),
-            queue: Vec::new(),
+            queue: WaitQueue::default(),
             run_times: RunTimeEstimator::default(),
             listed_at: UnixTime::default(),
             awaits_list: false,
@@ -228,7 +231,7 @@
     #[must_use]
     pub fn load(&self, now: UnixTime) -> PoolLoad {
         let mut load = PoolLoad {
-            waiting_tasks: self.waiting_tasks(),
+            waiting_tasks: self.queue.waiting_tasks(),
             ..PoolLoad::default()
         };
         for worker in &self.workers {
@@ -247,14 +250,6 @@
         Vec::new()
     }
 
-    fn waiting_tasks(&self) -> u32 {
-        self.queue
-            .iter()
-            .filter_map(|name| self.jobs.get(name))
-            .map(|job| job.waiting)
-            .sum()
-    }
-
     fn log(&mut self, decision: Decision) {
         self.actions.push(PoolAction::LogDecision(decision));
     }
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -37,7 +37,6 @@
             }
             self.reserve_workers(&name, now);
         }
-        self.remove_placed_from_queue();
     }
 
     /// Incremental placement round: considers only workers that have gained free resources and jobs
@@ -59,7 +58,6 @@
         for name in std::mem::take(&mut self.newly_waiting) {
             self.place_job(&name, now);
         }
-        self.remove_placed_from_queue();
     }
 
     /// Returns whether there are waiting tasks and starts are allowed now. If the queue is empty,
@@ -81,21 +79,8 @@
 
     /// Returns the waiting jobs in queue order, up to the limit of one round.
     fn waiting_order(&self, now: UnixTime) -> Vec<JobName> {
-        let mut order: Vec<((u8, UnixTime), &JobName)> = self
-            .queue
-            .iter()
-            .filter_map(|name| Some((self.order_key(self.jobs.get(name)?, now), name)))
-            .collect();
-        order.sort_by_key(|(key, _)| *key);
-        order.truncate(self.settings.scan_limit);
-        order.into_iter().map(|(_, name)| name.clone()).collect()
-    }
-
-    /// Removes jobs without waiting tasks from the queue.
-    fn remove_placed_from_queue(&mut self) {
-        let jobs = &self.jobs;
-        self.queue
-            .retain(|name| jobs.get(name).is_some_and(|job| job.waiting > 0));
+        let order = self.queue.in_order(self.is_contended, now);
+        order.take(self.settings.scan_limit).cloned().collect()
     }
 
     /// Starts waiting tasks in queue order on one worker, as far as they fit.
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -220,6 +220,7 @@
         job.waiting -= 1;
         job.unfinished -= 1;
         let relay = job.relay;
+        self.update_queued(&end.task.job);
         let message = PoolMessage::TaskDone {
             job: end.task.job.clone(),
             index: end.task.index,
@@ -302,7 +303,9 @@
                 duplicate = true;
             }
         }
-        if !details.needed {
+        if details.needed {
+            self.update_queued(&task.job);
+        } else {
             self.remember_started(&task.job, now);
         }
         let stop_now = duplicate || (!details.needed && self.orphaned_runs_kept_until <= now);
--- a/crates/bramley-pool/src/pool/starts.rs
+++ b/crates/bramley-pool/src/pool/starts.rs
@@ -56,6 +56,7 @@
             incarnation_end: None,
         };
         let task = details.task.clone();
+        self.update_queued(name);
         let worker = self.worker_mut(index);
         worker.add_run(LiveRun::Starting(Run::new(details)));
         let lease_end = worker.clock.extend_lease(now, lease, clock_error);
