Decide on admission from a summary of slots and queue

A refusal simulated the whole queue, sorted all waiting jobs and summed over all workers. The queue is now simulated once per tick and size class; decisions between use and update the result.

--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -245,6 +245,12 @@
                 let labels = [("reason", String::from(refusal.answer().reason))];
                 self.refusals.get_or_create(&labels).inc();
             }
+            Decision::RefusalsCounted { refusal, count, .. } => {
+                let labels = [("reason", String::from(refusal.answer().reason))];
+                self.refusals
+                    .get_or_create(&labels)
+                    .inc_by(u64::from(*count));
+            }
             _ => {}
         }
     }
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -106,6 +106,15 @@
         /// Time since the request arrived.
         age: Duration,
     },
+    /// Refusals that were not logged one by one.
+    RefusalsCounted {
+        /// Reason for the refusals.
+        refusal: Refusal,
+        /// Number of jobs.
+        count: u32,
+        /// Time in which they were refused.
+        span: Duration,
+    },
     /// A start request was sent to a worker.
     Placed {
         /// Name of the task.
@@ -296,7 +305,9 @@
             | Self::TaskGivenUp { task, .. }
             | Self::RunEnded { task, .. } => Some(task.job.as_str()),
             Self::Text { job, .. } => job.as_deref(),
-            Self::WorkerChanged { .. } | Self::LeadershipChanged { .. } => None,
+            Self::RefusalsCounted { .. }
+            | Self::WorkerChanged { .. }
+            | Self::LeadershipChanged { .. } => None,
         }
     }
 
@@ -322,6 +333,7 @@
             | Self::Deferred { .. }
             | Self::JobCancelled { .. } => LogPriority::Notable,
             Self::JobRefused { .. }
+            | Self::RefusalsCounted { .. }
             | Self::JobResumed { .. }
             | Self::RunLost { .. }
             | Self::CrashRecorded { .. }
@@ -385,6 +397,16 @@
                 list_age.as_millis(),
                 age.as_millis(),
             ),
+            Self::RefusalsCounted {
+                refusal,
+                count,
+                span,
+            } => write!(
+                f,
+                "event=jobs_refused reason={} count={count} span_ms={}",
+                refusal.answer().reason,
+                span.as_millis(),
+            ),
             Self::Placed {
                 task,
                 number,
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -2,18 +2,21 @@
 //!
 //! The estimate simulates the queue: it schedules the tasks of the waiting jobs and of the new job
 //! in queue order onto slots that are free or become free when the current runs end as expected.
+//! Under load, decisions use the summary of one simulation per interval.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
 
 use super::Pool;
 use super::placement::expected_end;
 use super::reservation::INLINE_RUNS;
-use crate::job::{JobRecord, QueueClass};
+use super::summary::{SummaryKey, TaskSlot};
+use crate::job::{JobName, JobRecord, QueueClass};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
 use crate::worker::WorkerRecord;
@@ -46,6 +49,9 @@
 /// and the estimate would take time and memory for each slot.
 const MAX_SLOTS_PER_WORKER: u32 = 64;
 
+/// Slots by the time from which they are free, earliest first.
+type SlotHeap = BinaryHeap<Reverse<TaskSlot>>;
+
 /// Result of simulating the queue.
 #[derive(Clone, Copy, Debug, Default)]
 struct QueueForecast {
@@ -55,9 +61,30 @@
     missed: u32,
 }
 
+/// Estimated start of the last task of a waiting job that can no longer meet its objective.
+#[derive(Clone, Debug)]
+pub(super) struct LateStart {
+    pub(super) name: JobName,
+    pub(super) start: UnixTime,
+    /// Number of slots for tasks of the job.
+    pub(super) slots: u32,
+}
+
+/// Estimated start of the last task of each waiting job.
+#[derive(Clone, Debug, Default)]
+struct ProjectedStarts {
+    by_job: FxHashMap<JobName, UnixTime>,
+    /// Number of slots.
+    slots: u32,
+}
+
 impl Pool {
-    /// Estimates when the last task of a job could start.
-    pub(super) fn estimate_start(&self, job: &JobRecord, now: UnixTime) -> StartEstimate {
+    /// Estimates when the last task of a job could start. While capacity is not contended, a bounded
+    /// number of decisions simulates the queue; the others use the summary.
+    fn estimate_start(&mut self, job: &JobRecord, now: UnixTime) -> StartEstimate {
+        if self.is_contended || !self.summary.allows_exact_estimate() {
+            return self.estimate_from_summary(job, now);
+        }
         let slots = match self.find_slots(job, now) {
             Ok(slots) => slots,
             Err(estimate) => return estimate,
@@ -73,13 +100,14 @@
     }
 
     /// Returns the times at which slots for tasks of the job become free.
-    fn find_slots(
+    pub(super) fn find_slots(
         &self,
         job: &JobRecord,
         now: UnixTime,
-    ) -> Result<BinaryHeap<Reverse<UnixTime>>, StartEstimate> {
+    ) -> Result<SlotHeap, StartEstimate> {
         let resources = job.submission.work.resources;
-        let mut slots: BinaryHeap<Reverse<UnixTime>> = BinaryHeap::new();
+        let mut slots = SlotHeap::new();
+        self.count_visits(self.workers.len() as u64);
         let mut could_ever_fit = false;
         for worker in &self.workers {
             if !serves(worker, job) || !resources.fits_in(worker.entry.capacity) {
@@ -110,7 +138,7 @@
         &self,
         job: &JobRecord,
         includes_job: bool,
-        mut slots: BinaryHeap<Reverse<UnixTime>>,
+        mut slots: SlotHeap,
         now: UnixTime,
     ) -> QueueForecast {
         let name = &job.submission.work.job;
@@ -123,6 +151,7 @@
         if includes_job {
             order.push(job);
         }
+        self.count_visits(order.len() as u64);
         order.sort_by_cached_key(|queued| self.order_key(queued, now));
         let mut result = QueueForecast {
             last_start: now,
@@ -143,13 +172,17 @@
     }
 
     /// Decides on a new job: returns its refusal, if any, and the estimated wait.
-    pub(super) fn admit(&self, job: &JobRecord, now: UnixTime) -> (Option<JobOutcome>, Duration) {
+    pub(super) fn admit(
+        &mut self,
+        job: &JobRecord,
+        now: UnixTime,
+    ) -> (Option<JobOutcome>, Duration) {
         match self.estimate_start(job, now) {
             StartEstimate::At(start) => {
                 let wait = start.since(now);
                 let is_admitted = match job.queue_class {
                     QueueClass::InTime => self.can_admit_in_time(job, start),
-                    QueueClass::Late => self.can_serve_late(job, now),
+                    QueueClass::Late => self.can_serve_late(job, start, now),
                 };
                 let refusal = JobOutcome::Refused(Refusal::Overloaded);
                 ((!is_admitted).then_some(refusal), wait)
@@ -176,25 +209,68 @@
         is_in_time || (!self.is_contended && start <= job.objective_at)
     }
 
-    /// Returns whether a job can be answered while the answer has a value, behind the jobs that
-    /// wait now and those that are expected to arrive meanwhile.
-    pub(super) fn can_serve_late(&self, job: &JobRecord, now: UnixTime) -> bool {
-        let Ok(slots) = self.find_slots(job, now) else {
-            return false;
-        };
-        let forecast = self.forecast(job, true, slots, now);
-        let wait = forecast.last_start.since(now);
-        let Some(wait) = self.utilization.stretch_wait(wait) else {
+    /// Returns whether a job whose last task would start at `start` if no further jobs arrived can
+    /// be answered while the answer has a value, behind those that are expected to arrive meanwhile.
+    pub(super) fn can_serve_late(&self, job: &JobRecord, start: UnixTime, now: UnixTime) -> bool {
+        let Some(wait) = self.utilization.stretch_wait(start.since(now)) else {
             return false;
         };
         let margin = job.expected / MARGIN_DIVISOR;
         now.after(wait).after(margin) <= job.latest_useful_start()
     }
 
+    /// Returns the jobs that can no longer meet their objective, with the start of their last task
+    /// after those ahead of them in the queue. The queue is simulated once for each size of task.
+    pub(super) fn late_starts(&self, now: UnixTime) -> Vec<LateStart> {
+        let mut starts_by_key: FxHashMap<SummaryKey, ProjectedStarts> = FxHashMap::default();
+        let mut late = Vec::new();
+        for name in self.queue.in_order(self.is_contended, now) {
+            let Some(job) = self.jobs.get(name) else {
+                continue;
+            };
+            let is_late = job.latest_start() < now && job.queue_class == QueueClass::InTime;
+            if !is_late || job.may_have_started {
+                continue;
+            }
+            let starts = starts_by_key
+                .entry(self.summary.key(job))
+                .or_insert_with(|| self.project_starts(job, now));
+            let start = starts.by_job.get(name).copied();
+            late.push(LateStart {
+                name: name.clone(),
+                start: start.unwrap_or(UnixTime::NEVER),
+                slots: starts.slots,
+            });
+        }
+        late
+    }
+
+    /// Schedules the waiting jobs in queue order onto the slots for tasks of the job.
+    fn project_starts(&self, job: &JobRecord, now: UnixTime) -> ProjectedStarts {
+        let mut projected = ProjectedStarts::default();
+        let Ok(mut slots) = self.find_slots(job, now) else {
+            return projected;
+        };
+        projected.slots = u32::try_from(slots.len()).unwrap_or(u32::MAX);
+        for name in self.queue.in_order(self.is_contended, now) {
+            let Some(queued) = self.jobs.get(name) else {
+                continue;
+            };
+            self.count_visits(1);
+            let mut last_start = now;
+            for _ in 0..queued.waiting {
+                last_start = last_start.max(take_slot(&mut slots, queued.expected));
+            }
+            projected.by_job.insert(name.clone(), last_start);
+        }
+        projected
+    }
+
     /// Updates `is_contended` from the current load.
     pub(super) fn update_contention(&mut self, now: UnixTime) {
-        let load = self.load(now);
-        self.is_contended = load.waiting_tasks * CONTENTION_DIVISOR > load.usable_workers;
+        self.refresh_stale_summary(now);
+        let waiting_tasks = self.queue.waiting_tasks();
+        self.is_contended = waiting_tasks * CONTENTION_DIVISOR > self.summary.usable_workers;
     }
 
     /// Returns the sort key of a waiting job, lowest first. Jobs that may have started come first,
@@ -215,19 +291,14 @@
 
 /// Adds the worker's slots for tasks of the job: those free from `ready_at`, and those that its
 /// runs will release.
-fn push_slots(
-    worker: &WorkerRecord,
-    job: &JobRecord,
-    ready_at: UnixTime,
-    slots: &mut BinaryHeap<Reverse<UnixTime>>,
-) {
+fn push_slots(worker: &WorkerRecord, job: &JobRecord, ready_at: UnixTime, slots: &mut SlotHeap) {
     let resources = job.submission.work.resources;
     let total = resources
         .count_fitting(worker.entry.capacity)
         .min(MAX_SLOTS_PER_WORKER);
     let free = resources.count_fitting(worker.free()).min(total);
     for _ in 0..free {
-        slots.push(Reverse(ready_at));
+        slots.push(Reverse(TaskSlot::new(worker, ready_at)));
     }
     let busy = (total - free) as usize;
     let mut ends: SmallVec<[UnixTime; INLINE_RUNS]> = worker
@@ -238,17 +309,18 @@
     ends.sort_unstable();
     let skipped = ends.len().saturating_sub(busy);
     for end in ends.into_iter().skip(skipped) {
-        slots.push(Reverse(end));
+        slots.push(Reverse(TaskSlot::new(worker, end)));
     }
 }
 
 /// Occupies the earliest slot for `span` and returns the time from which it was free.
-fn take_slot(slots: &mut BinaryHeap<Reverse<UnixTime>>, span: Duration) -> UnixTime {
-    let Some(Reverse(free_at)) = slots.pop() else {
+fn take_slot(slots: &mut SlotHeap, span: Duration) -> UnixTime {
+    let Some(Reverse(slot)) = slots.pop() else {
         return UnixTime::NEVER;
     };
-    slots.push(Reverse(free_at.after(span)));
-    free_at
+    let free_at = slot.free_at.after(span);
+    slots.push(Reverse(TaskSlot { free_at, ..slot }));
+    slot.free_at
 }
 
 /// Returns whether the worker runs the job's service and has its required label.
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -82,8 +82,13 @@
             return;
         }
         self.update_contention(now);
+        if self.is_surely_new(&submission, now) {
+            self.submit_new(relay, submission, now);
+            return;
+        }
         self.remember_crashes(&name, &submission.crashes, now);
-        let job = self.make_record(relay, submission, now);
+        let mut job = self.make_record(relay, submission, now);
+        self.add_tasks(&mut job);
         let adopted = self.adopt_runs(&name, job, now);
         if self.close_if_any_barred(&name, now) {
             return;
@@ -105,34 +110,79 @@
             let tasks: Vec<u32> = job.done_tasks().collect();
             self.log(decision);
             self.report_progress(relay, &name, &tasks);
+            if let Some(job) = self.jobs.remove(&name) {
+                self.occupy_summary(&job, now);
+                self.jobs.insert(name.clone(), job);
+            }
         } else {
-            let (refused, wait) = self.admit(job, now);
-            if let Some(outcome) = refused {
-                self.refuse(&name, outcome, wait, now);
+            let Some(job) = self.jobs.remove(&name) else {
                 return;
-            }
-            let decision = Decision::Admitted {
-                job: name.clone(),
-                route: job.submission.policy.route.clone(),
-                tasks: job.waiting,
-                queue_class: job.queue_class,
-                wait,
-                slack: job.latest_start().since(now),
-                waiting: self.queue.waiting_tasks(),
-                list_age: now.since(self.listed_at),
             };
-            let resources = job.submission.work.resources;
-            self.utilization.observe_task(resources);
-            self.log(decision);
+            if !self.admit_or_refuse(&job, now) {
+                return;
+            }
+            self.jobs.insert(name.clone(), job);
+        }
+        self.place_admitted(relay, &name, now);
+    }
+
+    /// Returns whether a submitted job cannot have run anywhere: neither its relay nor this pool
+    /// knows of a start or a crash, and no runs of an earlier leader may still be adopted.
+    fn is_surely_new(&self, submission: &JobSubmission, now: UnixTime) -> bool {
+        let name = &submission.work.job;
+        !submission.resumed
+            && submission.done.is_empty()
+            && submission.placements.is_empty()
+            && submission.crashes.iter().next().is_none()
+            && self.orphaned_ends_kept_until <= now
+            && !self.started_jobs.contains_key(name)
+            && self.crashes.history(name).is_none()
+    }
+
+    /// Decides on a job that cannot have run. Records of its tasks are made only if it is admitted,
+    /// because most jobs are refused under overload.
+    fn submit_new(&mut self, relay: RelayId, submission: JobSubmission, now: UnixTime) {
+        let mut job = self.make_record(relay, submission, now);
+        job.waiting = job.submission.work.tasks;
+        if !self.admit_or_refuse(&job, now) {
+            return;
+        }
+        self.add_tasks(&mut job);
+        let name = job.submission.work.job.clone();
+        self.jobs.insert(name.clone(), job);
+        self.place_admitted(relay, &name, now);
+    }
+
+    /// Admits a job that is not in the table of jobs, or reports its refusal and returns false.
+    fn admit_or_refuse(&mut self, job: &JobRecord, now: UnixTime) -> bool {
+        let (refused, wait) = self.admit(job, now);
+        if let Some(outcome) = refused {
+            self.report_refusal(job, outcome, wait, now);
+            return false;
         }
-        self.enqueue(&name);
+        self.occupy_summary(job, now);
+        let decision = Decision::Admitted {
+            job: job.submission.work.job.clone(),
+            route: job.submission.policy.route.clone(),
+            tasks: job.waiting,
+            queue_class: job.queue_class,
+            wait,
+            slack: job.latest_start().since(now),
+            waiting: self.queue.waiting_tasks(),
+            list_age: now.since(self.listed_at),
+        };
+        let resources = job.submission.work.resources;
+        self.utilization.observe_task(resources);
+        self.log(decision);
+        true
+    }
+
+    /// Queues an admitted job, starts what can be started and reports the admission to its relay.
+    fn place_admitted(&mut self, relay: RelayId, name: &JobName, now: UnixTime) {
+        self.enqueue(name);
         self.place_due(now);
-        if self
-            .jobs
-            .get(&name)
-            .is_some_and(|job| !job.may_have_started)
-        {
-            self.report_placements(Some(relay), &name, Vec::new());
+        if self.jobs.get(name).is_some_and(|job| !job.may_have_started) {
+            self.report_placements(Some(relay), name, Vec::new());
         }
     }
 
@@ -167,31 +217,8 @@
         }
     }
 
+    /// Makes the record of a submitted job, without its tasks.
     fn make_record(&self, relay: RelayId, submission: JobSubmission, now: UnixTime) -> JobRecord {
-        let fresh = TaskRecord {
-            state: TaskState::Waiting,
-            failures: 0,
-            placed_number: 0,
-            last_number: 0,
-            avoided: None,
-            suspicion: Suspicion::Unsuspected,
-        };
-        let mut tasks = vec![fresh; submission.work.tasks as usize];
-        if let Some(history) = self.crashes.history(&submission.work.job) {
-            for (task, index) in tasks.iter_mut().zip(0..) {
-                task.suspicion = history.suspicion(index);
-            }
-        }
-        for index in &submission.done {
-            if let Some(task) = tasks.get_mut(*index as usize) {
-                task.state = TaskState::Done;
-            }
-        }
-        let waiting = tasks
-            .iter()
-            .filter(|task| task.state == TaskState::Waiting)
-            .count();
-        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
         let expected = self.expected_run_time(&submission.policy, &submission.work);
         let policy = &submission.policy;
         let objective = expected.mul_f64(policy.stretch_factor.max(1.0)) + policy.target;
@@ -211,9 +238,9 @@
             abandoned_at: now,
             may_have_started: submission.resumed
                 || self.started_jobs.contains_key(&submission.work.job),
-            tasks,
-            waiting,
-            unfinished: waiting,
+            tasks: Vec::new(),
+            waiting: 0,
+            unfinished: 0,
             expected,
             objective_at,
             useful_until,
@@ -222,6 +249,37 @@
         }
     }
 
+    /// Adds the records of a job's tasks.
+    fn add_tasks(&self, job: &mut JobRecord) {
+        let fresh = TaskRecord {
+            state: TaskState::Waiting,
+            failures: 0,
+            placed_number: 0,
+            last_number: 0,
+            avoided: None,
+            suspicion: Suspicion::Unsuspected,
+        };
+        let submission = &job.submission;
+        let mut tasks = vec![fresh; submission.work.tasks as usize];
+        if let Some(history) = self.crashes.history(&submission.work.job) {
+            for (task, index) in tasks.iter_mut().zip(0..) {
+                task.suspicion = history.suspicion(index);
+            }
+        }
+        for index in &submission.done {
+            if let Some(task) = tasks.get_mut(*index as usize) {
+                task.state = TaskState::Done;
+            }
+        }
+        let waiting = tasks
+            .iter()
+            .filter(|task| task.state == TaskState::Waiting)
+            .count();
+        job.waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        job.unfinished = job.waiting;
+        job.tasks = tasks;
+    }
+
     /// Adopts runs of the job that were started before it was submitted here, and unacknowledged
     /// ends of such runs. Returns the number of adopted runs.
     fn adopt_runs(&mut self, name: &JobName, mut job: JobRecord, now: UnixTime) -> u32 {
@@ -282,18 +340,31 @@
             return;
         };
         self.queue.remove(name);
+        self.report_refusal(&job, outcome, wait, now);
+    }
+
+    /// Logs the refusal of a job that is not in the table of jobs, and reports it to its relay.
+    fn report_refusal(
+        &mut self,
+        job: &JobRecord,
+        outcome: JobOutcome,
+        wait: Duration,
+        now: UnixTime,
+    ) {
         self.counts.jobs_refused += 1;
-        if let JobOutcome::Refused(refusal) = outcome {
-            let load = self.load(now);
+        let name = &job.submission.work.job;
+        if let JobOutcome::Refused(refusal) = outcome
+            && self.allows_refusal_line(refusal, now)
+        {
             let decision = Decision::JobRefused {
                 job: name.clone(),
                 route: job.submission.policy.route.clone(),
                 refusal,
                 wait,
-                workers: load.usable_workers,
-                free_cpu_milli: load.free_cpu_milli,
+                workers: self.summary.usable_workers,
+                free_cpu_milli: self.summary.free_cpu_milli,
                 cpu_milli: job.submission.work.resources.cpu_milli,
-                waiting: load.waiting_tasks,
+                waiting: self.queue.waiting_tasks(),
                 list_age: now.since(self.listed_at),
                 age: now.since(job.submission.arrived_at),
             };
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -5,6 +5,7 @@
 use bramley_core::units::UnixTime;
 
 use super::Pool;
+use super::admission::LateStart;
 use super::placement::expected_end;
 use crate::crash::CrashEvidence;
 use crate::decision::Decision;
@@ -34,7 +35,9 @@
         if self.token.is_none() {
             return;
         }
+        self.begin_summary(now);
         self.update_contention(now);
+        self.log_suppressed_refusals(now);
         let usable = self
             .workers
             .iter()
@@ -77,20 +80,14 @@
         if !self.is_contended || !self.has_job_in_time(now) {
             return;
         }
-        let late: Vec<JobName> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| {
-                let is_late = job.latest_start() < now && job.queue_class == QueueClass::InTime;
-                is_late && !job.may_have_started
-            })
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in late {
+        // Refused jobs leave their slots to those behind them.
+        let mut refused_work = Duration::ZERO;
+        for LateStart { name, start, slots } in self.late_starts(now) {
             let Some(job) = self.jobs.get(&name) else {
                 continue;
             };
-            if self.can_serve_late(job, now) {
+            let start = start.before(refused_work / slots.max(1));
+            if self.can_serve_late(job, start, now) {
                 let decision = Decision::Deferred {
                     job: name.clone(),
                     left: job.latest_useful_start().since(now),
@@ -103,6 +100,7 @@
                 }
                 self.update_queued(&name);
             } else {
+                refused_work += job.expected * job.waiting;
                 self.refuse_expired(&name, now);
             }
         }
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -9,10 +9,12 @@
 //! - `maintenance`: timed work such as polls, lease expiry and repeated stop requests.
 //! - `placement`: order and rounds in which waiting tasks are started.
 //! - `queue`: jobs with waiting tasks in the order in which they are to be started.
+//! - `refusal_log`: bounded logging of refused jobs.
 //! - `reports`: answers and reports of workers.
 //! - `reservation`: workers kept free for jobs that have waited long.
 //! - `scoring`: choice of the best worker for a task.
 //! - `starts`: start requests and their answers.
+//! - `summary`: summary of slots and queue for admission.
 //! - `utilization`: average utilization of the workers.
 
 mod admission;
@@ -24,10 +26,12 @@
 mod maintenance;
 mod placement;
 mod queue;
+mod refusal_log;
 mod reports;
 mod reservation;
 mod scoring;
 mod starts;
+mod summary;
 mod utilization;
 
 use std::cell::Cell;
@@ -48,6 +52,8 @@
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
 use queue::WaitQueue;
+use refusal_log::RefusalLog;
+use summary::AdmissionSummary;
 use utilization::SlotUtilization;
 
 /// Multiple of the usual answer time after which a start request is resent.
@@ -98,6 +104,9 @@
     pub jobs_refused: u64,
     /// Number of times a worker was scored for a task, as a measure of the cost of placement.
     pub workers_scored: u64,
+    /// Number of workers and waiting jobs visited to estimate starts, as a measure of the cost of
+    /// admission.
+    pub estimate_visits: u64,
     /// Jobs cancelled because their relay or client disconnected.
     pub jobs_cancelled: u64,
     /// Active runs adopted after a change of leader.
@@ -138,6 +147,8 @@
     counts: PoolCounts,
     /// Number of times a worker was scored for a task.
     scored: Cell<u64>,
+    /// Number of workers and waiting jobs visited to estimate starts.
+    estimate_visits: Cell<u64>,
     /// Workers that may have gained free resources since the last placement round.
     freed_workers: Vec<WorkerIndex>,
     /// Jobs whose tasks have started to wait since the last placement round.
@@ -147,6 +158,10 @@
     /// Whether so many tasks wait that a late job would delay jobs that can still meet their
     /// objective.
     is_contended: bool,
+    /// Summary of slots and queue since the last tick.
+    summary: AdmissionSummary,
+    /// Number of logged refusals.
+    refusal_log: RefusalLog,
     /// Average utilization of the usable workers.
     utilization: SlotUtilization,
     /// Time in which workers answer start requests.
@@ -178,10 +193,13 @@
             actions: Vec::new(),
             counts: PoolCounts::default(),
             scored: Cell::new(0),
+            estimate_visits: Cell::new(0),
             freed_workers: Vec::new(),
             newly_waiting: Vec::new(),
             reservations: FxHashMap::default(),
             is_contended: false,
+            summary: AdmissionSummary::default(),
+            refusal_log: RefusalLog::default(),
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
             latest_answered_call: UnixTime::default(),
@@ -205,6 +223,7 @@
     pub const fn counts(&self) -> PoolCounts {
         PoolCounts {
             workers_scored: self.scored.get(),
+            estimate_visits: self.estimate_visits.get(),
             ..self.counts
         }
     }
@@ -250,6 +269,12 @@
         Vec::new()
     }
 
+    /// Counts workers and waiting jobs visited to estimate starts.
+    fn count_visits(&self, visits: u64) {
+        self.estimate_visits
+            .set(self.estimate_visits.get() + visits);
+    }
+
     fn log(&mut self, decision: Decision) {
         self.actions.push(PoolAction::LogDecision(decision));
     }
--- a/crates/bramley-pool/src/pool/queue.rs
+++ b/crates/bramley-pool/src/pool/queue.rs
@@ -55,6 +55,11 @@
         self.order.is_empty()
     }
 
+    /// Returns the number of jobs with waiting tasks.
+    pub(super) fn len(&self) -> usize {
+        self.order.len()
+    }
+
     /// Removes a job, if it waits.
     pub(super) fn remove(&mut self, name: &JobName) {
         if let Some(place) = self.places.remove(name) {
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -442,6 +442,7 @@
         belief: &'static str,
         now: UnixTime,
     ) {
+        self.summary.invalidate();
         let worker = self.worker(index);
         let decision = Decision::WorkerChanged {
             worker: worker.entry.name.clone(),
