Benchmark decisions after the adoption window, with a tick every eight submissions

Within the adoption window every submission searches the workers for runs of an earlier leader, and without ticks the summary fills up with jobs that were cancelled.

--- a/crates/bramley-pool/benches/admission.rs
+++ b/crates/bramley-pool/benches/admission.rs
@@ -27,8 +27,16 @@
 /// Constant part of the latency objective of the routes of a grown deployment.
 const USUAL_TARGET: Duration = Duration::from_millis(60);
 
+/// CPU requests of the first submissions after a tick, which are not measured: one for each number
+/// of such tasks that fit on a worker.
+const FIRST_SIZES: [u32; 3] = [7_500, 8_100, 9_000];
+
 const RELAY: RelayId = RelayId(1);
 
+/// Time at which the pool becomes leader: long enough before the measurement that no runs of an
+/// earlier leader may still be adopted.
+const STARTED_AT: UnixTime = UnixTime::from_millis(990_000);
+
 const NOW: UnixTime = UnixTime::from_millis(1_000_000);
 
 fn submission(name: String, target: Duration, cpu_milli: u32) -> RelayMessage {
@@ -93,7 +101,7 @@
 /// Returns a pool whose workers are busy and at which the given number of jobs waits.
 fn busy_pool(waiting_jobs: u32) -> Pool {
     let mut pool = Pool::new(PoolSettings::default());
-    pool.become_leader(1, NOW);
+    pool.become_leader(1, STARTED_AT);
     for index in 0..WORKERS {
         let capacity = TaskResources {
             accelerators: 0,
@@ -110,10 +118,10 @@
             capacity,
             labels: Vec::new(),
         };
-        pool.worker_listed(entry, NOW);
+        pool.worker_listed(entry, STARTED_AT);
     }
-    pool.worker_list_read(NOW);
-    answer_probes(&mut pool, NOW);
+    pool.worker_list_read(STARTED_AT);
+    answer_probes(&mut pool, STARTED_AT);
     let mut number = 0;
     while pool.load(NOW).waiting_tasks < waiting_jobs * 2 {
         let name = format!("waiting-{number}");
@@ -127,22 +135,42 @@
     pool
 }
 
-/// Measures the time in which the pool handles submissions. Admitted jobs are cancelled outside the
-/// measured time.
+/// Number of submissions between two ticks.
+const SUBMISSIONS_PER_TICK: u64 = 8;
+
+/// Measures the time in which the pool handles submissions. Admitted jobs are cancelled and ticks
+/// are performed outside the measured time.
 fn measure_submissions(pool: &mut Pool, target: Duration, iterations: u64) -> Duration {
     let mut total = Duration::ZERO;
+    let mut refused = 0;
     for iteration in 0..iterations {
         let name = format!("measured-{iteration}");
         let number = u32::try_from(iteration % 1_000).unwrap_or_default();
         let message = submission(name.clone(), target, cpu_milli(number));
+        let refused_before = pool.counts().jobs_refused;
         let started_at = Instant::now();
         pool.handle_relay_message(RELAY, message, NOW);
         total += started_at.elapsed();
+        refused += pool.counts().jobs_refused - refused_before;
         drop(black_box(pool.take_actions()));
         let cancel = RelayMessage::Cancel(JobName::from(name.as_str()));
         pool.handle_relay_message(RELAY, cancel, NOW);
+        if iteration % SUBMISSIONS_PER_TICK == 0 {
+            pool.tick(NOW);
+            for cpu_milli in FIRST_SIZES {
+                let name = String::from("first");
+                let message = submission(name, USUAL_TARGET, cpu_milli);
+                pool.handle_relay_message(RELAY, message, NOW);
+            }
+        }
         drop(pool.take_actions());
     }
+    let expected = if target == USUAL_TARGET {
+        iterations
+    } else {
+        0
+    };
+    assert_eq!(refused, expected, "refused of {iterations} jobs");
     total
 }
 
@@ -175,5 +203,20 @@
     group.finish();
 }
 
-criterion_group!(benches, decisions, ticks);
+/// Measures a tick together with the first refusal after it, which simulates the queue.
+fn first_refusals(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("tick_and_first_refusal");
+    for waiting_jobs in WAITING_JOBS {
+        let mut pool = busy_pool(waiting_jobs);
+        group.bench_function(BenchmarkId::from_parameter(waiting_jobs), |bencher| {
+            bencher.iter(|| {
+                pool.tick(black_box(NOW));
+                measure_submissions(&mut pool, USUAL_TARGET, 1)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions, ticks, first_refusals);
 criterion_main!(benches);
--- a/crates/bramley-pool/src/pool/summary.rs
+++ b/crates/bramley-pool/src/pool/summary.rs
@@ -22,12 +22,12 @@
 use crate::worker::WorkerRecord;
 
 /// Maximum number of points of the queue at which slots are kept. About fifty jobs wait in a
-/// saturated domain of a grown deployment, so a point stands for three of them.
-const MAX_POINTS: usize = 16;
+/// saturated domain of a grown deployment, so a point stands for six of them.
+const MAX_POINTS: usize = 8;
 
-/// Maximum number of slots that are kept at a point, the earliest ones: more than the tasks that
-/// are admitted in an interval.
-const MAX_SLOTS: usize = 128;
+/// Maximum number of slots that are kept at a point, the earliest ones: a saturated domain
+/// of a grown deployment admits some thirty tasks in an interval.
+const MAX_SLOTS: usize = 96;
 
 /// Maximum number of summaries computed per interval. Routes of a deployment need some six; the
 /// bound keeps callers with ever new labels from taking up the processor.
