Skip the search for a worker when no worker has enough free CPU

Each job that was admitted while all workers were busy had all of them scored, and each freed worker had its score computed for up to 64 jobs that do not fit. The pool now keeps an upper bound of the free CPU of any worker. The tests of bramley-pool pass unchanged.

--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -90,6 +90,8 @@
     }
 
     fn log_leadership_change(&mut self) {
+        self.summary.invalidate();
+        self.max_free_cpu_milli = None;
         let decision = Decision::LeadershipChanged {
             token: self.token,
             workers: u32::try_from(self.workers.len()).unwrap_or(u32::MAX),
@@ -136,6 +138,7 @@
             self.worker_restarted(index, born, now);
         }
         self.worker_mut(index).entry = entry;
+        self.max_free_cpu_milli = None;
         if starts_leaving {
             self.log_worker_change(index, "leaving", now);
         }
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -322,6 +322,9 @@
             }
         }
         self.counts.runs_adopted += u64::from(adopted);
+        if adopted > 0 {
+            self.max_free_cpu_milli = None;
+        }
         self.jobs.insert(name.clone(), job);
         if self.orphaned_ends_kept_until > now {
             self.adopt_orphaned_ends(name);
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -151,6 +151,8 @@
     estimate_visits: Cell<u64>,
     /// Workers that may have gained free resources since the last placement round.
     freed_workers: Vec<WorkerIndex>,
+    /// Upper bound of the free CPU of any worker; `None` if it has to be computed.
+    max_free_cpu_milli: Option<u32>,
     /// Jobs whose tasks have started to wait since the last placement round.
     newly_waiting: Vec<JobName>,
     /// Workers kept free for a job that has waited long; recomputed in each full placement round.
@@ -195,6 +197,7 @@
             scored: Cell::new(0),
             estimate_visits: Cell::new(0),
             freed_workers: Vec::new(),
+            max_free_cpu_milli: None,
             newly_waiting: Vec::new(),
             reservations: FxHashMap::default(),
             is_contended: false,
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -53,10 +53,13 @@
             let order = self.waiting_order(now);
             for index in freed {
                 self.place_on(index, &order, now);
+                self.raise_max_free_cpu(index);
             }
         }
         for name in std::mem::take(&mut self.newly_waiting) {
-            self.place_job(&name, now);
+            if self.may_fit_anywhere(&name) {
+                self.place_job(&name, now);
+            }
         }
     }
 
@@ -72,7 +75,9 @@
 
     /// Clears the changes since the last round and the reservations.
     fn clear_round(&mut self) {
-        self.freed_workers.clear();
+        for index in std::mem::take(&mut self.freed_workers) {
+            self.raise_max_free_cpu(index);
+        }
         self.newly_waiting.clear();
         self.reservations.clear();
     }
@@ -86,7 +91,7 @@
     /// Starts waiting tasks in queue order on one worker, as far as they fit.
     fn place_on(&mut self, index: WorkerIndex, order: &[JobName], now: UnixTime) {
         for name in order {
-            if self.is_reserved(index, name) {
+            if self.is_reserved(index, name) || !self.may_fit(index, name) {
                 continue;
             }
             self.place_tasks(name, now, |pool, job, task| {
@@ -96,6 +101,43 @@
         }
     }
 
+    /// Returns whether any worker may have room for a task of the job. Without this check, each job
+    /// that is admitted while all workers are busy would have all of them scored.
+    fn may_fit_anywhere(&mut self, name: &JobName) -> bool {
+        let Some(job) = self.jobs.get(name) else {
+            return false;
+        };
+        let cpu_milli = job.submission.work.resources.cpu_milli;
+        if !job.submission.placements.is_empty() {
+            return true;
+        }
+        let max_free = self.max_free_cpu_milli.unwrap_or_else(|| {
+            self.count_visits(self.workers.len() as u64);
+            let free = self.workers.iter().map(|worker| worker.free().cpu_milli);
+            free.max().unwrap_or(0)
+        });
+        self.max_free_cpu_milli = Some(max_free);
+        cpu_milli <= max_free
+    }
+
+    /// Includes the free CPU of a worker in the upper bound.
+    fn raise_max_free_cpu(&mut self, index: WorkerIndex) {
+        let free = self.worker(index).free().cpu_milli;
+        if let Some(max_free) = &mut self.max_free_cpu_milli {
+            *max_free = free.max(*max_free);
+        }
+    }
+
+    /// Returns whether the worker has room for a task of the job, or the job has to be looked at
+    /// for another reason.
+    fn may_fit(&self, index: WorkerIndex, name: &JobName) -> bool {
+        self.jobs.get(name).is_some_and(|job| {
+            let has_earlier_placements = !job.submission.placements.is_empty();
+            let resources = job.submission.work.resources;
+            has_earlier_placements || resources.fits_in(self.worker(index).free())
+        })
+    }
+
     /// Returns whether a task waits and can be started safely.
     fn awaits_placement(&self, job: &JobRecord, position: usize, now: UnixTime) -> bool {
         let task = &job.tasks[position];
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -443,6 +443,7 @@
         now: UnixTime,
     ) {
         self.summary.invalidate();
+        self.max_free_cpu_milli = None;
         let worker = self.worker(index);
         let decision = Decision::WorkerChanged {
             worker: worker.entry.name.clone(),
--- a/crates/bramley-pool/src/pool/summary.rs
+++ b/crates/bramley-pool/src/pool/summary.rs
@@ -214,6 +214,7 @@
     }
 
     fn refresh_summary(&mut self, now: UnixTime) {
+        self.max_free_cpu_milli = None;
         let load = self.load(now);
         self.summary.summaries.clear();
         self.summary.usable_workers = load.usable_workers;
