Publish the share of each route's jobs that relays should submit

Jobs that a pool refuses cost it a message in each direction. With each heartbeat the pool now publishes the share, adjusted from offered and admitted jobs, and the expected waits. A submission whose slack is used up when it is read is refused without an evaluation while capacity is contended. The tests of bramley-pool pass unchanged.

--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -177,6 +177,10 @@
         job: &JobRecord,
         now: UnixTime,
     ) -> (Option<JobOutcome>, Duration) {
+        if self.has_used_up_slack(job, now) {
+            let wait = self.route_loads.wait(&job.submission.policy.route);
+            return (Some(JobOutcome::Refused(Refusal::Overloaded)), wait);
+        }
         match self.estimate_start(job, now) {
             StartEstimate::At(start) => {
                 let wait = start.since(now);
@@ -202,6 +206,16 @@
         }
     }
 
+    /// Returns whether a job would be refused whatever the state of the workers is, because it has
+    /// waited too long before it was read.
+    fn has_used_up_slack(&self, job: &JobRecord, now: UnixTime) -> bool {
+        let is_refused_if_late = match job.queue_class {
+            QueueClass::InTime => self.is_contended,
+            QueueClass::Late => true,
+        };
+        is_refused_if_late && job.start_limit() < now
+    }
+
     fn can_admit_in_time(&self, job: &JobRecord, start: UnixTime) -> bool {
         let margin = job.expected / MARGIN_DIVISOR;
         let is_in_time = start.after(margin) <= job.latest_start();
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -83,6 +83,7 @@
         self.token = None;
         self.log_leadership_change();
         self.jobs.clear();
+        self.route_loads.clear();
         self.queue.clear();
         for worker in &mut self.workers {
             worker.reset();
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -156,6 +156,14 @@
     /// Admits a job that is not in the table of jobs, or reports its refusal and returns false.
     fn admit_or_refuse(&mut self, job: &JobRecord, now: UnixTime) -> bool {
         let (refused, wait) = self.admit(job, now);
+        let is_counted = match refused {
+            None => job.queue_class == QueueClass::InTime,
+            Some(JobOutcome::Refused(Refusal::Overloaded)) => job.queue_class == QueueClass::InTime,
+            Some(_) => false,
+        };
+        if is_counted {
+            self.route_loads.count(job, refused.is_none(), now);
+        }
         if let Some(outcome) = refused {
             self.report_refusal(job, outcome, wait, now);
             return false;
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -12,6 +12,7 @@
 //! - `refusal_log`: bounded logging of refused jobs.
 //! - `reports`: answers and reports of workers.
 //! - `reservation`: workers kept free for jobs that have waited long.
+//! - `route_load`: offered and admitted jobs of each route, and what is published of it.
 //! - `scoring`: choice of the best worker for a task.
 //! - `starts`: start requests and their answers.
 //! - `summary`: summary of slots and queue for admission.
@@ -29,6 +30,7 @@
 mod refusal_log;
 mod reports;
 mod reservation;
+mod route_load;
 mod scoring;
 mod starts;
 mod summary;
@@ -46,13 +48,14 @@
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
 use crate::job::{JobName, JobPolicy, JobRecord, JobWork};
-use crate::message::{PoolLoad, PoolMessage, RelayId, RouteAdmission};
+use crate::message::{PoolLoad, PoolMessage, RelayId};
 use crate::run::StopCause;
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
 use queue::WaitQueue;
 use refusal_log::RefusalLog;
+use route_load::RouteLoads;
 use summary::AdmissionSummary;
 use utilization::SlotUtilization;
 
@@ -162,6 +165,8 @@
     is_contended: bool,
     /// Summary of slots and queue since the last tick.
     summary: AdmissionSummary,
+    /// Offered and admitted jobs of each route.
+    route_loads: RouteLoads,
     /// Number of logged refusals.
     refusal_log: RefusalLog,
     /// Average utilization of the usable workers.
@@ -202,6 +207,7 @@
             reservations: FxHashMap::default(),
             is_contended: false,
             summary: AdmissionSummary::default(),
+            route_loads: RouteLoads::default(),
             refusal_log: RefusalLog::default(),
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
@@ -266,12 +272,6 @@
         load
     }
 
-    /// Returns the admission state of the routes with recent traffic, to be published.
-    #[must_use]
-    pub const fn route_admissions(&self, _now: UnixTime) -> Vec<RouteAdmission> {
-        Vec::new()
-    }
-
     /// Counts workers and waiting jobs visited to estimate starts.
     fn count_visits(&self, visits: u64) {
         self.estimate_visits
