--- a/crates/bramley-pool/src/pool/evacuation.rs
+++ b/crates/bramley-pool/src/pool/evacuation.rs
@@ -108,7 +108,7 @@
         let text = format!(
             "event=evacuation_began jobs={} waiting={} runs={runs} starts_left_ms={}",
             self.jobs.len(),
-            self.waiting_tasks(),
+            self.queue.waiting_tasks(),
             starts_until.since(now).as_millis(),
         );
         self.log(Decision::Text { job: None, text });
@@ -214,7 +214,7 @@
         let Some(job) = self.jobs.remove(name) else {
             return;
         };
-        self.queue.retain(|queued| queued != name);
+        self.queue.remove(name);
         self.counts.jobs_returned += 1;
         self.remember_started(name, now);
         let decision = Decision::JobReturned {
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -88,6 +88,7 @@
         self.evacuation = EvacuationState::default();
         self.log_leadership_change();
         self.jobs.clear();
+        self.route_loads.clear();
         self.queue.clear();
         for worker in &mut self.workers {
             worker.reset();
@@ -95,6 +96,8 @@
     }
 
     fn log_leadership_change(&mut self) {
+        self.summary.invalidate();
+        self.max_free_cpu_milli = None;
         let decision = Decision::LeadershipChanged {
             token: self.token,
             workers: u32::try_from(self.workers.len()).unwrap_or(u32::MAX),
@@ -147,6 +150,7 @@
         let worker = self.worker_mut(index);
         worker.cold_until = now.after(entry.cold_remaining);
         worker.entry = entry;
+        self.max_free_cpu_milli = None;
         if starts_leaving {
             self.log_worker_change(index, "leaving", now);
         }
