Refuse jobs at the relay by the admission state that pools publish

A job that no pool could serve cost a message and an evaluation at each of up to five pools. Relays now keep the published state, check it, and pass the published share by a counter for each route and pool. What the local pool does not pass goes to a foreign pool that passes it, is offered late once, or is refused at once. State that is stale, missing or contradictory is not used.

--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -10,6 +10,7 @@
 use crate::job::{JobName, QueueClass, RouteName, TaskName};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
+use crate::relay::RouteRefusal;
 use crate::run::StopCause;
 use crate::worker::{CallRefusal, RunEnd};
 
@@ -106,6 +107,15 @@
         /// Time since the request arrived.
         age: Duration,
     },
+    /// A relay refused a job by the admission state that pools have published.
+    RefusedByState {
+        /// Name of the job.
+        job: JobName,
+        /// Route of the job.
+        route: RouteName,
+        /// The refusal with its inputs.
+        refusal: RouteRefusal,
+    },
     /// A start request was sent to a worker.
     Placed {
         /// Name of the task.
@@ -284,6 +294,7 @@
             Self::Admitted { job, .. }
             | Self::Deferred { job, .. }
             | Self::JobRefused { job, .. }
+            | Self::RefusedByState { job, .. }
             | Self::JobEnded { job, .. }
             | Self::JobCancelled { job, .. }
             | Self::JobResumed { job, .. } => Some(job.as_str()),
@@ -322,6 +333,7 @@
             | Self::Deferred { .. }
             | Self::JobCancelled { .. } => LogPriority::Notable,
             Self::JobRefused { .. }
+            | Self::RefusedByState { .. }
             | Self::JobResumed { .. }
             | Self::RunLost { .. }
             | Self::CrashRecorded { .. }
@@ -365,6 +377,11 @@
                 left.as_millis(),
                 age.as_millis(),
             ),
+            Self::RefusedByState {
+                job,
+                route,
+                refusal,
+            } => write!(f, "event=job_refused job={job} route={route} {refusal}"),
             Self::JobRefused {
                 job,
                 route,
--- a/crates/bramley-pool/src/lib.rs
+++ b/crates/bramley-pool/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`refusal`]: reasons for refusing a job and the responses they map to.
 //! - [`relay`]: routing of callers' jobs to pools and failover between pools.
 //! - [`resources`]: CPU, memory and accelerator amounts.
+//! - [`route_gate`]: admission state that pools publish, and the shares passed by it.
 //! - [`run`]: life cycle of a run.
 //! - [`settings`]: limits, intervals and timeouts.
 //! - [`worker`]: workers, their clocks, requests and reports.
@@ -27,6 +28,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod resources;
+pub mod route_gate;
 pub mod run;
 pub mod settings;
 pub mod worker;
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -5,6 +5,8 @@
 //! are resubmitted to the pool that takes over the same workers, or to any other pool once their
 //! runs have certainly ended.
 
+mod overload;
+
 use std::time::Duration;
 
 use bramley_core::names::DomainName;
@@ -13,13 +15,16 @@
 
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
-use crate::job::{JobName, JobSubmission};
+use crate::job::{JobName, JobSubmission, RouteName};
 use crate::message::{
     JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
 };
 use crate::refusal::Refusal;
+use crate::route_gate::RouteGate;
 use crate::settings::RelaySettings;
 
+pub use self::overload::{RouteOffer, RouteRefusal};
+
 /// Answer to a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobAnswer {
@@ -101,6 +106,12 @@
     pools: FxHashMap<DomainName, PoolView>,
     /// Crashes of workers under the tasks of recent jobs, as pools have reported them.
     crashes: CrashMemory,
+    /// Admission state as published by pools.
+    gate: RouteGate,
+    /// Jobs whose callers have left after a task started, with the time until which they are kept.
+    started_jobs: FxHashMap<JobName, UnixTime>,
+    /// Time of the last tick.
+    ticked_at: UnixTime,
     /// Time until which no job is submitted after a process pause.
     sending_paused_until: UnixTime,
     /// Pools that connected before that time.
@@ -118,6 +129,9 @@
             jobs: FxHashMap::default(),
             pools: FxHashMap::default(),
             crashes: CrashMemory::default(),
+            gate: RouteGate::default(),
+            started_jobs: FxHashMap::default(),
+            ticked_at: UnixTime::default(),
             sending_paused_until: UnixTime::default(),
             connected_while_paused: Vec::new(),
             actions: Vec::new(),
@@ -170,6 +184,16 @@
     /// Accepts a job of a caller. A job that is already open keeps its runs, and its answer goes to
     /// the latest caller.
     pub fn accept(&mut self, submission: JobSubmission, now: UnixTime) {
+        self.accept_offered(submission, None, now);
+    }
+
+    /// Accepts a job of a caller for which [`Relay::offer_early`] has decided on the first offer.
+    pub fn accept_offered(
+        &mut self,
+        submission: JobSubmission,
+        early_offer: Option<RouteOffer>,
+        now: UnixTime,
+    ) {
         let name = submission.work.job.clone();
         if let Some(job) = self.jobs.get_mut(&name) {
             job.submission.deadline = submission.deadline;
@@ -185,7 +209,7 @@
         };
         self.jobs.insert(name.clone(), job);
         if now >= self.sending_paused_until {
-            self.submit_to_first_pool(&name);
+            self.make_first_offer(&name, early_offer, now);
         }
     }
 
@@ -202,6 +226,9 @@
         let Some(job) = self.jobs.remove(name) else {
             return;
         };
+        if job.started || job.submission.resumed {
+            self.remember_started(name);
+        }
         if let JobState::AtPool(domain) = job.state {
             let message = RelayMessage::Cancel(name.clone());
             self.actions.push(RelayAction::Send(domain, message));
@@ -216,6 +243,7 @@
             load: PoolLoad::default(),
         };
         self.pools.insert(domain.clone(), view);
+        self.gate.forget_pool(domain);
         if now >= self.sending_paused_until {
             self.resume_jobs_of(domain);
         } else {
@@ -240,6 +268,7 @@
     /// `last_message_at`.
     pub fn pool_lost(&mut self, domain: &DomainName, last_message_at: UnixTime) {
         let mut earlier_workers = 0;
+        self.gate.forget_pool(domain);
         if let Some(pool) = self.pools.get_mut(domain) {
             pool.connected = false;
             earlier_workers = pool.load.listed_workers;
@@ -272,7 +301,23 @@
         admissions: Vec<RouteAdmission>,
         now: UnixTime,
     ) {
-        let _ = (domain, admissions, now);
+        let Some(contradiction) = self.gate.update(domain, admissions, now) else {
+            return;
+        };
+        let text = format!(
+            "event=admission_state_ignored pool={domain} route={} reason={} pass_permille={} count={}",
+            contradiction.route,
+            contradiction.reason,
+            contradiction.pass_permille,
+            contradiction.count,
+        );
+        let decision = Decision::Text { job: None, text };
+        self.actions.push(RelayAction::LogDecision(decision));
+    }
+
+    /// Sets the routes of the configuration. Published states of other routes are not used.
+    pub fn set_known_routes(&mut self, routes: Vec<RouteName>) {
+        self.gate.set_known_routes(routes);
     }
 
     /// Handles a message of a pool.
@@ -316,7 +361,7 @@
                     };
                     return;
                 }
-                self.job_ended(&job, outcome, wait);
+                self.job_ended(&job, outcome, wait, now);
             }
         }
     }
@@ -324,13 +369,14 @@
     /// Performs timed work; to be called at least every 50 ms while jobs are open.
     pub fn tick(&mut self, now: UnixTime) {
         self.crashes.expire(now);
+        self.expire_started_jobs(now);
         if now < self.sending_paused_until {
             return;
         }
         let held_jobs = self.jobs.iter().filter(|(_, job)| job.is_held());
         let held_jobs: Vec<JobName> = held_jobs.map(|(name, _)| name.clone()).collect();
         for name in held_jobs {
-            self.submit_to_first_pool(&name);
+            self.make_first_offer(&name, None, now);
         }
         for domain in std::mem::take(&mut self.connected_while_paused) {
             if self.is_connected(&domain) {
@@ -357,18 +403,18 @@
         is_there.then_some(job)
     }
 
-    fn job_ended(&mut self, name: &JobName, outcome: JobOutcome, wait: Duration) {
+    fn job_ended(&mut self, name: &JobName, outcome: JobOutcome, wait: Duration, now: UnixTime) {
         let answer = match outcome {
             JobOutcome::Completed => JobAnswer::Completed,
             JobOutcome::Failed => JobAnswer::Failed,
             JobOutcome::Refused(refusal) => {
-                if let Some(domain) = self.pool_after_refusal(name, refusal, wait) {
+                if let Some(domain) = self.pool_after_refusal(name, refusal, wait, now) {
                     self.submit_to(name, domain);
                     return;
                 }
                 JobAnswer::Refused {
                     refusal,
-                    retry_after: wait.max(self.settings.min_retry_after),
+                    retry_after: self.retry_after_refusal(name, wait, now),
                 }
             }
         };
@@ -452,6 +498,7 @@
         name: &JobName,
         refusal: Refusal,
         wait: Duration,
+        now: UnixTime,
     ) -> Option<DomainName> {
         let job = self.jobs.get_mut(name)?;
         match refusal {
@@ -475,18 +522,17 @@
             | Refusal::Unknown => return None,
         }
         if !job.submission.accepts_late
-            && let Some(domain) = self.next_pool(name)
+            && let Some(domain) = self.next_pool(name, now)
         {
             return Some(domain);
         }
-        self.next_late_pool(name)
+        self.next_late_pool(name, now)
     }
 
     /// Returns the pool that expects to serve the job soonest, or one that was not asked yet.
-    fn next_late_pool(&mut self, name: &JobName) -> Option<DomainName> {
-        let max_offers = self.settings.max_late_offers;
+    fn next_late_pool(&mut self, name: &JobName, now: UnixTime) -> Option<DomainName> {
         let job = self.jobs.get(name)?;
-        if job.late_offers >= max_offers {
+        if job.late_offers >= self.max_late_offers(&job.submission.policy.route, now) {
             return None;
         }
         let soonest = job
@@ -495,21 +541,34 @@
             .filter(|declined| self.is_connected(&declined.domain))
             .min_by_key(|declined| declined.wait)
             .map(|declined| declined.domain.clone());
-        let domain = soonest.or_else(|| self.next_pool(name))?;
+        let domain = match soonest {
+            Some(domain) if self.passes_on_late(name, &domain, now) => domain,
+            Some(_) => return None,
+            None => self.next_pool(name, now)?,
+        };
         let job = self.jobs.get_mut(name)?;
         job.late_offers += 1;
         job.submission.accepts_late = true;
         Some(domain)
     }
 
-    /// Returns a pool to which the job was not submitted yet and that has enough free CPU for one
-    /// of its tasks.
-    fn next_pool(&self, name: &JobName) -> Option<DomainName> {
-        let job = self.jobs.get(name)?;
-        let cpu_milli = u64::from(job.submission.work.resources.cpu_milli);
-        self.pool_with_most_free_cpu(|domain, pool| {
-            !job.submitted_to.contains(domain) && pool.load.free_cpu_milli >= cpu_milli
-        })
+    /// Returns a pool to which the job was not submitted yet, that has enough free CPU for one of
+    /// its tasks and whose published state passes the job.
+    fn next_pool(&mut self, name: &JobName, now: UnixTime) -> Option<DomainName> {
+        let mut passed_over: Vec<DomainName> = Vec::new();
+        loop {
+            let job = self.jobs.get(name)?;
+            let cpu_milli = u64::from(job.submission.work.resources.cpu_milli);
+            let domain = self.pool_with_most_free_cpu(|domain, pool| {
+                !job.submitted_to.contains(domain)
+                    && !passed_over.contains(domain)
+                    && pool.load.free_cpu_milli >= cpu_milli
+            })?;
+            if self.passes_on(name, &domain, now) {
+                return Some(domain);
+            }
+            passed_over.push(domain);
+        }
     }
 
     fn pool_with_most_free_cpu(
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -122,6 +122,8 @@
     pub resume_wait: Duration,
     /// Minimum `Retry-After` time of a refusal.
     pub min_retry_after: Duration,
+    /// Maximum `Retry-After` time of a refusal; most clients stop waiting before.
+    pub max_retry_after: Duration,
     /// Maximum number of pools that are asked to serve a job late.
     pub max_late_offers: usize,
     /// Time for which crashes under a job's tasks are remembered after the last one. Clients may
@@ -135,6 +137,7 @@
             lost_pool_wait: Duration::from_millis(2_500),
             resume_wait: Duration::from_millis(100),
             min_retry_after: Duration::from_secs(1),
+            max_retry_after: Duration::from_secs(5),
             max_late_offers: 2,
             crash_retention: Duration::from_secs(30),
         }
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -307,7 +307,8 @@
         self.run_actions();
     }
 
-    fn submission(&self, job: &TestJob) -> JobSubmission {
+    /// Returns the submission of a job that arrives now.
+    pub fn submission(&self, job: &TestJob) -> JobSubmission {
         JobSubmission {
             work: JobWork {
                 job: JobName::new(job.name.as_str()),
