Refuse requests before their body is decoded where the route alone decides

Reading and decoding a body, an entry per waiting caller and three log lines made a refusal cost as much as an admission.

--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -3,6 +3,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+use bramley_core::units::UnixTime;
 use bramley_pool::decision::{Decision, LogPriority};
 use bramley_pool::pool::PoolAction;
 use bramley_pool::relay::RelayAction;
@@ -148,7 +149,31 @@
         }
     }
 
+    /// Logs the numbers of refusals that were not logged in full.
+    pub(super) fn log_omitted_refusals(&self, now: UnixTime) {
+        let mut state = self.state.borrow_mut();
+        while let Some(omitted) = state.refusal_log.take_omitted(now) {
+            log::warn!(
+                "event=refusals_omitted reason={} count={}",
+                omitted.reason,
+                omitted.count,
+            );
+        }
+    }
+
+    /// Returns whether a refusal for the given reason is logged in full.
+    pub fn should_log_refusal(&self, reason: &'static str) -> bool {
+        let now = self.now();
+        self.state.borrow_mut().refusal_log.should_log(reason, now)
+    }
+
     pub(super) fn log_decision(&self, decision: &Decision) {
+        self.metrics.record_decision(decision);
+        if let Some(reason) = decision.refusal_reason()
+            && !self.should_log_refusal(reason)
+        {
+            return;
+        }
         match decision.priority() {
             LogPriority::Routine => {
                 let job = decision.job().unwrap_or_default();
@@ -162,7 +187,6 @@
             LogPriority::Notable => log::info!("{decision}"),
             LogPriority::Important => log::warn!("{decision}"),
         }
-        self.metrics.record_decision(decision);
     }
 }
 
--- a/crates/bramley-dock/src/engine/callers.rs
+++ b/crates/bramley-dock/src/engine/callers.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 
-use bramley_pool::job::{JobName, JobSubmission};
-use bramley_pool::relay::JobAnswer;
+use bramley_core::units::UnixTime;
+use bramley_pool::job::{JobName, JobSubmission, RouteName};
+use bramley_pool::relay::{JobAnswer, RouteOffer};
 use tokio::sync::oneshot;
 
 use super::{Engine, WaitingCaller};
@@ -40,8 +41,35 @@
 }
 
 impl<P: Platform> Engine<P> {
-    /// Submits a caller's job to the relay.
-    pub fn submit(self: &Rc<Self>, submission: JobSubmission) -> PendingJob<P> {
+    /// Decides on a request of a route before its body is read. A refusal is logged and counted
+    /// here; any other offer is to be passed to [`Engine::submit`].
+    #[must_use]
+    pub fn offer_early(&self, job: &str, route: &RouteName, deadline: UnixTime) -> RouteOffer {
+        self.detect_pause();
+        let now = self.now();
+        let offer = {
+            let mut state = self.state.borrow_mut();
+            if state.callers.contains_key(job) {
+                return RouteOffer::Ordinary;
+            }
+            state.relay.offer_early(job, route, deadline, now)
+        };
+        if let RouteOffer::Refused(refusal) = &offer {
+            self.metrics.record_early_refusal();
+            if self.should_log_refusal(refusal.refusal.answer().reason) {
+                log::warn!("event=job_refused job={job} route={route} {refusal} body=unread");
+            }
+        }
+        offer
+    }
+
+    /// Submits a caller's job to the relay, with the offer that was decided before its body was
+    /// read.
+    pub fn submit(
+        self: &Rc<Self>,
+        submission: JobSubmission,
+        early_offer: Option<RouteOffer>,
+    ) -> PendingJob<P> {
         self.detect_pause();
         let job = submission.work.job.clone();
         let (answer, receiver) = oneshot::channel();
@@ -56,7 +84,8 @@
             if state.callers.insert(job.clone(), caller).is_some() {
                 log::info!("event=job_sent_again job={job} outcome=answer_moves_to_new_caller");
             }
-            state.relay.accept(submission, self.now());
+            let now = self.now();
+            state.relay.accept_offered(submission, early_offer, now);
             caller_number
         };
         self.process_actions();
@@ -81,7 +110,7 @@
 
     /// Returns whether a caller waits for the answer to the job.
     #[must_use]
-    pub fn is_open(&self, job: &JobName) -> bool {
+    pub fn is_open(&self, job: &str) -> bool {
         self.state.borrow().callers.contains_key(job)
     }
 
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -38,6 +38,7 @@
 use crate::logging::JobLogSampler;
 use crate::metrics::DockMetrics;
 use crate::platform::{Platform, WorkerChange};
+use crate::refusal_log::RefusalLog;
 use crate::routes::RouteTable;
 use crate::settings::DockSettings;
 
@@ -81,6 +82,7 @@
     /// Whether a relay of another host in the same failure domain has ever connected.
     has_successor: bool,
     sampler: JobLogSampler,
+    refusal_log: RefusalLog,
     last_heartbeat_at: UnixTime,
     /// Messages between the local relay and the local pool, which need no connection.
     local_pool_inbox: Vec<RelayMessage>,
@@ -135,6 +137,7 @@
             stopping_since: None,
             has_successor: false,
             sampler: JobLogSampler::new(routine_lines_per_s),
+            refusal_log: RefusalLog::default(),
             last_heartbeat_at: UnixTime::default(),
             local_pool_inbox: Vec::new(),
             local_relay_inbox: Vec::new(),
@@ -264,6 +267,7 @@
             "event=configuration_in_force version={} before={current_version}",
             table.version
         );
+        state.relay.set_known_routes(table.route_names());
         state.routes = Arc::new(table);
         state.routes_applied_at = self.now();
     }
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -35,6 +35,7 @@
             });
             self.send_due_heartbeats(now);
             self.process_actions();
+            self.log_omitted_refusals(now);
         }
     }
 
--- a/crates/bramley-dock/src/lib.rs
+++ b/crates/bramley-dock/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`logging`] writes bounded logs without blocking the caller.
 //! - [`metrics`] collects metrics for operators.
 //! - [`platform`] defines the interface to the platform.
+//! - [`refusal_log`] limits the log lines on refused requests.
 //! - [`routes`] matches requests to routes.
 //! - [`settings`] defines the settings.
 //! - [`supervisor`] restarts parts of the process that end unexpectedly.
@@ -25,6 +26,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod platform;
+pub mod refusal_log;
 pub mod routes;
 pub mod settings;
 pub mod supervisor;
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -38,6 +38,8 @@
     runs_lost: Family<Labels<1>, Counter>,
     tasks_given_up: Counter,
     refusals: Family<Labels<1>, Counter>,
+    refusals_by_state: Counter,
+    early_refusals: Counter,
     store_calls: Family<Labels<2>, Counter>,
     part_failures: Family<Labels<1>, Counter>,
     commands: Gauge,
@@ -72,6 +74,8 @@
             runs_lost: Family::default(),
             tasks_given_up: Counter::default(),
             refusals: Family::default(),
+            refusals_by_state: Counter::default(),
+            early_refusals: Counter::default(),
             store_calls: Family::default(),
             part_failures: Family::default(),
             commands: Gauge::default(),
@@ -130,6 +134,16 @@
             self.tasks_given_up.clone(),
         );
         registry.register("refusals", "Refused jobs by reason", self.refusals.clone());
+        registry.register(
+            "refusals_by_state",
+            "Jobs refused by the relay after their body was read, by the published state",
+            self.refusals_by_state.clone(),
+        );
+        registry.register(
+            "early_refusals",
+            "Jobs refused by the relay before their body was read, by the published state",
+            self.early_refusals.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store by kind and result",
@@ -184,6 +198,10 @@
         self.request_seconds.observe(time.as_secs_f64());
     }
 
+    pub(crate) fn record_early_refusal(&self) {
+        self.early_refusals.inc();
+    }
+
     /// Counts an unexpected end of a part of the process.
     pub fn record_part_failure(&self, part: &'static str) {
         self.part_failures
@@ -241,6 +259,9 @@
             Decision::TaskGivenUp { .. } => {
                 self.tasks_given_up.inc();
             }
+            Decision::RefusedByState { .. } => {
+                self.refusals_by_state.inc();
+            }
             Decision::JobRefused { refusal, .. } => {
                 let labels = [("reason", String::from(refusal.answer().reason))];
                 self.refusals.get_or_create(&labels).inc();
--- a/crates/bramley-dock/src/routes.rs
+++ b/crates/bramley-dock/src/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bramley_pool::job::JobPolicy;
+use bramley_pool::job::{JobPolicy, RouteName};
 use rustc_hash::FxHashMap;
 
 /// Route of the configuration.
@@ -68,6 +68,13 @@
         }
     }
 
+    /// Returns the names of all routes.
+    #[must_use]
+    pub fn route_names(&self) -> Vec<RouteName> {
+        let routes = self.by_host.values().flatten();
+        routes.map(|route| route.policy.route.clone()).collect()
+    }
+
     /// Returns the route of a request and the path after the route's prefix.
     #[must_use]
     pub fn find<'a>(&self, host: &str, path: &'a str) -> Option<(Arc<RouteEntry>, &'a str)> {
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -116,6 +116,15 @@
         /// The refusal with its inputs.
         refusal: RouteRefusal,
     },
+    /// A relay refused a job for which no pool is connected.
+    RefusedUnserved {
+        /// Name of the job.
+        job: JobName,
+        /// Reason for the refusal.
+        refusal: Refusal,
+        /// Number of connected pools.
+        pools_connected: usize,
+    },
     /// A start request was sent to a worker.
     Placed {
         /// Name of the task.
@@ -295,6 +304,7 @@
             | Self::Deferred { job, .. }
             | Self::JobRefused { job, .. }
             | Self::RefusedByState { job, .. }
+            | Self::RefusedUnserved { job, .. }
             | Self::JobEnded { job, .. }
             | Self::JobCancelled { job, .. }
             | Self::JobResumed { job, .. } => Some(job.as_str()),
@@ -311,6 +321,19 @@
         }
     }
 
+    /// Returns the reason if the decision is a refusal of a job. Lines on refusals are limited by
+    /// reason.
+    #[must_use]
+    pub const fn refusal_reason(&self) -> Option<&'static str> {
+        match self {
+            Self::JobRefused { refusal, .. } | Self::RefusedUnserved { refusal, .. } => {
+                Some(refusal.answer().reason)
+            }
+            Self::RefusedByState { refusal, .. } => Some(refusal.refusal.answer().reason),
+            _ => None,
+        }
+    }
+
     /// Returns the priority of the log line.
     #[must_use]
     pub const fn priority(&self) -> LogPriority {
@@ -334,6 +357,7 @@
             | Self::JobCancelled { .. } => LogPriority::Notable,
             Self::JobRefused { .. }
             | Self::RefusedByState { .. }
+            | Self::RefusedUnserved { .. }
             | Self::JobResumed { .. }
             | Self::RunLost { .. }
             | Self::CrashRecorded { .. }
@@ -382,6 +406,15 @@
                 route,
                 refusal,
             } => write!(f, "event=job_refused job={job} route={route} {refusal}"),
+            Self::RefusedUnserved {
+                job,
+                refusal,
+                pools_connected,
+            } => write!(
+                f,
+                "event=job_refused job={job} reason={} pools_connected={pools_connected}",
+                refusal.answer().reason,
+            ),
             Self::JobRefused {
                 job,
                 route,
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -459,14 +459,10 @@
 
     fn refuse_unserved(&mut self, name: &JobName, refusal: Refusal) {
         self.jobs.remove(name);
-        let text = format!(
-            "event=job_refused job={name} reason={} pools_connected={}",
-            refusal.answer().reason,
-            self.pools.values().filter(|pool| pool.connected).count(),
-        );
-        let decision = Decision::Text {
-            job: Some(name.as_str().into()),
-            text,
+        let decision = Decision::RefusedUnserved {
+            job: name.clone(),
+            refusal,
+            pools_connected: self.pools.values().filter(|pool| pool.connected).count(),
         };
         self.actions.push(RelayAction::LogDecision(decision));
         let answer = JobAnswer::Refused {
