Shed new requests on a host that is short of processor time

A host that cannot keep up answered nothing in time, and leases expired beside its callers. The delay of the 25 ms timer now counts as queueing delay: while its minimum over 100 ms exceeds 20 ms (10 ms on a leader's host), a growing share of new requests is refused before the body is read, least urgent first. A leader that sheds half is not ready for up to a second in eight.

--- a/crates/bramley-dock/src/engine/callers.rs
+++ b/crates/bramley-dock/src/engine/callers.rs
@@ -1,10 +1,14 @@
 //! Tracks callers that wait for an answer to their job.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use bramley_core::units::UnixTime;
-use bramley_pool::job::{JobName, JobSubmission, RouteName};
-use bramley_pool::relay::{JobAnswer, RouteOffer};
+use bramley_pool::job::{JobName, JobPolicy, JobSubmission};
+use bramley_pool::refusal::Refusal;
+use bramley_pool::relay::{JobAnswer, RefusalSource, RouteOffer, RouteRefusal};
+use bramley_pool::retry::retry_time;
+use bramley_pool::shedding::ShedRequest;
 use tokio::sync::oneshot;
 
 use super::{Engine, WaitingCaller};
@@ -44,18 +48,25 @@
     /// Decides on a request of a route before its body is read. A refusal is logged and counted
     /// here; any other offer is to be passed to [`Engine::submit`].
     #[must_use]
-    pub fn offer_early(&self, job: &str, route: &RouteName, deadline: UnixTime) -> RouteOffer {
+    pub fn offer_early(&self, job: &str, policy: &JobPolicy, deadline: UnixTime) -> RouteOffer {
         self.detect_pause();
         let now = self.now();
+        let route = &policy.route;
         let offer = {
             let mut state = self.state.borrow_mut();
-            if state.callers.contains_key(job) {
+            if state.callers.contains_key(job) || state.relay.may_run(job) {
                 return RouteOffer::Ordinary;
             }
-            state.relay.offer_early(job, route, deadline, now)
+            if let Some(change) = state.shedder.request_arrived(now) {
+                log::warn!("{change}");
+            }
+            match state.shedder.shed(policy.priority) {
+                Some(request) => RouteOffer::Refused(self.shed(job, request)),
+                None => state.relay.offer_early(job, route, deadline, now),
+            }
         };
         if let RouteOffer::Refused(refusal) = &offer {
-            self.metrics.record_early_refusal();
+            self.metrics.record_early_refusal(refusal.source);
             if self.should_log_refusal(refusal.refusal.answer().reason) {
                 log::warn!("event=job_refused job={job} route={route} {refusal} body=unread");
             }
@@ -63,6 +74,21 @@
         offer
     }
 
+    fn shed(&self, job: &str, request: ShedRequest) -> RouteRefusal {
+        let ShedRequest {
+            delay,
+            pass_permille,
+        } = request;
+        RouteRefusal {
+            refusal: Refusal::Overloaded,
+            source: RefusalSource::HostShedding,
+            retry_after: retry_time(&self.settings.relay, delay, pass_permille, job),
+            pass_permille,
+            wait: delay,
+            state_age: Duration::ZERO,
+        }
+    }
+
     /// Submits a caller's job to the relay, with the offer that was decided before its body was
     /// read.
     pub fn submit(
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -28,6 +28,7 @@
 use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
 use bramley_pool::pool::Pool;
 use bramley_pool::relay::{JobAnswer, Relay};
+use bramley_pool::shedding::{HostShedder, SheddingSettings};
 use bramley_wire::pool::{PoolFrame, RelayFrame};
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -83,6 +84,7 @@
     has_successor: bool,
     sampler: JobLogSampler,
     refusal_log: RefusalLog,
+    shedder: HostShedder,
     last_heartbeat_at: UnixTime,
     /// Messages between the local relay and the local pool, which need no connection.
     local_pool_inbox: Vec<RelayMessage>,
@@ -138,6 +140,7 @@
             has_successor: false,
             sampler: JobLogSampler::new(routine_lines_per_s),
             refusal_log: RefusalLog::default(),
+            shedder: HostShedder::new(SheddingSettings::default()),
             last_heartbeat_at: UnixTime::default(),
             local_pool_inbox: Vec::new(),
             local_relay_inbox: Vec::new(),
@@ -207,6 +210,7 @@
         let state = self.state.borrow();
         state.stopping_since.is_none()
             && state.routes.version > 0
+            && !state.shedder.is_unready(self.now())
             && state.relay.is_well_connected(state.pools.len())
     }
 
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -25,8 +25,9 @@
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            let scheduled_at = ticks.tick().await;
             self.detect_pause();
+            self.record_queueing_delay(scheduled_at.elapsed());
             self.tick_claim();
             let now = self.now();
             self.update_state(|state| {
@@ -39,6 +40,20 @@
         }
     }
 
+    /// Records the delay of the timer, which is the time that work waits for the processor.
+    fn record_queueing_delay(&self, delay: Duration) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let is_leader = state.pool.token().is_some();
+        let due_at = now.after(TICK_INTERVAL);
+        let change = state.shedder.timer_fired(delay, due_at, is_leader, now);
+        self.metrics
+            .record_shedding(state.shedder.delay(), state.shedder.shed_permille());
+        if let Some(change) = change {
+            log::warn!("{change}");
+        }
+    }
+
     /// Detects that the process was paused, for example suspended. Must be called before handling
     /// anything that may have arrived during the pause.
     pub(super) fn detect_pause(&self) {
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -7,6 +7,7 @@
 use bramley_core::units::UnixTime;
 use bramley_pool::decision::Decision;
 use bramley_pool::message::PoolLoad;
+use bramley_pool::relay::RefusalSource;
 use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerRequest};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -40,6 +41,9 @@
     refusals: Family<Labels<1>, Counter>,
     refusals_by_state: Counter,
     early_refusals: Counter,
+    shed_requests: Counter,
+    shed_permille: Gauge,
+    queueing_delay_ms: Gauge,
     store_calls: Family<Labels<2>, Counter>,
     part_failures: Family<Labels<1>, Counter>,
     commands: Gauge,
@@ -76,6 +80,9 @@
             refusals: Family::default(),
             refusals_by_state: Counter::default(),
             early_refusals: Counter::default(),
+            shed_requests: Counter::default(),
+            shed_permille: Gauge::default(),
+            queueing_delay_ms: Gauge::default(),
             store_calls: Family::default(),
             part_failures: Family::default(),
             commands: Gauge::default(),
@@ -144,6 +151,21 @@
             "Jobs refused by the relay before their body was read, by the published state",
             self.early_refusals.clone(),
         );
+        registry.register(
+            "shed_requests",
+            "Requests refused because the host is short of processor time",
+            self.shed_requests.clone(),
+        );
+        registry.register(
+            "shed_permille",
+            "Share of new requests that the host sheds",
+            self.shed_permille.clone(),
+        );
+        registry.register(
+            "queueing_delay_ms",
+            "Shortest delay of the host's timer in the last window",
+            self.queueing_delay_ms.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store by kind and result",
@@ -198,8 +220,17 @@
         self.request_seconds.observe(time.as_secs_f64());
     }
 
-    pub(crate) fn record_early_refusal(&self) {
-        self.early_refusals.inc();
+    pub(crate) fn record_early_refusal(&self, source: RefusalSource) {
+        match source {
+            RefusalSource::PublishedState => self.early_refusals.inc(),
+            RefusalSource::HostShedding => self.shed_requests.inc(),
+        };
+    }
+
+    pub(crate) fn record_shedding(&self, delay: Duration, shed_permille: u32) {
+        let delay = i64::try_from(delay.as_millis()).unwrap_or(i64::MAX);
+        self.queueing_delay_ms.set(delay);
+        self.shed_permille.set(i64::from(shed_permille));
     }
 
     /// Counts an unexpected end of a part of the process.
--- a/crates/bramley-pool/src/lib.rs
+++ b/crates/bramley-pool/src/lib.rs
@@ -14,9 +14,11 @@
 //! - [`refusal`]: reasons for refusing a job and the responses they map to.
 //! - [`relay`]: routing of callers' jobs to pools and failover between pools.
 //! - [`resources`]: CPU, memory and accelerator amounts.
+//! - [`retry`]: times after which refused callers are told to retry.
 //! - [`route_gate`]: admission state that pools publish, and the shares passed by it.
 //! - [`run`]: life cycle of a run.
 //! - [`settings`]: limits, intervals and timeouts.
+//! - [`shedding`]: refusal of new requests while a host is short of processor time.
 //! - [`worker`]: workers, their clocks, requests and reports.
 
 pub mod claim;
@@ -28,7 +30,9 @@
 pub mod refusal;
 pub mod relay;
 pub mod resources;
+pub mod retry;
 pub mod route_gate;
 pub mod run;
 pub mod settings;
+pub mod shedding;
 pub mod worker;
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -23,7 +23,7 @@
 use crate::route_gate::RouteGate;
 use crate::settings::RelaySettings;
 
-pub use self::overload::{RouteOffer, RouteRefusal};
+pub use self::overload::{RefusalSource, RouteOffer, RouteRefusal};
 
 /// Answer to a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/bramley-pool/src/relay/overload.rs
+++ b/crates/bramley-pool/src/relay/overload.rs
@@ -13,7 +13,7 @@
 use crate::message::RouteAdmission;
 use crate::refusal::Refusal;
 use crate::relay::JobAnswer;
-use crate::route_gate::{FULL_SHARE, hash_below};
+use crate::retry::retry_time;
 
 /// Multiple of the latency objective after which an answer has no value on the platform.
 const USEFUL_OBJECTIVES: u32 = 3;
@@ -22,24 +22,43 @@
 /// that sends it again within its deadline must not be told that it has not run.
 const STARTED_JOB_RETENTION: Duration = Duration::from_secs(10);
 
-/// Range of the retry times of callers that are refused at the same moment, in milliseconds.
-const RETRY_SPREAD_MS: u32 = 1_000;
-
 /// Pools kept in place in the list of those that were passed over; there are three or four.
 const INLINE_POOLS: usize = 4;
 
-/// Refusal by the published state, before a job is submitted.
+/// Basis of a refusal before a job is submitted.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RefusalSource {
+    /// Admission state that a pool has published.
+    PublishedState,
+    /// The host is short of processor time.
+    HostShedding,
+}
+
+impl RefusalSource {
+    /// Returns the label for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::PublishedState => "published_state",
+            Self::HostShedding => "host_shedding",
+        }
+    }
+}
+
+/// Refusal before a job is submitted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RouteRefusal {
     /// Reason for the refusal.
     pub refusal: Refusal,
+    /// What the refusal is based on.
+    pub source: RefusalSource,
     /// Time after which the caller may retry, in whole seconds.
     pub retry_after: Duration,
-    /// Share that the local pool passes, in thousandths.
+    /// Share that is passed, in thousandths.
     pub pass_permille: u32,
     /// Expected wait of a job that is served in time.
     pub wait: Duration,
-    /// Age of the state that decided.
+    /// Age of the state that decided; zero for shedding.
     pub state_age: Duration,
 }
 
@@ -47,6 +66,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
             refusal,
+            source,
             retry_after,
             pass_permille,
             wait,
@@ -54,9 +74,10 @@
         } = self;
         write!(
             f,
-            "reason={} by=published_state pass_permille={pass_permille} wait_ms={} \
+            "reason={} by={} pass_permille={pass_permille} wait_ms={} \
              retry_after_ms={} state_age_ms={}",
             refusal.answer().reason,
+            source.as_str(),
             wait.as_millis(),
             retry_after.as_millis(),
             state_age.as_millis(),
@@ -96,7 +117,7 @@
         deadline: UnixTime,
         now: UnixTime,
     ) -> RouteOffer {
-        if self.jobs.contains_key(job) || now < self.sending_paused_until {
+        if now < self.sending_paused_until || self.may_run(job) {
             return RouteOffer::Ordinary;
         }
         // The body tells how much CPU a task needs; any free CPU may suffice.
@@ -107,6 +128,12 @@
         self.decide_offer(job, route, demand, now)
     }
 
+    /// Returns whether a job is open here, or began here before its caller left.
+    #[must_use]
+    pub fn may_run(&self, job: &str) -> bool {
+        self.jobs.contains_key(job) || self.started_jobs.contains_key(job)
+    }
+
     /// Makes the first offer of a job. A decision that was taken before the body was read is kept
     /// if the job fits it.
     pub(super) fn make_first_offer(
@@ -196,7 +223,8 @@
         };
         RouteOffer::Refused(RouteRefusal {
             refusal: Refusal::Overloaded,
-            retry_after: self.spread_retry(state.wait, state.pass_permille, job),
+            source: RefusalSource::PublishedState,
+            retry_after: retry_time(&self.settings, state.wait, state.pass_permille, job),
             pass_permille: state.pass_permille,
             wait: state.wait,
             state_age: now.since(state.computed_at),
@@ -304,24 +332,11 @@
             self.gate.overload(&self.local_domain, route, now)
         });
         match state {
-            Some(state) => self.spread_retry(wait, state.pass_permille, name.as_str()),
+            Some(state) => retry_time(&self.settings, wait, state.pass_permille, name.as_str()),
             None => wait.clamp(self.settings.min_retry_after, self.settings.max_retry_after),
         }
     }
 
-    /// Returns the retry time under overload: the expected wait, and at least the time in which
-    /// the passed share adds up to a whole job at one job in the shortest retry time. It is spread
-    /// by the name of the job and rounded to whole seconds, which is the resolution of responses.
-    fn spread_retry(&self, wait: Duration, pass_permille: u32, job: &str) -> Duration {
-        let shortest = self.settings.min_retry_after;
-        let spread = Duration::from_millis(u64::from(RETRY_SPREAD_MS));
-        let longest = self.settings.max_retry_after.saturating_sub(spread);
-        let by_share = shortest * FULL_SHARE / pass_permille.max(1);
-        let base = wait.max(by_share).min(longest).max(shortest);
-        let offset = Duration::from_millis(u64::from(hash_below(job, RETRY_SPREAD_MS)));
-        Duration::from_secs((base + offset + Duration::from_millis(500)).as_secs())
-    }
-
     fn refuse_by_state(&mut self, name: &JobName, route: &RouteName, refusal: RouteRefusal) {
         self.jobs.remove(name);
         let decision = Decision::RefusedByState {
--- a/crates/bramley-pool/src/route_gate.rs
+++ b/crates/bramley-pool/src/route_gate.rs
@@ -3,15 +3,15 @@
 //! Each pool's state replaces its previous one. A state that is stale or contradictory is not used,
 //! and its pool is treated like one that has published nothing.
 
-use std::hash::Hasher;
 use std::time::Duration;
 
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
-use rustc_hash::{FxHashMap, FxHasher};
+use rustc_hash::FxHashMap;
 
 use crate::job::RouteName;
 use crate::message::RouteAdmission;
+use crate::retry::hash_below;
 
 /// Share that passes everything, in thousandths.
 pub const FULL_SHARE: u32 = 1_000;
@@ -23,16 +23,16 @@
 /// log.
 const CONTRADICTION_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Share of offers passed so far, without a random draw.
+/// Passes a share of offers without a random draw.
 #[derive(Clone, Copy, Debug, Default)]
-struct PassCounter {
+pub struct PassCounter {
     /// Thousandths of an offer that are not passed yet.
     credit: u32,
 }
 
 impl PassCounter {
     /// Returns whether the next offer passes.
-    const fn passes(&mut self, permille: u32) -> bool {
+    pub const fn passes(&mut self, permille: u32) -> bool {
         self.credit += permille;
         if self.credit < FULL_SHARE {
             return false;
@@ -221,13 +221,3 @@
         pool.counters.get_mut(route)
     }
 }
-
-/// Returns a number below `bound` that depends only on the text.
-#[must_use]
-pub fn hash_below(text: &str, bound: u32) -> u32 {
-    let mut hasher = FxHasher::default();
-    hasher.write(text.as_bytes());
-    // The upper bits depend on the whole text.
-    let scaled = ((hasher.finish() >> 32) * u64::from(bound)) >> 32;
-    u32::try_from(scaled).unwrap_or(0)
-}
