--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -28,6 +28,7 @@
 use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
 use bramley_pool::pool::Pool;
 use bramley_pool::relay::{JobAnswer, Relay};
+use bramley_pool::shedding::{HostShedder, SheddingSettings};
 use bramley_wire::pool::{PoolFrame, RelayFrame};
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -38,6 +39,7 @@
 use crate::logging::JobLogSampler;
 use crate::metrics::DockMetrics;
 use crate::platform::{EvacuationItem, Platform, WorkerChange};
+use crate::refusal_log::RefusalLog;
 use crate::routes::RouteTable;
 use crate::settings::DockSettings;
 
@@ -81,6 +83,8 @@
     /// Whether a relay of another host in the same failure domain has ever connected.
     has_successor: bool,
     sampler: JobLogSampler,
+    refusal_log: RefusalLog,
+    shedder: HostShedder,
     last_heartbeat_at: UnixTime,
     /// Messages between the local relay and the local pool, which need no connection.
     local_pool_inbox: Vec<RelayMessage>,
@@ -135,6 +139,8 @@
             stopping_since: None,
             has_successor: false,
             sampler: JobLogSampler::new(routine_lines_per_s),
+            refusal_log: RefusalLog::default(),
+            shedder: HostShedder::new(SheddingSettings::default()),
             last_heartbeat_at: UnixTime::default(),
             local_pool_inbox: Vec::new(),
             local_relay_inbox: Vec::new(),
@@ -204,6 +210,7 @@
         let state = self.state.borrow();
         state.stopping_since.is_none()
             && state.routes.version > 0
+            && !state.shedder.is_unready(self.now())
             && state.relay.is_well_connected(state.pools.len())
     }
 
@@ -264,6 +271,7 @@
             "event=configuration_in_force version={} before={current_version}",
             table.version
         );
+        state.relay.set_known_routes(table.route_names());
         state.routes = Arc::new(table);
         state.routes_applied_at = self.now();
     }
--- a/crates/bramley-pool/benches/admission.rs
+++ b/crates/bramley-pool/benches/admission.rs
@@ -115,12 +115,14 @@
             failure_domain: "domain-1".into(),
             address: "10.0.0.1:1".into(),
             leaving: false,
+            cold_remaining: Duration::ZERO,
             capacity,
             labels: Vec::new(),
         };
         pool.worker_listed(entry, STARTED_AT);
     }
     pool.worker_list_read(STARTED_AT);
+    pool.evacuation_read(false, STARTED_AT, STARTED_AT);
     answer_probes(&mut pool, STARTED_AT);
     let mut number = 0;
     while pool.load(NOW).waiting_tasks < waiting_jobs * 2 {
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -10,6 +10,7 @@
 use crate::job::{JobName, QueueClass, RouteName, TaskName};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
+use crate::relay::RouteRefusal;
 use crate::run::StopCause;
 use crate::worker::{CallRefusal, RunEnd};
 
@@ -115,6 +116,24 @@
         /// Time in which they were refused.
         span: Duration,
     },
+    /// A relay refused a job by the admission state that pools have published.
+    RefusedByState {
+        /// Name of the job.
+        job: JobName,
+        /// Route of the job.
+        route: RouteName,
+        /// The refusal with its inputs.
+        refusal: RouteRefusal,
+    },
+    /// A relay refused a job for which no pool is connected.
+    RefusedUnserved {
+        /// Name of the job.
+        job: JobName,
+        /// Reason for the refusal.
+        refusal: Refusal,
+        /// Number of connected pools.
+        pools_connected: usize,
+    },
     /// A start request was sent to a worker.
     Placed {
         /// Name of the task.
@@ -302,6 +321,8 @@
             Self::Admitted { job, .. }
             | Self::Deferred { job, .. }
             | Self::JobRefused { job, .. }
+            | Self::RefusedByState { job, .. }
+            | Self::RefusedUnserved { job, .. }
             | Self::JobEnded { job, .. }
             | Self::JobCancelled { job, .. }
             | Self::JobReturned { job, .. }
@@ -321,6 +342,19 @@
         }
     }
 
+    /// Returns the reason if the decision is a refusal of a job. Lines on refusals are limited by
+    /// reason.
+    #[must_use]
+    pub const fn refusal_reason(&self) -> Option<&'static str> {
+        match self {
+            Self::JobRefused { refusal, .. } | Self::RefusedUnserved { refusal, .. } => {
+                Some(refusal.answer().reason)
+            }
+            Self::RefusedByState { refusal, .. } => Some(refusal.refusal.answer().reason),
+            _ => None,
+        }
+    }
+
     /// Returns the priority of the log line.
     #[must_use]
     pub const fn priority(&self) -> LogPriority {
@@ -345,6 +379,8 @@
             | Self::JobReturned { .. } => LogPriority::Notable,
             Self::JobRefused { .. }
             | Self::RefusalsCounted { .. }
+            | Self::RefusedByState { .. }
+            | Self::RefusedUnserved { .. }
             | Self::JobResumed { .. }
             | Self::RunLost { .. }
             | Self::CrashRecorded { .. }
@@ -388,6 +424,20 @@
                 left.as_millis(),
                 age.as_millis(),
             ),
+            Self::RefusedByState {
+                job,
+                route,
+                refusal,
+            } => write!(f, "event=job_refused job={job} route={route} {refusal}"),
+            Self::RefusedUnserved {
+                job,
+                refusal,
+                pools_connected,
+            } => write!(
+                f,
+                "event=job_refused job={job} reason={} pools_connected={pools_connected}",
+                refusal.answer().reason,
+            ),
             Self::JobRefused {
                 job,
                 route,
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -359,6 +359,7 @@
         self.run_actions();
     }
 
+    /// Returns the submission of a job that arrives now.
     pub fn submission(&self, job: &TestJob) -> JobSubmission {
         JobSubmission {
             work: JobWork {
