--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
+pub mod burst;
 pub mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -168,6 +169,10 @@
     pub tasks: u32,
     pub cpu_milli: u32,
     pub run: Duration,
+    /// Run time as declared by the client, if that is wrong.
+    pub declared: Option<Duration>,
+    /// Tasks with run times of their own, by index.
+    pub task_runs: Vec<(u32, Duration)>,
     pub priority: u32,
     pub attempts: u32,
 }
@@ -180,6 +185,8 @@
             tasks: 1,
             cpu_milli: 10_000,
             run: Duration::from_millis(100),
+            declared: None,
+            task_runs: Vec::new(),
             priority: 0,
             attempts: 2,
         }
@@ -300,6 +307,11 @@
         let submission = self.submission(job);
         for worker in &mut self.workers {
             worker.run_times.insert(job.name.clone(), job.run);
+            for (index, run) in &job.task_runs {
+                worker
+                    .run_times
+                    .insert(format!("{}.0.0.{index}", job.name), *run);
+            }
             worker.set_task_cpu(&job.name, job.cpu_milli);
         }
         let now = self.now;
@@ -318,7 +330,7 @@
                     cpu_milli: job.cpu_milli,
                     memory_mb: 64,
                 },
-                declared: job.run,
+                declared: job.declared.unwrap_or(job.run),
                 required_label: "".into(),
                 preferred_rack: "".into(),
                 spread_limit: 0,
--- a/crates/bramley-pool/tests/world/workers.rs
+++ b/crates/bramley-pool/tests/world/workers.rs
@@ -53,6 +53,7 @@
     pub listed: bool,
     pub leaving: bool,
     pub behaviour: Behaviour,
+    /// Run times by name of the job, or of the task if it has one of its own.
     pub run_times: BTreeMap<String, Duration>,
     pub starts_refused: u32,
     /// Refuses connections while it is not alive; else it does not respond at all.
@@ -340,7 +341,8 @@
         }
         let span = self
             .run_times
-            .get(task.job.as_str())
+            .get(&task.to_string())
+            .or_else(|| self.run_times.get(task.job.as_str()))
             .copied()
             .unwrap_or(DEFAULT_RUN);
         let (span, end) = match self.behaviour {
