Worker speeds and route spreads as robust estimates; stalls by evidence

Workers' relative run times were a moving average that one long task moved by a factor of two, routes' run times mixed workers of all speeds, admission kept a fixed eighth as its margin, and each long task was stopped at three times the expected time, started again and counted as a fault of its worker.

The speed is now a filter on log ratios (three outliers in a row replace it, stopped and unfinished runs count as lower bounds), routes learn from run times divided by the speed, admission takes its margin from the route's 0.9 quantile, and a run is stopped only beyond what its worker's other runs or its route's longest runs explain.

cargo test -p bramley-pool: all pass.

--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -35,10 +35,6 @@
     NeverFits,
 }
 
-/// Divisor of the expected run time that gives the safety margin for admission; run times of tasks
-/// of one job vary by about that much.
-const MARGIN_DIVISOR: u32 = 8;
-
 /// Capacity counts as contended when more than one task waits per this many usable workers.
 const CONTENTION_DIVISOR: u32 = 4;
 
@@ -170,7 +166,7 @@
     }
 
     fn can_admit_in_time(&self, job: &JobRecord, start: UnixTime) -> bool {
-        let margin = job.expected / MARGIN_DIVISOR;
+        let margin = self.admission_margin(job);
         let is_in_time = start.after(margin) <= job.latest_start();
         // A late answer is better than none as long as it takes no capacity from others.
         is_in_time || (!self.is_contended && start <= job.objective_at)
@@ -187,7 +183,7 @@
         let Some(wait) = self.utilization.stretch_wait(wait) else {
             return false;
         };
-        let margin = job.expected / MARGIN_DIVISOR;
+        let margin = self.admission_margin(job);
         now.after(wait).after(margin) <= job.latest_useful_start()
     }
 
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -180,6 +180,7 @@
         let evidence = self.judge_restart(index, now);
         let worker = self.worker_mut(index);
         worker.lost_runs.clear();
+        worker.forget_speed();
         worker.entry.born_unix_ms = born_unix_ms;
         worker.clock = ClockEstimate::default();
         worker.acknowledged = 0;
@@ -247,6 +248,7 @@
         self.last_read_end = 0;
         self.orphaned_ends.clear();
         self.lost_runs.clear();
+        self.forget_speed();
         self.runs.clear();
         self.allocated = crate::resources::TaskResources::default();
         self.poll_in_flight = false;
--- a/crates/bramley-pool/src/pool/health.rs
+++ b/crates/bramley-pool/src/pool/health.rs
@@ -6,39 +6,27 @@
 use crate::run::RunDetails;
 use crate::worker::WorkerIndex;
 
-/// Weight of a new observation in the moving average of a worker's relative run time.
-const RELATIVE_RUN_TIME_WEIGHT: f64 = 0.2;
-
-/// Bounds to which a single observation of the relative run time is clamped.
-const RELATIVE_RUN_TIME_BOUNDS: (f64, f64) = (0.3, 8.0);
-
 impl Pool {
     /// Records a successful run. A run that was started before the worker's last failure does not
-    /// clear its faults, and a worker that is still slow stays on probation.
+    /// clear its faults.
     pub(super) fn record_success(
         &mut self,
         index: WorkerIndex,
         details: &RunDetails,
         now: UnixTime,
     ) {
-        let ran = now.since(details.started_at).as_secs_f64();
-        let expected = details.expected.as_secs_f64().max(0.001);
-        let ratio = (ran / expected).clamp(RELATIVE_RUN_TIME_BOUNDS.0, RELATIVE_RUN_TIME_BOUNDS.1);
-        let slow_ratio = self.settings.slow_ratio;
+        self.observe_run(index, details, now);
         let min_suspension = self.settings.min_suspension;
         let worker = self.worker_mut(index);
-        worker.relative_run_time += (ratio - worker.relative_run_time) * RELATIVE_RUN_TIME_WEIGHT;
         worker.health.latest_success_start =
             worker.health.latest_success_start.max(details.started_at);
         if details.started_at < worker.health.last_failure_at {
             return;
         }
-        if worker.relative_run_time < slow_ratio {
-            if worker.health.on_probation {
-                worker.health.next_suspension = min_suspension;
-            }
-            worker.health.on_probation = false;
+        if worker.health.on_probation {
+            worker.health.next_suspension = min_suspension;
         }
+        worker.health.on_probation = false;
         worker.health.consecutive_faults = 0;
     }
 
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -11,8 +11,8 @@
 use crate::job::{JobName, QueueClass};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
-use crate::run::{LiveRun, StopCause};
-use crate::worker::{WorkerIndex, WorkerRequest};
+use crate::run::{LiveRun, RunDetails, StopCause};
+use crate::worker::{WorkerIndex, WorkerRecord, WorkerRequest};
 
 /// Backoff after a missed poll, which grows by this much with each further one; also the minimum
 /// interval between probes.
@@ -24,6 +24,17 @@
 /// Maximum multiple of the backoff after missed polls.
 const MAX_BACKOFF_STEPS: u32 = 10;
 
+/// Multiple of the expected run time after which a run counts as stalled although its worker has
+/// ended later ones. The longest tasks take nine times the usual time.
+const LONG_TASK_RATIO: f64 = 12.0;
+
+/// Longest time for which a run is taken for a long task. Long tasks of known routes take up to
+/// 8.1 s, on a worker of speed 0.7 11.6 s; a run that hangs alone is started elsewhere after that.
+const MAX_LONG_TASK: Duration = Duration::from_secs(12);
+
+/// Factor on a route's longest recent run beyond which a run counts as stalled.
+const LONGEST_MARGIN: f64 = 1.5;
+
 /// Time that a worker takes to end runs that were stopped or whose lease expired; the platform
 /// specifies 50 ms.
 const RUN_END_MARGIN: Duration = Duration::from_millis(60);
@@ -34,6 +45,7 @@
         if self.token.is_none() {
             return;
         }
+        self.update_speeds(now);
         self.update_contention(now);
         let usable = self
             .workers
@@ -187,32 +199,58 @@
         }
     }
 
+    /// Stops runs that take far longer than their worker's speed and their route's longest runs
+    /// explain, to start their tasks elsewhere.
     fn stop_stalled_runs(&mut self, index: WorkerIndex, now: UnixTime) {
-        let ratio = self.settings.stall_ratio;
-        let slow_ratio = self.settings.slow_ratio;
-        let floor = self.settings.min_stall_time;
         for position in 0..self.worker(index).runs.len() {
             let worker = self.worker(index);
             let LiveRun::Running(run) = &worker.runs[position] else {
                 continue;
             };
-            let job = self.jobs.get(&run.details.task.job);
-            let declared = job.map_or(Duration::ZERO, |job| job.submission.work.declared);
-            let expected = run.details.expected.max(declared);
-            // The limit is not raised beyond `slow_ratio`, because a worker that is even slower is
-            // unhealthy, and its tasks are better restarted elsewhere.
-            let relative_run_time = worker.relative_run_time.clamp(1.0, slow_ratio);
-            let limit = expected.mul_f64(ratio * relative_run_time).max(floor);
-            if now.since(run.details.started_at) > limit {
-                let job = run.details.task.job.clone();
-                let raised = run.details.expected * 2;
-                self.stop_run(index, position, StopCause::Stalled, now);
+            let details = &run.details;
+            if now.since(details.started_at) <= self.stall_limit(worker, details) {
+                continue;
+            }
+            // A worker that has ended a later run is not to blame.
+            let has_ended_later_run = worker.health.latest_success_start > details.started_at;
+            let job = details.task.job.clone();
+            let raised = details.expected * 2;
+            self.stop_run(index, position, StopCause::Stalled, now);
+            if !has_ended_later_run {
                 self.record_fault(index, now);
-                self.raise_expected_run_time(&job, raised);
             }
+            self.raise_expected_run_time(&job, raised);
         }
     }
 
+    /// Returns the time after which a run counts as stalled.
+    fn stall_limit(&self, worker: &WorkerRecord, details: &RunDetails) -> Duration {
+        let job = self.jobs.get(&details.task.job);
+        let declared = job.map_or(Duration::ZERO, |job| job.submission.work.declared);
+        let expected = details.expected.max(declared);
+        let longest = job.map_or(1.0, |job| {
+            self.route_spread(&job.submission.policy.route).longest()
+        });
+        // A worker that ends other runs works, so the task itself is long, and would be as long
+        // elsewhere.
+        let long_task_ratio = if worker.health.latest_success_start > details.started_at {
+            LONG_TASK_RATIO
+        } else {
+            longest * LONGEST_MARGIN
+        };
+        // The limit is not raised beyond `slow_ratio`, because a worker that is even slower is
+        // unhealthy, and its tasks are better restarted elsewhere.
+        let relative_run_time = worker
+            .relative_run_time
+            .clamp(1.0, self.settings.slow_ratio);
+        let expected = expected.mul_f64(relative_run_time);
+        let long_task_limit = expected.mul_f64(long_task_ratio).min(MAX_LONG_TASK);
+        expected
+            .mul_f64(self.settings.stall_ratio)
+            .max(self.settings.min_stall_time)
+            .max(long_task_limit)
+    }
+
     /// Raises the expected run time of a job, so that an estimate that is too short does not get
     /// its tasks stopped again and again. Runs that are stopped together raise it only once.
     fn raise_expected_run_time(&mut self, name: &JobName, raised: Duration) {
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -11,6 +11,8 @@
 //! - `reports`: answers and reports of workers.
 //! - `reservation`: workers kept free for jobs that have waited long.
 //! - `scoring`: choice of the best worker for a task.
+//! - `speed`: speed of each worker.
+//! - `spread`: spread of each route's run times.
 //! - `starts`: start requests and their answers.
 //! - `utilization`: average utilization of the workers.
 
@@ -25,6 +27,8 @@
 mod reports;
 mod reservation;
 mod scoring;
+mod speed;
+mod spread;
 mod starts;
 mod utilization;
 
@@ -39,12 +43,14 @@
 
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
-use crate::job::{JobName, JobPolicy, JobRecord, JobWork};
+use crate::job::{JobName, JobPolicy, JobRecord, JobWork, RouteName};
 use crate::message::{PoolLoad, PoolMessage, RelayId, RouteAdmission};
 use crate::run::StopCause;
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
+pub use speed::SpeedEstimate;
+use spread::RouteSpread;
 use utilization::SlotUtilization;
 
 /// Multiple of the usual answer time after which a start request is resent.
@@ -127,6 +133,10 @@
     /// Jobs with waiting tasks, unordered.
     queue: Vec<JobName>,
     run_times: RunTimeEstimator,
+    /// Spread of run times by route.
+    spreads: FxHashMap<RouteName, RouteSpread>,
+    /// Relative run time that counts as speed 1 for the run times of routes.
+    common_run_time: f64,
     listed_at: UnixTime,
     /// Whether the worker list is still to be read since the pool became leader. Entries from an
     /// earlier term may be out of date, for example for workers that are being drained.
@@ -170,6 +180,8 @@
             crashes: CrashMemory::default(),
             queue: Vec::new(),
             run_times: RunTimeEstimator::default(),
+            spreads: FxHashMap::default(),
+            common_run_time: 1.0,
             listed_at: UnixTime::default(),
             awaits_list: false,
             actions: Vec::new(),
@@ -348,6 +360,10 @@
             return;
         }
         let details = run.details().clone();
+        if details.needed || cause == StopCause::NotNeeded {
+            self.observe_stopped_run(index, position, now);
+        }
+        let worker = self.worker_mut(index);
         worker.runs[position] = run.stopped(cause, retry_at);
         let name = worker.entry.name.clone();
         self.log(Decision::Stopping {
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -3,7 +3,7 @@
 use bramley_core::units::UnixTime;
 
 use super::placement::report_age;
-use super::{Pool, PoolAction, run_time_key};
+use super::{Pool, PoolAction};
 use crate::decision::Decision;
 use crate::job::{JobName, TaskName, TaskState};
 use crate::message::{JobOutcome, PoolMessage};
@@ -397,12 +397,10 @@
             job.unfinished -= 1;
             let relay = job.relay;
             let is_complete = job.unfinished == 0;
-            let key = run_time_key(&job.submission.policy);
             let message = PoolMessage::TaskDone {
                 job: details.task.job.clone(),
                 index: details.task.index,
             };
-            self.run_times.observe(&key.0, &key.1, ran);
             if is_complete {
                 self.finish(&details.task.job, JobOutcome::Completed, now);
             } else {
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -8,6 +8,7 @@
 
 use crate::crash::TaskCrash;
 use crate::job::{JobName, ServiceName, TaskName};
+use crate::pool::SpeedEstimate;
 use crate::resources::TaskResources;
 use crate::run::LiveRun;
 
@@ -400,7 +401,10 @@
     pub latest_answered_call: UnixTime,
     /// Health of the worker.
     pub health: WorkerHealth,
-    /// Moving average of the ratio of actual to expected run time.
+    /// Estimate of the worker's speed.
+    pub speed: SpeedEstimate,
+    /// Expected run time relative to that on a worker of speed 1, from `speed` and the current
+    /// runs.
     pub relative_run_time: f64,
 }
 
@@ -437,6 +441,7 @@
             report_requested_at: UnixTime::default(),
             latest_answered_call: UnixTime::default(),
             health: WorkerHealth::default(),
+            speed: SpeedEstimate::default(),
             relative_run_time: 1.0,
         }
     }
