Placement on workers of different speed: plans in time, waiting for faster workers

With 40 % of the workers three times slower and half more traffic, tasks went to free slow workers on which no job of theirs could be in time, and admission counted these workers' slots like the others, so that jobs were admitted and held until their last moment.

A job's waiting tasks are now planned on the fast enough slots that are free or will be, in queue order and without making others late. While the plan holds, slow workers are left free for others; when it does not, the job starts at once where it can, or, under contention, is refused for another pool or deferred. Late jobs, and jobs in time on slow workers while fast ones are scarce, take the slower ones. A run at twice its expected time counts as a long task in estimates. Workers whose speed changes are logged; the metric slow_workers counts them.

cargo test -p bramley-pool: all pass.

--- a/crates/bramley-dock/src/engine/dump.rs
+++ b/crates/bramley-dock/src/engine/dump.rs
@@ -38,6 +38,8 @@
                     "runs": worker.runs.len(),
                     "free_cpu_milli": worker.free().cpu_milli,
                     "pace": worker.relative_run_time,
+                    "pace_deviation": worker.speed.deviation(),
+                    "pace_runs": worker.speed.runs(),
                     "missed_looks": worker.missed_polls,
                 })
             })
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -87,6 +87,7 @@
         }
         self.metrics
             .record_load(load, is_leader, state.callers.len());
+        self.metrics.record_slow_workers(state.pool.slow_workers());
         let list_age = state.pool.list_age(now);
         self.metrics
             .record_ages(now.since(state.routes_applied_at), list_age);
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -45,6 +45,7 @@
     free_cpu_milli: Gauge,
     workers: Gauge,
     waiting_tasks: Gauge,
+    slow_workers: Gauge,
     configuration_age_seconds: Gauge,
     list_age_seconds: Gauge,
     log_lines_dropped: Gauge,
@@ -79,6 +80,7 @@
             free_cpu_milli: Gauge::default(),
             workers: Gauge::default(),
             waiting_tasks: Gauge::default(),
+            slow_workers: Gauge::default(),
             configuration_age_seconds: Gauge::default(),
             list_age_seconds: Gauge::default(),
             log_lines_dropped: Gauge::default(),
@@ -157,6 +159,11 @@
             "Tasks that wait for room",
             self.waiting_tasks.clone(),
         );
+        registry.register(
+            "slow_workers",
+            "Commanded workers that take a quarter longer than usual or more",
+            self.slow_workers.clone(),
+        );
         registry.register(
             "configuration_age_seconds",
             "Time since the configuration came into force here",
@@ -258,6 +265,11 @@
         self.waiting_tasks.set(i64::from(load.waiting_tasks));
     }
 
+    pub(crate) fn record_slow_workers(&self, count: usize) {
+        self.slow_workers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     pub(crate) fn record_ages(&self, configuration: Duration, list: Duration) {
         let seconds = |age: Duration| i64::try_from(age.as_secs()).unwrap_or(i64::MAX);
         self.configuration_age_seconds.set(seconds(configuration));
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -107,6 +107,7 @@
             self.report_progress(relay, &name, &tasks);
         } else {
             let (refused, wait) = self.admit(job, now);
+            let refused = refused.or_else(|| self.refuse_too_slow(job, now));
             if let Some(outcome) = refused {
                 self.refuse(&name, outcome, wait, now);
                 return;
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -5,7 +5,7 @@
 use bramley_core::units::UnixTime;
 
 use super::Pool;
-use super::placement::expected_end;
+use super::placement::usual_end;
 use crate::crash::CrashEvidence;
 use crate::decision::Decision;
 use crate::job::{JobName, QueueClass};
@@ -99,24 +99,31 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in late {
-            let Some(job) = self.jobs.get(&name) else {
-                continue;
-            };
-            if self.can_serve_late(job, now) {
-                let decision = Decision::Deferred {
-                    job: name.clone(),
-                    left: job.latest_useful_start().since(now),
-                    waiting: self.waiting_tasks(),
-                    age: now.since(job.submission.arrived_at),
-                };
-                self.log(decision);
-                if let Some(job) = self.jobs.get_mut(&name) {
-                    job.queue_class = QueueClass::Late;
-                }
-            } else {
-                self.refuse_expired(&name, now);
-            }
+            self.defer(&name, now);
+        }
+    }
+
+    /// Moves a job that has not started behind those that can meet their objective, or refuses it
+    /// if its answer would come too late to be of use. Returns whether it is still open.
+    pub(super) fn defer(&mut self, name: &JobName, now: UnixTime) -> bool {
+        let Some(job) = self.jobs.get(name) else {
+            return false;
+        };
+        if !self.can_serve_late(job, now) {
+            self.refuse_expired(name, now);
+            return false;
+        }
+        let decision = Decision::Deferred {
+            job: name.clone(),
+            left: job.latest_useful_start().since(now),
+            waiting: self.waiting_tasks(),
+            age: now.since(job.submission.arrived_at),
+        };
+        self.log(decision);
+        if let Some(job) = self.jobs.get_mut(name) {
+            job.queue_class = QueueClass::Late;
         }
+        true
     }
 
     fn refuse_expired(&mut self, name: &JobName, now: UnixTime) {
@@ -328,7 +335,7 @@
         let longest = self.settings.poll_wait;
         let waits = worker.runs.iter().map(|run| {
             let details = run.details();
-            let remaining = expected_end(worker, details, now).since(now);
+            let remaining = usual_end(worker, details, now).since(now);
             let elapsed = now.since(details.started_at);
             remaining + (remaining + elapsed) / POLL_MARGIN_DIVISOR
         });
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `admission`: estimates whether a job can meet its latency objective.
 //! - `answer_time`: time that workers take to answer start requests.
+//! - `faster`: jobs that wait for a faster worker.
 //! - `fleet`: the platform's list of workers and changes of leader.
 //! - `health`: worker health as judged from the outcome of runs.
 //! - `jobs`: submission, adoption, completion and cancellation of jobs.
@@ -18,6 +19,7 @@
 
 mod admission;
 mod answer_time;
+mod faster;
 mod fleet;
 mod health;
 mod jobs;
@@ -49,6 +51,7 @@
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
+use faster::FasterSlots;
 pub use speed::SpeedEstimate;
 use spread::RouteSpread;
 use utilization::SlotUtilization;
@@ -154,6 +157,8 @@
     /// Whether so many tasks wait that a late job would delay jobs that can still meet their
     /// objective.
     is_contended: bool,
+    /// Jobs that wait for a faster worker.
+    faster: FasterSlots,
     /// Average utilization of the usable workers.
     utilization: SlotUtilization,
     /// Time in which workers answer start requests.
@@ -191,6 +196,7 @@
             newly_waiting: Vec::new(),
             reservations: FxHashMap::default(),
             is_contended: false,
+            faster: FasterSlots::default(),
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
             latest_answered_call: UnixTime::default(),
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -5,12 +5,17 @@
 use bramley_core::units::UnixTime;
 
 use super::Pool;
+use super::faster::SpeedPlan;
 use crate::crash::Suspicion;
 use crate::job::{JobName, JobRecord, TaskState};
 use crate::message::{PoolMessage, RelayId, TaskPlacement};
 use crate::run::RunDetails;
 use crate::worker::{WorkerIndex, WorkerRecord};
 
+/// Multiple of the expected run time from which a run is taken for a long task. Declared run times
+/// are wrong by a factor of 1.4.
+const LONG_TASK_FACTOR: u32 = 2;
+
 impl Pool {
     /// Full placement round: starts waiting tasks in queue order on all workers and recomputes the
     /// reservations. Once a job could not be placed, later jobs are only tried if their tasks need
@@ -20,6 +25,7 @@
             return;
         }
         self.clear_round();
+        self.begin_faster_round(now);
         let mut min_failed_cpu = u32::MAX;
         for name in self.waiting_order(now) {
             let Some(job) = self.jobs.get(&name) else {
@@ -31,8 +37,9 @@
             if is_tried && self.place_job(&name, now) {
                 continue;
             }
-            // The lack of an idle worker does not show that smaller tasks fit nowhere.
-            if !needs_idle_worker {
+            // The lack of an idle or a faster worker does not show that smaller tasks fit nowhere.
+            let waits_for_faster = self.plan_job(&name, now) == Some(SpeedPlan::InTime);
+            if !needs_idle_worker && !waits_for_faster {
                 min_failed_cpu = min_failed_cpu.min(cpu);
             }
             self.reserve_workers(&name, now);
@@ -66,6 +73,7 @@
     /// also clears the state of the last round.
     fn may_place(&mut self, now: UnixTime) -> bool {
         if self.queue.is_empty() {
+            self.faster.clear();
             self.clear_round();
             return false;
         }
@@ -143,6 +151,11 @@
             return true;
         }
         let (tasks, relay) = (job.tasks.len(), job.relay);
+        let plan = self.plan_job(name, now);
+        if plan == Some(SpeedPlan::Late) && !self.serve_late(name, now) {
+            return true;
+        }
+        let waits_for_faster = plan == Some(SpeedPlan::InTime);
         let mut placements = Vec::new();
         let mut all_placed = true;
         for position in 0..tasks {
@@ -163,7 +176,10 @@
                 break;
             };
             let is_suspected = job.tasks[position].suspicion != Suspicion::Unsuspected;
-            let Some(worker) = choose(self, job, position) else {
+            let chosen = choose(self, job, position).filter(|worker| {
+                !waits_for_faster || !self.is_too_slow(self.worker(*worker), job, now)
+            });
+            let Some(worker) = chosen else {
                 all_placed = false;
                 if is_suspected {
                     // The job's other tasks need no idle worker.
@@ -209,8 +225,19 @@
     now.since(worker.report_requested_at)
 }
 
-/// Returns when a run is expected to end, but not earlier than `now`.
+/// Returns when a run is expected to end, but not earlier than `now`. A run that has taken twice the
+/// expected time or more is a long task, which takes about as long again.
 pub(super) fn expected_end(worker: &WorkerRecord, details: &RunDetails, now: UnixTime) -> UnixTime {
+    let expected = details.expected.mul_f64(worker.relative_run_time);
+    let elapsed = now.since(details.started_at);
+    if elapsed >= expected * LONG_TASK_FACTOR {
+        return now.after(elapsed);
+    }
+    usual_end(worker, details, now)
+}
+
+/// Returns when a run would usually end, but not earlier than `now`.
+pub(super) fn usual_end(worker: &WorkerRecord, details: &RunDetails, now: UnixTime) -> UnixTime {
     let expected = details.expected.mul_f64(worker.relative_run_time);
     details.started_at.after(expected).max(now)
 }
--- a/crates/bramley-pool/src/pool/reservation.rs
+++ b/crates/bramley-pool/src/pool/reservation.rs
@@ -72,6 +72,9 @@
         } else {
             resources
         };
+        if self.is_too_slow(worker, job, now) {
+            return None;
+        }
         let mut allocated = worker.allocated;
         let mut free_at = now;
         if resources.fits_in(worker.entry.capacity.saturating_sub(allocated)) {
--- a/crates/bramley-pool/src/pool/speed.rs
+++ b/crates/bramley-pool/src/pool/speed.rs
@@ -47,6 +47,14 @@
 /// Multiple of a route's expected run time beyond which a longer run teaches no more about it.
 const LONGEST_LEARNED: f64 = 2.0;
 
+/// The fastest and slowest one in this many workers do not make a pool uneven, as some estimates of
+/// equal workers differ by chance.
+const TAIL_DIVISOR: usize = 20;
+
+/// Relative run time from which a worker is counted as slow in the metrics: one step of the
+/// placement score.
+const SLOW_FACTOR: f64 = 1.25;
+
 /// Bounds of the relative run time. An observation beyond them tells of something else than speed.
 const RELATIVE_RUN_TIME_BOUNDS: (f64, f64) = (0.2, 10.0);
 
@@ -75,14 +83,15 @@
 }
 
 impl SpeedEstimate {
-    /// Includes a run that took `ratio` times the time expected on a worker of speed 1.
-    pub fn observe(&mut self, ratio: f64) {
+    /// Includes a run that took `ratio` times the time expected on a worker of speed 1. Returns
+    /// whether the worker's speed has changed, so that the latest runs replace the estimate.
+    pub fn observe(&mut self, ratio: f64) -> bool {
         let observed = log_ratio(ratio);
         self.latest.rotate_right(1);
         self.latest[0] = observed;
         self.runs = self.runs.saturating_add(1);
         if self.runs < MIN_RUNS {
-            return;
+            return false;
         }
         let distances = self.latest.map(|latest| latest - self.log_mean);
         let has_changed = distances.iter().all(|span| *span > OUTLIER_DISTANCE)
@@ -90,7 +99,7 @@
         if has_changed || self.runs == MIN_RUNS {
             self.log_mean = median(self.latest);
             self.variance = RUN_DEVIATION * RUN_DEVIATION;
-            return;
+            return has_changed;
         }
         let distance = if distances[0].abs() > OUTLIER_DISTANCE {
             OUTLIER_STEP.copysign(distances[0])
@@ -101,15 +110,14 @@
         let weight = self.variance / (self.variance + RUN_DEVIATION * RUN_DEVIATION);
         self.log_mean += weight * distance;
         self.variance *= 1.0 - weight;
+        false
     }
 
     /// Includes a run that was stopped after `ratio` times the expected time and would have taken
     /// longer. If the estimate explains it, it tells nothing; counting it in full would favour
     /// workers whose runs are stopped early.
-    pub fn observe_stopped(&mut self, ratio: f64) {
-        if log_ratio(ratio) > self.log_mean {
-            self.observe(ratio);
-        }
+    pub fn observe_stopped(&mut self, ratio: f64) -> bool {
+        log_ratio(ratio) > self.log_mean && self.observe(ratio)
     }
 
     /// Returns the expected run time relative to a worker of speed 1: exactly 1 until three runs,
@@ -138,7 +146,7 @@
         self.log_mean.exp()
     }
 
-    /// Returns the number of runs observed.
+    /// Returns the number of runs observed since the worker's start or the change of leader.
     #[must_use]
     pub const fn runs(&self) -> u32 {
         self.runs
@@ -175,9 +183,13 @@
         let ratio = run_ratio(details, now);
         let earlier_factor = self.worker(index).relative_run_time;
         let worker = self.worker_mut(index);
-        worker.speed.observe(ratio);
+        let has_changed = worker.speed.observe(ratio);
         worker.update_relative_run_time(now);
-        let normalizing_factor = worker.relative_run_time / self.common_run_time;
+        let new_factor = worker.relative_run_time;
+        if has_changed {
+            self.log_speed_change(index, earlier_factor, now);
+        }
+        let normalizing_factor = new_factor / self.common_run_time;
         let Some(job) = self.jobs.get(&details.task.job) else {
             return;
         };
@@ -203,38 +215,54 @@
         let worker = self.worker_mut(index);
         if let LiveRun::Running(run) = &worker.runs[position] {
             let ratio = run_ratio(&run.details, now);
-            worker.speed.observe_stopped(ratio);
+            let earlier_factor = worker.relative_run_time;
+            let has_changed = worker.speed.observe_stopped(ratio);
             worker.update_relative_run_time(now);
+            if has_changed {
+                self.log_speed_change(index, earlier_factor, now);
+            }
         }
     }
 
+    fn log_speed_change(&mut self, index: WorkerIndex, earlier_factor: f64, now: UnixTime) {
+        let is_slower = self.worker(index).relative_run_time > earlier_factor;
+        let belief = if is_slower { "slower" } else { "faster" };
+        self.log_worker_change(index, belief, now);
+    }
+
+    /// Returns the number of listed workers that take a quarter longer than one of speed 1, or more.
+    #[must_use]
+    pub fn slow_workers(&self) -> usize {
+        let listed = self.workers.iter().filter(|worker| worker.listed);
+        listed
+            .filter(|worker| worker.relative_run_time >= SLOW_FACTOR)
+            .count()
+    }
+
     /// Updates the relative run times for runs that are still going, and the speed that counts as
     /// 1: the value nearest to that of the declared run times within the middle half of the workers. So a part of the
     /// workers that is slow or fast does not change the expected run times of routes, and a change
     /// of all workers does.
     pub(super) fn update_speeds(&mut self, now: UnixTime) {
-        let mut known: Vec<f64> = Vec::new();
+        let mut listed: Vec<f64> = Vec::with_capacity(self.workers.len());
         for worker in &mut self.workers {
             if !worker.runs.is_empty() {
                 worker.update_relative_run_time(now);
             }
-            if worker.listed && worker.speed.runs >= MIN_RUNS {
-                known.push(worker.relative_run_time);
+            if worker.listed {
+                listed.push(worker.relative_run_time);
             }
         }
-        self.common_run_time = common_run_time(&mut known);
-    }
-}
-
-/// Returns the value nearest to 1 that lies between the quartiles of the relative run times.
-fn common_run_time(known: &mut [f64]) -> f64 {
-    if known.is_empty() {
-        return 1.0;
+        if listed.is_empty() {
+            return;
+        }
+        listed.sort_unstable_by(f64::total_cmp);
+        let last = listed.len() - 1;
+        let quartile = listed.len() / 4;
+        let tail = listed.len() / TAIL_DIVISOR;
+        self.common_run_time = 1.0_f64.clamp(listed[quartile], listed[last - quartile]);
+        self.faster.set_bounds(listed[tail], listed[last - tail]);
     }
-    let (low, high) = (known.len() / 4, known.len() * 3 / 4);
-    let lowest = *known.select_nth_unstable_by(low, f64::total_cmp).1;
-    let highest = *known.select_nth_unstable_by(high, f64::total_cmp).1;
-    1.0_f64.clamp(lowest, highest.max(lowest))
 }
 
 impl WorkerRecord {
