Plans count only workers that serve the job; safe slower workers rank first

A plan counted slots of workers of other services, a job could be refused before the slots of the round were computed, and a worker on which a task would be in time without a margin ranked before those with one.

--- a/crates/bramley-pool/src/pool/faster.rs
+++ b/crates/bramley-pool/src/pool/faster.rs
@@ -30,6 +30,10 @@
 /// Fast workers are scarce if less than one over this number of their CPU is free.
 const SCARCE_DIVISOR: u64 = 4;
 
+/// Steps of the run time from which those of slower workers are counted down; the largest relative
+/// run time is 10, which is 40 steps, and twice that on another rack.
+const MAX_TIME_STEPS: u32 = 100;
+
 /// How a job can be served by workers of different speed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum SpeedPlan {
@@ -57,6 +61,7 @@
 /// A slot that is in use.
 #[derive(Debug)]
 struct BusySlot {
+    worker: WorkerIndex,
     free_at: UnixTime,
     relative_run_time: f64,
     /// Claims in queue order.
@@ -113,52 +118,12 @@
         self.slots.clear();
     }
 
-    /// Sets whether workers differ in speed, given the relative run times of the fastest and the slowest ones.
+    /// Sets whether workers differ in speed, given the relative run times of the
+    /// fastest and the slowest ones.
     pub(super) fn set_bounds(&mut self, lowest: f64, highest: f64) {
         self.lowest = lowest;
         self.is_uneven = highest > lowest * UNEVEN_RATIO;
     }
-
-    /// Returns claims on the slots on which a number of the job's tasks can end soonest and in time,
-    /// `margin` before the objective, without making others late; `None` if there are too few.
-    fn find_claims(
-        &self,
-        job: &JobRecord,
-        key: QueueKey,
-        count: u32,
-        margin: Duration,
-        now: UnixTime,
-    ) -> Option<Vec<(usize, SlotClaim)>> {
-        let mut ends: Vec<(UnixTime, usize, SlotClaim)> = Vec::new();
-        let limit = job.objective_at.before(margin);
-        for (position, slot) in self.slots.iter().enumerate() {
-            let claim = SlotClaim {
-                key,
-                run_time: job.expected.mul_f64(slot.relative_run_time),
-                end_limit: job.objective_at,
-            };
-            let Some(mut end) = slot.end_of(&claim, now) else {
-                continue;
-            };
-            let mut tasks = 0;
-            while end <= limit && tasks < count {
-                ends.push((end, position, claim));
-                end = end.after(claim.run_time);
-                tasks += 1;
-            }
-        }
-        let count = count as usize;
-        if ends.len() < count {
-            return None;
-        }
-        ends.sort_unstable_by_key(|(end, position, _)| (*end, *position));
-        let soonest = ends.into_iter().take(count);
-        Some(
-            soonest
-                .map(|(_, position, claim)| (position, claim))
-                .collect(),
-        )
-    }
 }
 
 impl Pool {
@@ -170,7 +135,7 @@
         }
         self.faster.is_computed = true;
         let (mut free_cpu, mut capacity) = (0, 0);
-        for worker in &self.workers {
+        for (worker, index) in self.workers.iter().zip(0..) {
             if !worker.is_usable() || worker.health.suspended_until > now {
                 continue;
             }
@@ -180,6 +145,7 @@
             }
             for run in &worker.runs {
                 self.faster.slots.push(BusySlot {
+                    worker: WorkerIndex(index),
                     free_at: expected_end(worker, run.details(), now),
                     relative_run_time: worker.relative_run_time,
                     claims: Vec::new(),
@@ -204,29 +170,35 @@
         now.after(run_time) > end_limit(job)
     }
 
-    /// Returns whether a task that can run on workers of different speed is to leave the faster ones
-    /// to others: a late one, or one that is in time on slower ones too while few fast ones are
-    /// free.
-    pub(super) fn leaves_faster(
+    /// Returns the rank of a worker by its run time, lowest first, given that run time in steps.
+    /// Usually the fastest one comes first. A late job, and any job while few fast workers are
+    /// free, leaves those to others: the slowest one on which it is served as admitted comes first.
+    pub(super) fn rank_by_time(
         &self,
         worker: &WorkerRecord,
         job: &JobRecord,
+        time_steps: u32,
         now: UnixTime,
-    ) -> bool {
-        if !self.faster.is_uneven
-            || (job.queue_class == QueueClass::InTime && !self.faster.is_scarce)
-        {
-            return false;
+    ) -> u32 {
+        let leaves_faster =
+            self.faster.is_uneven && (job.queue_class == QueueClass::Late || self.faster.is_scarce);
+        if !leaves_faster {
+            return time_steps;
+        }
+        let relative_run_time = worker.relative_run_time + IN_TIME_MARGIN;
+        if now.after(job.expected.mul_f64(relative_run_time)) <= end_limit(job) {
+            MAX_TIME_STEPS.saturating_sub(time_steps)
+        } else {
+            MAX_TIME_STEPS.saturating_add(time_steps)
         }
-        let run_time = job
-            .expected
-            .mul_f64(worker.relative_run_time + IN_TIME_MARGIN);
-        now.after(run_time) <= end_limit(job)
     }
 
     /// Decides how a job with waiting tasks is served, once in each round. `None` if workers have
     /// one speed or the job is late anyway.
     pub(super) fn plan_job(&mut self, name: &JobName, now: UnixTime) -> Option<SpeedPlan> {
+        if !self.faster.is_uneven {
+            return None;
+        }
         let job = self.jobs.get(name)?;
         if !self.has_plan(job, now) {
             return None;
@@ -240,9 +212,7 @@
         }
         let missing = job.waiting.saturating_sub(self.count_free_slots(job, now));
         let key = self.order_key(job, now);
-        let taken = self
-            .faster
-            .find_claims(job, key, missing, Duration::ZERO, now);
+        let taken = self.find_claims(job, key, missing, Duration::ZERO, now);
         let plan = taken
             .as_ref()
             .map_or(SpeedPlan::Late, |_| SpeedPlan::InTime);
@@ -253,6 +223,53 @@
         Some(plan)
     }
 
+    /// Returns claims on the slots on which a number of the job's tasks can end soonest and in time,
+    /// `margin` before the objective, without making others late; `None` if there are too few.
+    fn find_claims(
+        &self,
+        job: &JobRecord,
+        key: QueueKey,
+        count: u32,
+        margin: Duration,
+        now: UnixTime,
+    ) -> Option<Vec<(usize, SlotClaim)>> {
+        let mut ends: Vec<(UnixTime, usize, SlotClaim)> = Vec::new();
+        let limit = job.objective_at.before(margin);
+        for (position, slot) in self.faster.slots.iter().enumerate() {
+            let worker = self.worker(slot.worker);
+            let is_suitable =
+                serves(worker, job) && job.submission.work.resources.fits_in(worker.entry.capacity);
+            if !is_suitable {
+                continue;
+            }
+            let claim = SlotClaim {
+                key,
+                run_time: job.expected.mul_f64(slot.relative_run_time),
+                end_limit: job.objective_at,
+            };
+            let Some(mut end) = slot.end_of(&claim, now) else {
+                continue;
+            };
+            let mut tasks = 0;
+            while end <= limit && tasks < count {
+                ends.push((end, position, claim));
+                end = end.after(claim.run_time);
+                tasks += 1;
+            }
+        }
+        let count = count as usize;
+        if ends.len() < count {
+            return None;
+        }
+        ends.sort_unstable_by_key(|(end, position, _)| (*end, *position));
+        let soonest = ends.into_iter().take(count);
+        Some(
+            soonest
+                .map(|(_, position, claim)| (position, claim))
+                .collect(),
+        )
+    }
+
     /// Defers a job that has not started and that no worker can serve in time, while tasks wait for
     /// contended capacity. Returns whether the job is still open.
     pub(super) fn serve_late(&mut self, name: &JobName, now: UnixTime) -> bool {
@@ -266,13 +283,12 @@
     /// Refuses a new job that the workers' speed makes late, so that it is offered to another pool,
     /// while tasks wait for contended capacity.
     pub(super) fn refuse_too_slow(&self, job: &JobRecord, now: UnixTime) -> Option<JobOutcome> {
-        if !self.is_contended || !self.has_plan(job, now) {
+        if !self.is_contended || !self.faster.is_computed || !self.has_plan(job, now) {
             return None;
         }
         let missing = job.waiting.saturating_sub(self.count_free_slots(job, now));
         let key = self.order_key(job, now);
         let is_late = self
-            .faster
             .find_claims(job, key, missing, self.admission_margin(job), now)
             .is_none();
         is_late.then_some(JobOutcome::Refused(Refusal::Overloaded))
@@ -290,6 +306,7 @@
         let resources = job.submission.work.resources;
         let mut count = 0;
         for (worker, index) in self.workers.iter().zip(0..) {
+            self.scored.set(self.scored.get() + 1);
             let is_candidate = worker.is_usable()
                 && worker.health.suspended_until <= now
                 && resources.fits_in(worker.free())
--- a/crates/bramley-pool/src/pool/scoring.rs
+++ b/crates/bramley-pool/src/pool/scoring.rs
@@ -17,9 +17,6 @@
 /// Time since the last success beyond which workers are no longer distinguished.
 const MAX_SUCCESS_AGE: Duration = Duration::from_secs(2);
 
-/// Steps of the run time from which those of workers that are left to others are counted down.
-const MAX_TIME_STEPS: u32 = 1_000;
-
 /// Score of a worker for a task; fields are compared in order, and the lowest score wins.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(super) struct PlacementScore {
@@ -30,7 +27,7 @@
     success_age_steps: u32,
     /// Whether the job would miss its objective because of the worker's speed.
     is_too_slow: bool,
-    /// Expected run time on this worker, in quarters of that on a healthy one.
+    /// Rank by the expected run time on this worker, in quarters of that on a healthy one.
     time_steps: u32,
     /// CPU that would stay free; preferring less of it packs tasks tightly.
     free_cpu_milli: u32,
@@ -117,10 +114,8 @@
             u32::try_from(success_age.as_millis() / SUCCESS_AGE_STEP.as_millis())
                 .unwrap_or(u32::MAX)
         };
-        let mut time_steps = (worker.relative_run_time * rack_factor * 4.0).max(0.0) as u32;
-        if self.leaves_faster(worker, job, now) {
-            time_steps = MAX_TIME_STEPS.saturating_sub(time_steps);
-        }
+        let time_steps = (worker.relative_run_time * rack_factor * 4.0).max(0.0) as u32;
+        let time_steps = self.rank_by_time(worker, job, time_steps, now);
         Some(PlacementScore {
             is_suspect,
             success_age_steps,
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -46,7 +46,7 @@
     pub priority_step: Duration,
     /// Factor on a task's run time when its data is on another rack.
     pub remote_factor: f64,
-    /// Ratio of actual to expected run time from which a worker counts as slow.
+    /// Largest relative run time of a worker for which the limit of a stalled run is raised.
     pub slow_ratio: f64,
     /// Multiple of the expected run time after which a run counts as stalled.
     pub stall_ratio: f64,
