--- a/crates/bramley-pool/src/pool/faster.rs
+++ b/crates/bramley-pool/src/pool/faster.rs
@@ -34,6 +34,9 @@
 /// run time is 10, which is 40 steps, and twice that on another rack.
 const MAX_TIME_STEPS: u32 = 100;
 
+/// Number of relative run times that are distinguished, in quarters; the largest one is 10.
+const TIME_STEPS: usize = 41;
+
 /// How a job can be served by workers of different speed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum SpeedPlan {
@@ -95,7 +98,7 @@
 }
 
 /// Jobs that wait for a faster worker, and the slots that they wait for.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct FasterSlots {
     /// Whether workers differ in speed.
     is_uneven: bool,
@@ -106,14 +109,56 @@
     slots: Vec<BusySlot>,
     /// Whether `slots` were computed in the current round.
     is_computed: bool,
+    /// Largest free CPU of a worker by relative run time in quarters, in thousandths of a core.
+    max_free_cpu: [u32; TIME_STEPS],
     /// Plans made since the last full placement round.
     plans: FxHashMap<JobName, SpeedPlan>,
 }
 
+impl Default for FasterSlots {
+    fn default() -> Self {
+        Self {
+            is_uneven: false,
+            lowest: 1.0,
+            is_scarce: false,
+            slots: Vec::new(),
+            is_computed: false,
+            max_free_cpu: [0; TIME_STEPS],
+            plans: FxHashMap::default(),
+        }
+    }
+}
+
 impl FasterSlots {
+    /// Records the free CPU of a worker.
+    fn raise_free_cpu(&mut self, worker: &WorkerRecord) {
+        let free_cpu = &mut self.max_free_cpu[time_step(worker.relative_run_time)];
+        *free_cpu = (*free_cpu).max(worker.free().cpu_milli);
+    }
+
+    /// Records that no worker fast enough for a job has room for one of its tasks in this round.
+    pub(super) fn record_no_room(&mut self, job: &JobRecord, now: UnixTime) {
+        let limit = time_step(max_relative_run_time(job, now));
+        let cpu_milli = job.submission.work.resources.cpu_milli;
+        for free_cpu in &mut self.max_free_cpu[..=limit] {
+            *free_cpu = (*free_cpu).min(cpu_milli.saturating_sub(1));
+        }
+    }
+
+    /// Returns whether a worker fast enough for a job may have room for one of its tasks. It saves
+    /// scoring all workers for each of many jobs that wait for a fast one.
+    pub(super) fn may_have_room(&self, job: &JobRecord, now: UnixTime) -> bool {
+        let limit = time_step(max_relative_run_time(job, now));
+        let cpu_milli = job.submission.work.resources.cpu_milli;
+        self.max_free_cpu[..=limit]
+            .iter()
+            .any(|free_cpu| *free_cpu >= cpu_milli)
+    }
+
     /// Forgets the slots and plans of the last round.
     pub(super) fn clear(&mut self) {
         self.is_computed = false;
+        self.max_free_cpu = [0; TIME_STEPS];
         self.plans.clear();
         self.slots.clear();
     }
@@ -139,6 +184,7 @@
             if !worker.is_usable() || worker.health.suspended_until > now {
                 continue;
             }
+            self.faster.raise_free_cpu(worker);
             if worker.relative_run_time < self.faster.lowest * UNEVEN_RATIO {
                 free_cpu += u64::from(worker.free().cpu_milli);
                 capacity += u64::from(worker.entry.capacity.cpu_milli);
@@ -155,6 +201,38 @@
         self.faster.is_scarce = free_cpu * SCARCE_DIVISOR < capacity;
     }
 
+    /// Records that workers may have gained free resources.
+    pub(super) fn record_freed(&mut self, freed: &[WorkerIndex]) {
+        if self.faster.is_computed {
+            for index in freed {
+                self.faster.raise_free_cpu(&self.workers[index.0 as usize]);
+            }
+        }
+    }
+
+    /// Returns whether a job leaves a worker that is too slow for it to others.
+    pub(super) fn leaves_worker(
+        &mut self,
+        name: &JobName,
+        index: WorkerIndex,
+        now: UnixTime,
+    ) -> bool {
+        let Some(job) = self.jobs.get(name) else {
+            return false;
+        };
+        self.is_too_slow(self.worker(index), job, now)
+            && self.plan_job(name, now) == Some(SpeedPlan::InTime)
+    }
+
+    /// Returns whether a job waits for a faster worker and none has room for a task.
+    pub(super) fn waits_without_room(&mut self, name: &JobName, now: UnixTime) -> bool {
+        if self.plan_job(name, now) != Some(SpeedPlan::InTime) {
+            return false;
+        }
+        let job = self.jobs.get(name);
+        job.is_some_and(|job| !self.faster.may_have_room(job, now))
+    }
+
     /// Returns whether a task that starts now would end too late on this worker to serve its job as
     /// admitted; false if workers have one speed.
     pub(super) fn is_too_slow(
@@ -303,6 +381,9 @@
     /// Counts the free slots on which the job's tasks would end in time, up to the number that
     /// wait.
     fn count_free_slots(&self, job: &JobRecord, now: UnixTime) -> u32 {
+        if !self.faster.may_have_room(job, now) {
+            return 0;
+        }
         let resources = job.submission.work.resources;
         let mut count = 0;
         for (worker, index) in self.workers.iter().zip(0..) {
@@ -331,3 +412,15 @@
         QueueClass::Late => job.useful_until,
     }
 }
+
+/// Returns the largest relative run time with which a task that starts now serves its job as
+/// admitted.
+fn max_relative_run_time(job: &JobRecord, now: UnixTime) -> f64 {
+    let left = end_limit(job).since(now).as_secs_f64();
+    left / job.expected.as_secs_f64().max(0.001)
+}
+
+/// Returns a relative run time in quarters.
+fn time_step(relative_run_time: f64) -> usize {
+    ((relative_run_time * 4.0).max(0.0) as usize).min(TIME_STEPS - 1)
+}
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -34,12 +34,17 @@
             let cpu = job.submission.work.resources.cpu_milli;
             let needs_idle_worker = job.awaits_idle_worker();
             let is_tried = needs_idle_worker || cpu < min_failed_cpu;
-            if is_tried && self.place_job(&name, now) {
+            if is_tried && !self.waits_without_room(&name, now) && self.place_job(&name, now) {
                 continue;
             }
             // The lack of an idle or a faster worker does not show that smaller tasks fit nowhere.
             let waits_for_faster = self.plan_job(&name, now) == Some(SpeedPlan::InTime);
-            if !needs_idle_worker && !waits_for_faster {
+            if waits_for_faster
+                && !needs_idle_worker
+                && let Some(job) = self.jobs.get(&name)
+            {
+                self.faster.record_no_room(job, now);
+            } else if !needs_idle_worker {
                 min_failed_cpu = min_failed_cpu.min(cpu);
             }
             self.reserve_workers(&name, now);
@@ -57,6 +62,7 @@
         let mut freed = std::mem::take(&mut self.freed_workers);
         freed.sort_unstable();
         freed.dedup();
+        self.record_freed(&freed);
         if !freed.is_empty() {
             let order = self.waiting_order(now);
             for index in freed {
@@ -109,7 +115,7 @@
     /// Starts waiting tasks in queue order on one worker, as far as they fit.
     fn place_on(&mut self, index: WorkerIndex, order: &[JobName], now: UnixTime) {
         for name in order {
-            if self.is_reserved(index, name) {
+            if self.is_reserved(index, name) || self.leaves_worker(name, index, now) {
                 continue;
             }
             self.place_tasks(name, now, |pool, job, task| {
