--- a/crates/bramley-dock/src/engine/dump.rs
+++ b/crates/bramley-dock/src/engine/dump.rs
@@ -40,6 +40,8 @@
                     "free_cpu_milli": worker.free().cpu_milli,
                     "pace": worker.relative_run_time,
                     "cold_ms": worker.cold_until.since(now).as_millis(),
+                    "pace_deviation": worker.speed.deviation(),
+                    "pace_runs": worker.speed.runs(),
                     "missed_looks": worker.missed_polls,
                 })
             })
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -161,6 +161,7 @@
     /// Admits a job that is not in the table of jobs, or reports its refusal and returns false.
     fn admit_or_refuse(&mut self, job: &JobRecord, now: UnixTime) -> bool {
         let (refused, wait) = self.admit(job, now);
+        let refused = refused.or_else(|| self.refuse_too_slow(job, now));
         let is_counted = match refused {
             None => job.queue_class == QueueClass::InTime,
             Some(JobOutcome::Refused(Refusal::Overloaded)) => job.queue_class == QueueClass::InTime,
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -3,6 +3,7 @@
 //! - `admission`: estimates whether a job can meet its latency objective.
 //! - `answer_time`: time that workers take to answer start requests.
 //! - `evacuation`: evacuation of the failure domain and its gradual return to use.
+//! - `faster`: jobs that wait for a faster worker.
 //! - `fleet`: the platform's list of workers and changes of leader.
 //! - `health`: worker health as judged from the outcome of runs.
 //! - `jobs`: submission, adoption, completion and cancellation of jobs.
@@ -15,6 +16,8 @@
 //! - `reservation`: workers kept free for jobs that have waited long.
 //! - `route_load`: offered and admitted jobs of each route, and what is published of it.
 //! - `scoring`: choice of the best worker for a task.
+//! - `speed`: speed of each worker.
+//! - `spread`: spread of each route's run times.
 //! - `starts`: start requests and their answers.
 //! - `summary`: summary of slots and queue for admission.
 //! - `utilization`: average utilization of the workers.
@@ -22,6 +25,7 @@
 mod admission;
 mod answer_time;
 mod evacuation;
+mod faster;
 mod fleet;
 mod health;
 mod jobs;
@@ -34,6 +38,8 @@
 mod reservation;
 mod route_load;
 mod scoring;
+mod speed;
+mod spread;
 mod starts;
 mod summary;
 mod utilization;
@@ -49,16 +55,19 @@
 
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
-use crate::job::{JobName, JobPolicy, JobRecord, JobWork};
+use crate::job::{JobName, JobPolicy, JobRecord, JobWork, RouteName};
 use crate::message::{PoolLoad, PoolMessage, RelayId};
 use crate::run::StopCause;
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
 use evacuation::EvacuationState;
+use faster::FasterSlots;
 use queue::WaitQueue;
 use refusal_log::RefusalLog;
 use route_load::RouteLoads;
+pub use speed::SpeedEstimate;
+use spread::RouteSpread;
 use summary::AdmissionSummary;
 use utilization::SlotUtilization;
 
@@ -147,6 +156,10 @@
     /// Jobs with waiting tasks.
     queue: WaitQueue,
     run_times: RunTimeEstimator,
+    /// Spread of run times by route.
+    spreads: FxHashMap<RouteName, RouteSpread>,
+    /// Relative run time that counts as speed 1 for the run times of routes.
+    common_run_time: f64,
     listed_at: UnixTime,
     /// Whether the worker list is still to be read since the pool became leader. Entries from an
     /// earlier term may be out of date, for example for workers that are being drained.
@@ -176,6 +189,8 @@
     route_loads: RouteLoads,
     /// Number of logged refusals.
     refusal_log: RefusalLog,
+    /// Jobs that wait for a faster worker.
+    faster: FasterSlots,
     /// Average utilization of the usable workers.
     utilization: SlotUtilization,
     /// Time in which workers answer start requests.
@@ -202,6 +217,8 @@
             crashes: CrashMemory::default(),
             queue: WaitQueue::default(),
             run_times: RunTimeEstimator::default(),
+            spreads: FxHashMap::default(),
+            common_run_time: 1.0,
             listed_at: UnixTime::default(),
             awaits_list: false,
             evacuation: EvacuationState::default(),
@@ -217,6 +234,7 @@
             summary: AdmissionSummary::default(),
             route_loads: RouteLoads::default(),
             refusal_log: RefusalLog::default(),
+            faster: FasterSlots::default(),
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
             latest_answered_call: UnixTime::default(),
@@ -383,6 +401,10 @@
             return;
         }
         let details = run.details().clone();
+        if details.needed || cause == StopCause::NotNeeded {
+            self.observe_stopped_run(index, position, now);
+        }
+        let worker = self.worker_mut(index);
         worker.runs[position] = run.stopped(cause, retry_at);
         let name = worker.entry.name.clone();
         self.log(Decision::Stopping {
