Encode frames in place and shared frames once

Each frame was encoded into a buffer of its own and copied, a heartbeat was copied and encoded for each relay, a submission was cloned twice, and each metric allocated its labels. Behaviour is unchanged.

--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -16,6 +16,7 @@
 use super::{Engine, LOCAL_RELAY};
 use crate::clock::wall_clock_now;
 use crate::deadline::timeout_at_with_grace;
+use crate::links::OutgoingFrame;
 use crate::links::convert::{encode_pool_message, encode_relay_message};
 use crate::platform::Platform;
 
@@ -71,13 +72,19 @@
             }
             PoolAction::Send(relay, message) => {
                 if let Some(outgoing) = self.state.borrow().relays.get(&relay) {
-                    queue_frame(outgoing, encode_pool_message(message));
+                    queue_frame(
+                        outgoing,
+                        OutgoingFrame::Single(encode_pool_message(message)),
+                    );
                 }
             }
             PoolAction::Broadcast(message) => {
                 let mut state = self.state.borrow_mut();
-                for outgoing in state.relays.values() {
-                    queue_frame(outgoing, encode_pool_message(message.clone()));
+                if !state.relays.is_empty() {
+                    let frame = OutgoingFrame::shared(&encode_pool_message(message.clone()));
+                    for outgoing in state.relays.values() {
+                        queue_frame(outgoing, frame.clone());
+                    }
                 }
                 state.local_relay_inbox.push(message);
             }
@@ -131,7 +138,7 @@
                     .get(&domain)
                     .and_then(|link| link.outgoing.as_ref())
                 {
-                    let frame = encode_relay_message(message, now);
+                    let frame = OutgoingFrame::Single(encode_relay_message(message, now));
                     if outgoing.send(frame).is_err() {
                         log::debug!("event=frame_dropped pool={domain} reason=connection_ended");
                     }
@@ -191,7 +198,10 @@
 }
 
 /// Queues a frame. If the queue is closed, the connection has ended, which its reader reports.
-pub(super) fn queue_frame(outgoing: &mpsc::UnboundedSender<PoolFrame>, frame: PoolFrame) {
+pub(super) fn queue_frame(
+    outgoing: &mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>,
+    frame: OutgoingFrame<PoolFrame>,
+) {
     if outgoing.send(frame).is_err() {
         log::trace!("event=frame_dropped reason=connection_ended");
     }
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -36,6 +36,7 @@
 
 pub use self::callers::PendingJob;
 use crate::clock::{MonotonicClock, time_since_boot};
+use crate::links::OutgoingFrame;
 use crate::logging::JobLogSampler;
 use crate::metrics::DockMetrics;
 use crate::platform::{Platform, WorkerChange};
@@ -58,7 +59,7 @@
 struct PoolLink {
     claim: ClaimView,
     connector: Option<AbortHandle>,
-    outgoing: Option<mpsc::UnboundedSender<RelayFrame>>,
+    outgoing: Option<mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>>,
     last_heard_at: UnixTime,
     /// Whether the pool asks for its leadership to be taken over, as its last heartbeat stated.
     gives_way: bool,
@@ -73,7 +74,7 @@
     callers: FxHashMap<JobName, WaitingCaller>,
     next_caller_number: u64,
     /// Connections of other processes' relays to the local pool.
-    relays: FxHashMap<RelayId, mpsc::UnboundedSender<PoolFrame>>,
+    relays: FxHashMap<RelayId, mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>>,
     next_relay_id: u64,
     pools: BTreeMap<DomainName, PoolLink>,
     routes: Arc<RouteTable>,
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -9,8 +9,8 @@
 
 use super::Engine;
 use super::actions::queue_frame;
-use crate::links::DisconnectReason;
 use crate::links::convert::{decode_admissions, decode_load, encode_heartbeat};
+use crate::links::{DisconnectReason, OutgoingFrame};
 use crate::platform::Platform;
 
 impl<P: Platform> Engine<P> {
@@ -18,7 +18,7 @@
     pub(crate) fn relay_connected(
         &self,
         hello: &RelayHello,
-        outgoing: mpsc::UnboundedSender<PoolFrame>,
+        outgoing: mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>,
     ) -> RelayId {
         let mut state = self.state.borrow_mut();
         let relay = RelayId(state.next_relay_id);
@@ -36,7 +36,7 @@
         let is_leader = state.pool.token().is_some();
         let gives_way = state.gives_way(now);
         let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
-        queue_frame(&outgoing, heartbeat);
+        queue_frame(&outgoing, OutgoingFrame::Single(heartbeat));
         state.relays.insert(relay, outgoing);
         relay
     }
@@ -74,7 +74,7 @@
     pub(crate) fn pool_connected(
         self: &Rc<Self>,
         domain: &DomainName,
-        outgoing: mpsc::UnboundedSender<RelayFrame>,
+        outgoing: mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>,
     ) {
         self.detect_pause();
         let now = self.now();
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -9,6 +9,7 @@
 use super::Engine;
 use super::actions::queue_frame;
 use crate::clock::time_since_boot;
+use crate::links::OutgoingFrame;
 use crate::links::convert::encode_heartbeat;
 use crate::platform::Platform;
 
@@ -90,9 +91,12 @@
         let is_leader = state.pool.token().is_some();
         let gives_way = state.gives_way(now);
         let admissions = state.pool.route_admissions(now);
-        let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
-        for outgoing in state.relays.values() {
-            queue_frame(outgoing, heartbeat.clone());
+        if !state.relays.is_empty() {
+            let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
+            let heartbeat = OutgoingFrame::shared(&heartbeat);
+            for outgoing in state.relays.values() {
+                queue_frame(outgoing, heartbeat.clone());
+            }
         }
         let local_domain = self.settings.host.domain.clone();
         if is_leader {
--- a/crates/bramley-dock/src/links/mod.rs
+++ b/crates/bramley-dock/src/links/mod.rs
@@ -11,7 +11,7 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{BufMut, Bytes, BytesMut};
 use futures::StreamExt;
 use prost::Message;
 use socket2::SockRef;
@@ -28,6 +28,28 @@
 /// Largest number of frames written with one system call.
 const BATCH_FRAMES: usize = 64;
 
+/// Capacity in bytes up to which the buffer of a writer is kept for the next frames. Most batches
+/// are smaller, and there are up to 42 connections.
+const KEPT_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Frame that waits to be written.
+#[derive(Clone, Debug)]
+pub(crate) enum OutgoingFrame<M> {
+    /// A frame for one connection.
+    Single(M),
+    /// A frame for several connections, encoded once.
+    Shared(Bytes),
+}
+
+impl<M: Message> OutgoingFrame<M> {
+    /// Encodes a frame for several connections.
+    pub(crate) fn shared(frame: &M) -> Self {
+        let mut bytes = BytesMut::new();
+        append_frame(&mut bytes, frame);
+        Self::Shared(bytes.freeze())
+    }
+}
+
 /// Reader of length-prefixed frames.
 pub type FrameReader = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
 
@@ -74,24 +96,39 @@
 /// Writes frames until their sender is dropped.
 pub(crate) async fn write_frames<M: Message>(
     mut writer: OwnedWriteHalf,
-    mut frames: UnboundedReceiver<M>,
+    mut frames: UnboundedReceiver<OutgoingFrame<M>>,
 ) -> io::Result<()> {
     let mut batch = Vec::with_capacity(BATCH_FRAMES);
+    let mut bytes = BytesMut::new();
     while frames.recv_many(&mut batch, BATCH_FRAMES).await > 0 {
-        let mut bytes = BytesMut::new();
         for frame in batch.drain(..) {
-            append_frame(&mut bytes, &frame);
+            match frame {
+                OutgoingFrame::Single(frame) => append_frame(&mut bytes, &frame),
+                OutgoingFrame::Shared(encoded) => bytes.extend_from_slice(&encoded),
+            }
         }
-        let bytes = bytes.freeze();
         writer.write_all(&bytes).await?;
+        bytes.clear();
+        if bytes.capacity() > KEPT_BUFFER_BYTES {
+            bytes = BytesMut::new();
+        }
     }
     writer.shutdown().await
 }
 
+/// Appends the length of a frame and the frame, which is encoded in place.
 fn append_frame<M: Message>(bytes: &mut BytesMut, frame: &M) {
-    let length = u32::try_from(frame.encoded_len()).unwrap_or(u32::MAX);
-    bytes.extend_from_slice(&length.to_be_bytes());
-    bytes.extend_from_slice(&frame.encode_to_vec());
+    let length_at = bytes.len();
+    bytes.put_u32(0);
+    let frame_at = bytes.len();
+    if let Err(error) = frame.encode(bytes) {
+        // The buffer grows as needed, so this does not happen.
+        log::error!("event=frame_dropped reason=not_encoded error=\"{error}\"");
+        bytes.truncate(length_at);
+        return;
+    }
+    let length = u32::try_from(bytes.len() - frame_at).unwrap_or(u32::MAX);
+    bytes[length_at..frame_at].copy_from_slice(&length.to_be_bytes());
 }
 
 /// Reason why a connection has ended.
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -12,7 +12,8 @@
 
 use super::convert::decode_pool_message;
 use super::{
-    DisconnectReason, FrameReader, configure_stream, read_frame, split_stream, write_frames,
+    DisconnectReason, FrameReader, OutgoingFrame, configure_stream, read_frame, split_stream,
+    write_frames,
 };
 use crate::engine::Engine;
 use crate::platform::Platform;
@@ -85,7 +86,7 @@
     engine: &Rc<Engine<P>>,
     domain: &DomainName,
     reader: &mut FrameReader,
-    outgoing: mpsc::UnboundedSender<RelayFrame>,
+    outgoing: mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>,
 ) -> DisconnectReason {
     let idle_timeout = engine.settings().link.idle_timeout;
     let mut is_connected = false;
@@ -114,8 +115,9 @@
 }
 
 /// Queues a frame. If the queue is closed, the connection has ended, which its reader reports.
-fn send(outgoing: &mpsc::UnboundedSender<RelayFrame>, body: relay_frame::Body) {
-    if outgoing.send(RelayFrame { body: Some(body) }).is_err() {
+fn send(outgoing: &mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>, body: relay_frame::Body) {
+    let frame = OutgoingFrame::Single(RelayFrame { body: Some(body) });
+    if outgoing.send(frame).is_err() {
         log::trace!("event=frame_dropped reason=connection_ended");
     }
 }
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics for operators in the OpenMetrics format.
 
-use std::cell::OnceCell;
+use std::borrow::Cow;
+use std::cell::{OnceCell, RefCell};
 use std::fmt;
 use std::time::Duration;
 
@@ -24,12 +25,22 @@
 /// Number of buckets of time histograms; each upper bound is twice the previous one.
 const BUCKETS: u16 = 15;
 
-type Labels<const N: usize> = [(&'static str, String); N];
+type Labels<const N: usize> = [(&'static str, Cow<'static, str>); N];
+
+/// Counter of the requests of one route with one status.
+#[derive(Debug)]
+struct RequestCounter {
+    route: Box<str>,
+    status: u16,
+    counter: Counter,
+}
 
 /// Metrics of one process.
 pub struct DockMetrics {
     registry: Registry,
     requests: Family<Labels<2>, Counter>,
+    /// Counters of `requests` by route and status, found without creating labels.
+    request_counters: RefCell<Vec<RequestCounter>>,
     request_seconds: Histogram,
     wait_seconds: Histogram,
     run_seconds: Histogram,
@@ -69,6 +80,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("bramley_dock"),
             requests: Family::default(),
+            request_counters: RefCell::default(),
             request_seconds: time_histogram(),
             wait_seconds: time_histogram(),
             run_seconds: time_histogram(),
@@ -212,11 +224,25 @@
 
     /// Records a response to a caller.
     pub fn record_request(&self, route: &str, status: u16, time: Duration) {
-        let labels = [
-            ("route", String::from(route)),
-            ("status", status.to_string()),
-        ];
-        self.requests.get_or_create(&labels).inc();
+        let mut known = self.request_counters.borrow_mut();
+        let found = known
+            .iter()
+            .find(|known| known.status == status && *known.route == *route);
+        if let Some(found) = found {
+            found.counter.inc();
+        } else {
+            let labels = [
+                ("route", Cow::from(String::from(route))),
+                ("status", Cow::from(status.to_string())),
+            ];
+            let counter = self.requests.get_or_create_owned(&labels);
+            counter.inc();
+            known.push(RequestCounter {
+                route: route.into(),
+                status,
+                counter,
+            });
+        }
         self.request_seconds.observe(time.as_secs_f64());
     }
 
@@ -236,16 +262,13 @@
     /// Counts an unexpected end of a part of the process.
     pub fn record_part_failure(&self, part: &'static str) {
         self.part_failures
-            .get_or_create(&[("part", String::from(part))])
+            .get_or_create(&[("part", Cow::from(part))])
             .inc();
     }
 
     /// Records a call to the store.
     pub fn record_store_call(&self, kind: &'static str, result: &'static str) {
-        let labels = [
-            ("kind", String::from(kind)),
-            ("result", String::from(result)),
-        ];
+        let labels = [("kind", Cow::from(kind)), ("result", Cow::from(result))];
         self.store_calls.get_or_create(&labels).inc();
     }
 
@@ -263,10 +286,7 @@
             CallAnswer::NotSent => "not_sent",
             CallAnswer::Unanswered => "unanswered",
         };
-        let labels = [
-            ("kind", String::from(kind)),
-            ("result", String::from(result)),
-        ];
+        let labels = [("kind", Cow::from(kind)), ("result", Cow::from(result))];
         self.calls.get_or_create(&labels).inc();
         if is_timed {
             self.call_seconds
@@ -279,12 +299,12 @@
             Decision::Placed { age, .. } => self.wait_seconds.observe(age.as_secs_f64()),
             Decision::RunEnded { end, ran, .. } => {
                 let end_name = end.map_or("not_there", bramley_pool::worker::RunEnd::as_str);
-                let labels = [("end", String::from(end_name))];
+                let labels = [("end", Cow::from(end_name))];
                 self.run_ends.get_or_create(&labels).inc();
                 self.run_seconds.observe(ran.as_secs_f64());
             }
             Decision::RunLost { evidence, .. } => {
-                let labels = [("evidence", String::from(evidence.as_str()))];
+                let labels = [("evidence", Cow::from(evidence.as_str()))];
                 self.runs_lost.get_or_create(&labels).inc();
             }
             Decision::TaskGivenUp { .. } => {
@@ -294,7 +314,7 @@
                 self.refusals_by_state.inc();
             }
             Decision::JobRefused { refusal, .. } => {
-                let labels = [("reason", String::from(refusal.answer().reason))];
+                let labels = [("reason", Cow::from(refusal.answer().reason))];
                 self.refusals.get_or_create(&labels).inc();
             }
             _ => {}
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -432,10 +432,10 @@
         if let Some(history) = self.crashes.history(name) {
             job.submission.crashes = history.clone();
         }
-        let submission = job.submission.clone();
+        let message = RelayMessage::Submit(Box::new(job.submission.clone()));
         // Only the new pool's acknowledgement counts from now on.
         job.submission.acknowledged = false;
-        self.send_submit(&domain, &submission);
+        self.actions.push(RelayAction::Send(domain, message));
     }
 
     /// Resubmits a job that another pool may have started.
@@ -472,12 +472,6 @@
         self.actions.push(RelayAction::Answer(name.clone(), answer));
     }
 
-    fn send_submit(&mut self, domain: &DomainName, submission: &JobSubmission) {
-        let message = RelayMessage::Submit(Box::new(submission.clone()));
-        self.actions
-            .push(RelayAction::Send(domain.clone(), message));
-    }
-
     /// Returns the pool of the local failure domain if it is connected, else the pool with the most
     /// free CPU.
     fn first_pool(&self) -> Option<DomainName> {
