Test and explain refusals before the body is read, and describe them for operators

bramleyctl explain said of a request refused unread that no response was logged; its refusal now counts as one and names the client's Request-Id.

--- a/crates/bramley-dock/src/engine/callers.rs
+++ b/crates/bramley-dock/src/engine/callers.rs
@@ -48,7 +48,13 @@
     /// Decides on a request of a route before its body is read. A refusal is logged and counted
     /// here; any other offer is to be passed to [`Engine::submit`].
     #[must_use]
-    pub fn offer_early(&self, job: &str, policy: &JobPolicy, deadline: UnixTime) -> RouteOffer {
+    pub fn offer_early(
+        &self,
+        job: &str,
+        request_id: &str,
+        policy: &JobPolicy,
+        deadline: UnixTime,
+    ) -> RouteOffer {
         self.detect_pause();
         let now = self.now();
         let route = &policy.route;
@@ -68,7 +74,10 @@
         if let RouteOffer::Refused(refusal) = &offer {
             self.metrics.record_early_refusal(refusal.source);
             if self.should_log_refusal(refusal.refusal.answer().reason) {
-                log::warn!("event=job_refused job={job} route={route} {refusal} body=unread");
+                log::warn!(
+                    "event=job_refused job={job} request={request_id} route={route} {refusal} \
+                     body=unread"
+                );
             }
         }
         offer
--- a/crates/bramley-explain/src/finding.rs
+++ b/crates/bramley-explain/src/finding.rs
@@ -175,12 +175,21 @@
     }
     if timeline.job_events("caller_left").next().is_some() {
         findings.push(Finding::ClientDisconnected);
-    } else if timeline.job_events("request_answered").next().is_none() {
+    } else if !is_answered(timeline) {
         findings.push(Finding::NoResponse);
     }
     findings
 }
 
+/// Returns whether a response was logged. A request that is refused before its body is read has no
+/// other line than its refusal.
+fn is_answered(timeline: &Timeline) -> bool {
+    timeline.job_events("request_answered").next().is_some()
+        || timeline
+            .job_events("job_refused")
+            .any(|line| field_text(line, "body") == "unread")
+}
+
 fn describe_refusal(line: &LogLine) -> Finding {
     let inputs: Vec<String> = line
         .fields
--- a/crates/bramley-explain/tests/explained.rs
+++ b/crates/bramley-explain/tests/explained.rs
@@ -110,6 +110,16 @@
     insta::assert_snapshot!(explain("1eb8", &SERVED_LATE));
 }
 
+/// Failure guarded against: a request that was refused before its body was read is said to have had
+/// no response, because only its refusal was logged.
+#[test]
+fn a_request_that_was_refused_unread_is_explained_by_its_refusal() {
+    let line = "time_ms=7 level=warn event=job_refused job=41cc request=8 route=r-1 \
+                reason=overloaded by=published_state pass_permille=120 wait_ms=40 \
+                retry_after_ms=4000 state_age_ms=90 body=unread";
+    insta::assert_snapshot!(explain("8", &[("a-1", line)]));
+}
+
 #[test]
 fn an_id_that_no_line_names_is_not_explained() {
     let logs = [(Arc::from("b-1"), String::from(LATE))];
