Give routes, failure domains and large jobs their shares under overload

Jobs with a long slack kept out those with a short one, and jobs of few tasks those of many. Routes are entitled to half of their max-min fair share and, in order of priority, to what is left; those above it give way while another is short.

--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -241,6 +241,9 @@
     pub may_have_started: bool,
     /// Time by which the job is to be served.
     pub queue_class: QueueClass,
+    /// Whether the job was admitted before others because jobs of its size or of its relay's failure
+    /// domain got less than is guaranteed.
+    pub is_guaranteed: bool,
 }
 
 impl JobRecord {
@@ -254,7 +257,7 @@
     /// Returns whether the job goes before those of which no task has started.
     #[must_use]
     pub const fn goes_first(&self) -> bool {
-        self.may_have_started
+        self.may_have_started || self.is_guaranteed
     }
 
     /// Returns the resources that a run of a task takes up on a worker. A suspected task takes up
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -174,7 +174,7 @@
     /// Decides on a new job: returns its refusal, if any, and the estimated wait.
     pub(super) fn admit(
         &mut self,
-        job: &JobRecord,
+        job: &mut JobRecord,
         now: UnixTime,
     ) -> (Option<JobOutcome>, Duration) {
         if self.has_used_up_slack(job, now) {
@@ -183,17 +183,19 @@
         }
         match self.estimate_start(job, now) {
             StartEstimate::At(start) => {
-                let wait = start.since(now);
                 let is_admitted = match job.queue_class {
                     QueueClass::InTime => self.can_admit_in_time(job, start),
                     QueueClass::Late => self.can_serve_late(job, start, now),
                 };
+                let is_admitted = is_admitted && !self.yields_to_others(job);
+                let refused = !is_admitted && !self.admit_guaranteed(job, now);
                 let refusal = JobOutcome::Refused(Refusal::Overloaded);
-                ((!is_admitted).then_some(refusal), wait)
+                (refused.then_some(refusal), start.since(now))
             }
             StartEstimate::DelaysOtherJobs(start) => {
-                let wait = start.since(now);
-                (Some(JobOutcome::Refused(Refusal::Overloaded)), wait)
+                let refused = !self.admit_guaranteed(job, now);
+                let refusal = JobOutcome::Refused(Refusal::Overloaded);
+                (refused.then_some(refusal), start.since(now))
             }
             StartEstimate::NoWorker => {
                 let wait = self.settings.min_suspension;
@@ -206,6 +208,25 @@
         }
     }
 
+    /// Admits a job before others if jobs like it get less than is guaranteed, and it can be served in
+    /// time that way.
+    fn admit_guaranteed(&mut self, job: &mut JobRecord, now: UnixTime) -> bool {
+        if job.queue_class != QueueClass::InTime
+            || !self.is_underserved(job)
+            || self.yields_to_others(job)
+        {
+            return false;
+        }
+        job.is_guaranteed = true;
+        job.is_guaranteed = match self.estimate_from_summary(job, now) {
+            StartEstimate::At(start) | StartEstimate::DelaysOtherJobs(start) => {
+                self.can_admit_in_time(job, start)
+            }
+            StartEstimate::NoWorker | StartEstimate::NeverFits => false,
+        };
+        job.is_guaranteed
+    }
+
     /// Returns whether a job would be refused whatever the state of the workers is, because it has
     /// waited too long before it was read.
     fn has_used_up_slack(&self, job: &JobRecord, now: UnixTime) -> bool {
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -84,6 +84,7 @@
         self.log_leadership_change();
         self.jobs.clear();
         self.route_loads.clear();
+        self.shares.clear();
         self.queue.clear();
         for worker in &mut self.workers {
             worker.reset();
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -33,6 +33,7 @@
     /// Records the loss of a relay's connection; its jobs are cancelled unless it reconnects in
     /// time.
     pub fn relay_lost(&mut self, relay: RelayId, now: UnixTime) {
+        self.shares.relay_lost(relay);
         let abandoned_at = now.after(self.settings.relay_grace);
         for job in self.jobs.values_mut() {
             if job.relay == Some(relay) {
@@ -115,10 +116,10 @@
                 self.jobs.insert(name.clone(), job);
             }
         } else {
-            let Some(job) = self.jobs.remove(&name) else {
+            let Some(mut job) = self.jobs.remove(&name) else {
                 return;
             };
-            if !self.admit_or_refuse(&job, now) {
+            if !self.admit_or_refuse(&mut job, now) {
                 return;
             }
             self.jobs.insert(name.clone(), job);
@@ -144,7 +145,7 @@
     fn submit_new(&mut self, relay: RelayId, submission: JobSubmission, now: UnixTime) {
         let mut job = self.make_record(relay, submission, now);
         job.waiting = job.submission.work.tasks;
-        if !self.admit_or_refuse(&job, now) {
+        if !self.admit_or_refuse(&mut job, now) {
             return;
         }
         self.add_tasks(&mut job);
@@ -154,7 +155,7 @@
     }
 
     /// Admits a job that is not in the table of jobs, or reports its refusal and returns false.
-    fn admit_or_refuse(&mut self, job: &JobRecord, now: UnixTime) -> bool {
+    fn admit_or_refuse(&mut self, job: &mut JobRecord, now: UnixTime) -> bool {
         let (refused, wait) = self.admit(job, now);
         let is_counted = match refused {
             None => job.queue_class == QueueClass::InTime,
@@ -163,6 +164,7 @@
         };
         if is_counted {
             self.route_loads.count(job, refused.is_none(), now);
+            self.count_share(job, refused.is_none());
         }
         if let Some(outcome) = refused {
             self.report_refusal(job, outcome, wait, now);
@@ -253,6 +255,7 @@
             objective_at,
             useful_until,
             queue_class,
+            is_guaranteed: false,
             submission,
         }
     }
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -38,6 +38,7 @@
         self.begin_summary(now);
         self.update_contention(now);
         self.log_suppressed_refusals(now);
+        self.shares.update(now);
         let usable = self
             .workers
             .iter()
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -14,6 +14,7 @@
 //! - `reservation`: workers kept free for jobs that have waited long.
 //! - `route_load`: offered and admitted jobs of each route, and what is published of it.
 //! - `scoring`: choice of the best worker for a task.
+//! - `shares`: shares of the capacity by route, failure domain and size.
 //! - `starts`: start requests and their answers.
 //! - `summary`: summary of slots and queue for admission.
 //! - `utilization`: average utilization of the workers.
@@ -32,6 +33,7 @@
 mod reservation;
 mod route_load;
 mod scoring;
+mod shares;
 mod starts;
 mod summary;
 mod utilization;
@@ -56,6 +58,7 @@
 use queue::WaitQueue;
 use refusal_log::RefusalLog;
 use route_load::RouteLoads;
+use shares::CapacityShares;
 use summary::AdmissionSummary;
 use utilization::SlotUtilization;
 
@@ -167,6 +170,8 @@
     summary: AdmissionSummary,
     /// Offered and admitted jobs of each route.
     route_loads: RouteLoads,
+    /// Shares of the capacity by route, failure domain and size.
+    shares: CapacityShares,
     /// Number of logged refusals.
     refusal_log: RefusalLog,
     /// Average utilization of the usable workers.
@@ -208,6 +213,7 @@
             is_contended: false,
             summary: AdmissionSummary::default(),
             route_loads: RouteLoads::default(),
+            shares: CapacityShares::default(),
             refusal_log: RefusalLog::default(),
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
--- a/crates/bramley-pool/src/pool/queue.rs
+++ b/crates/bramley-pool/src/pool/queue.rs
@@ -11,7 +11,7 @@
 /// Position of a job in the queue; the lowest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueueKey {
-    /// Whether the job goes behind those that may have started.
+    /// Whether the job goes behind those that may have started or are guaranteed.
     has_not_started: bool,
     /// Latest start that serves the job's class, delayed by its priority.
     due: UnixTime,
--- a/crates/bramley-pool/src/pool/route_load.rs
+++ b/crates/bramley-pool/src/pool/route_load.rs
@@ -38,6 +38,9 @@
 /// Growth of the share when no task waits and slots are free as well, in thousandths.
 const CALM_GROWTH_PERMILLE: u32 = 2_000;
 
+/// Factor on the share in thousandths below which it is applied at once.
+const STRONG_CORRECTION_PERMILLE: u32 = 600;
+
 /// Time after the last offered job until a route is no longer published.
 const ROUTE_RETENTION: Duration = Duration::from_secs(10);
 
@@ -97,6 +100,12 @@
             .map_or(Duration::ZERO, |load| load.wait)
     }
 
+    /// Returns the published share of the route's jobs in thousandths.
+    pub(super) fn pass_permille(&self, route: &RouteName) -> u32 {
+        let load = self.routes.get(route);
+        load.map_or(PASS_ALL, |load| load.pass_permille)
+    }
+
     /// Forgets all routes, as another pool may have led since.
     pub(super) fn clear(&mut self) {
         self.routes.clear();
@@ -114,11 +123,12 @@
 
 impl RouteLoad {
     /// Adjusts the share to what was offered and admitted.
-    fn adjust(&mut self, is_calm: bool) {
+    fn adjust(&mut self, is_calm: bool, now: UnixTime) {
         let grown = |permille: u32| (self.pass_permille * permille / 1_000).min(PASS_ALL);
-        self.pass_permille = if is_calm && self.offered == self.admitted {
+        let is_idle = now.since(self.offered_at) >= MIN_ADJUSTMENT_INTERVAL;
+        self.pass_permille = if is_calm && (is_idle || self.offered == self.admitted) {
             grown(CALM_GROWTH_PERMILLE)
-        } else if self.offered == 0 {
+        } else if is_idle {
             return;
         } else if self.offered == self.admitted {
             grown(GROWTH_PERMILLE)
@@ -126,7 +136,14 @@
             return;
         } else {
             let admitted = self.admitted.saturating_mul(OFFERED_TO_ADMITTED_PERMILLE);
-            grown(admitted / self.offered).max(MIN_PASS)
+            let factor = admitted / self.offered;
+            // Half of a small correction, as the numbers of one interval are random.
+            let damped = if factor < STRONG_CORRECTION_PERMILLE {
+                factor
+            } else {
+                u32::midpoint(factor, 1_000)
+            };
+            grown(damped).max(MIN_PASS)
         };
         self.offered = 0;
         self.admitted = 0;
@@ -181,7 +198,7 @@
                 | StartEstimate::NoWorker
                 | StartEstimate::NeverFits => None,
             };
-            load.adjust(is_calm);
+            load.adjust(is_calm, now);
         }
         self.route_loads = RouteLoads {
             routes,
--- a/crates/bramley-pool/src/pool/utilization.rs
+++ b/crates/bramley-pool/src/pool/utilization.rs
@@ -64,6 +64,11 @@
         self.sampled_at = now;
     }
 
+    /// Returns the average share of slots in use, from 0 to 1.
+    pub(super) const fn share(&self) -> f64 {
+        self.share
+    }
+
     /// Returns the wait of a job that gives way to others, given its wait if no further jobs
     /// arrived; `None` if others take up all capacity. In a queue with priorities, the wait of the
     /// lowest one grows by the inverse of the share that the others leave.
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -297,7 +297,13 @@
 
     /// Submits a job at a host.
     pub fn submit(&mut self, host: usize, job: &TestJob) {
-        let submission = self.submission(job);
+        self.submit_aged(host, job, Duration::ZERO);
+    }
+
+    /// Submits a job whose request arrived at a host some time ago.
+    pub fn submit_aged(&mut self, host: usize, job: &TestJob, age: Duration) {
+        let mut submission = self.submission(job);
+        submission.arrived_at = self.now.before(age);
         for worker in &mut self.workers {
             worker.run_times.insert(job.name.clone(), job.run);
             worker.set_task_cpu(&job.name, job.cpu_milli);
