--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -36,7 +36,8 @@
                 state.relay.tick(now);
             });
             self.send_due_heartbeats(now);
-            self.process_actions();
+            // Goes on if handling a message has failed by a bug.
+            self.handle_inbox();
             self.log_omitted_refusals(now);
         }
     }
@@ -75,6 +76,7 @@
         state.pool.process_resumed(now);
         state.relay.process_resumed(now);
         if pause > self.settings.link.idle_timeout {
+            state.inbox.clear();
             for (relay, _) in state.relays.drain() {
                 state.pool.relay_lost(relay, now);
             }
@@ -98,6 +100,7 @@
                 queue_frame(outgoing, heartbeat.clone());
             }
         }
+        self.metrics.record_admissions(&admissions);
         let local_domain = self.settings.host.domain.clone();
         if is_leader {
             state.relay.update_pool_load(&local_domain, load);
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -7,7 +7,7 @@
 
 use bramley_core::units::UnixTime;
 use bramley_pool::decision::Decision;
-use bramley_pool::message::PoolLoad;
+use bramley_pool::message::{PoolLoad, RouteAdmission};
 use bramley_pool::relay::RefusalSource;
 use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerRequest};
 use prometheus_client::encoding::text::encode;
@@ -65,6 +65,7 @@
     workers: Gauge,
     waiting_tasks: Gauge,
     slow_workers: Gauge,
+    passed_permille: Family<Labels<1>, Gauge>,
     configuration_age_seconds: Gauge,
     list_age_seconds: Gauge,
     log_lines_dropped: Gauge,
@@ -108,6 +109,7 @@
             workers: Gauge::default(),
             waiting_tasks: Gauge::default(),
             slow_workers: Gauge::default(),
+            passed_permille: Family::default(),
             configuration_age_seconds: Gauge::default(),
             list_age_seconds: Gauge::default(),
             log_lines_dropped: Gauge::default(),
@@ -226,6 +228,11 @@
             "Commanded workers that take a quarter longer than usual or more",
             self.slow_workers.clone(),
         );
+        registry.register(
+            "passed_permille",
+            "Share of each route's jobs that relays should submit",
+            self.passed_permille.clone(),
+        );
         registry.register(
             "configuration_age_seconds",
             "Time since the configuration came into force here",
@@ -342,7 +349,7 @@
                 self.refusals.get_or_create(&labels).inc();
             }
             Decision::RefusalsCounted { refusal, count, .. } => {
-                let labels = [("reason", String::from(refusal.answer().reason))];
+                let labels = [("reason", Cow::from(refusal.answer().reason))];
                 self.refusals
                     .get_or_create(&labels)
                     .inc_by(u64::from(*count));
@@ -366,6 +373,15 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    pub(crate) fn record_admissions(&self, admissions: &[RouteAdmission]) {
+        for admission in admissions {
+            let labels = [("route", Cow::from(String::from(admission.route.as_str())))];
+            self.passed_permille
+                .get_or_create(&labels)
+                .set(i64::from(admission.pass_permille));
+        }
+    }
+
     pub(crate) fn record_ages(&self, configuration: Duration, list: Duration) {
         let seconds = |age: Duration| i64::try_from(age.as_secs()).unwrap_or(i64::MAX);
         self.configuration_age_seconds.set(seconds(configuration));
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -50,6 +50,7 @@
         self.update_speeds(now);
         self.update_contention(now);
         self.log_suppressed_refusals(now);
+        self.shares.update(now);
         let usable = self
             .workers
             .iter()
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -18,6 +18,7 @@
 //! - `scoring`: choice of the best worker for a task.
 //! - `speed`: speed of each worker.
 //! - `spread`: spread of each route's run times.
+//! - `shares`: shares of the capacity by route, failure domain and size.
 //! - `starts`: start requests and their answers.
 //! - `summary`: summary of slots and queue for admission.
 //! - `utilization`: average utilization of the workers.
@@ -38,6 +39,7 @@
 mod reservation;
 mod route_load;
 mod scoring;
+mod shares;
 mod speed;
 mod spread;
 mod starts;
@@ -66,6 +68,7 @@
 use queue::WaitQueue;
 use refusal_log::RefusalLog;
 use route_load::RouteLoads;
+use shares::CapacityShares;
 pub use speed::SpeedEstimate;
 use spread::RouteSpread;
 use summary::AdmissionSummary;
@@ -187,6 +190,8 @@
     summary: AdmissionSummary,
     /// Offered and admitted jobs of each route.
     route_loads: RouteLoads,
+    /// Shares of the capacity by route, failure domain and size.
+    shares: CapacityShares,
     /// Number of logged refusals.
     refusal_log: RefusalLog,
     /// Jobs that wait for a faster worker.
@@ -233,6 +238,7 @@
             is_contended: false,
             summary: AdmissionSummary::default(),
             route_loads: RouteLoads::default(),
+            shares: CapacityShares::default(),
             refusal_log: RefusalLog::default(),
             faster: FasterSlots::default(),
             utilization: SlotUtilization::default(),
