Do not count jobs near the median size as large

Jobs of one size differ by the error of their expected run time, and some were put before others, which were then held and refused: since the shares were added, heavy_load.rs (under_overload_most_of_the_capacity_serves_jobs_in_time) failed with 2 such jobs. A job counts as large only from a fifth above the median.

--- a/crates/bramley-pool/src/pool/shares.rs
+++ b/crates/bramley-pool/src/pool/shares.rs
@@ -54,6 +54,10 @@
 /// requirement is a half; the rest is a margin for jobs that are admitted and end late.
 const SIZE_RATIO: f64 = 0.75;
 
+/// Difference to the median in a logarithmic scale below which a job is not large: a fifth. Jobs of
+/// one size differ by the error of their expected run time, and were put before each other.
+const MIN_SIZE_DIFFERENCE: f64 = 0.2;
+
 /// Step of the size limits in a logarithmic scale; they follow the jobs of about the last hundred.
 const LIMIT_STEP: f64 = 0.05;
 
@@ -247,19 +251,20 @@
 /// Served parts of a route by size class.
 #[derive(Clone, Copy, Debug)]
 struct SizeShares {
-    /// Natural logarithms of the work from which a job is of the upper and of the large class.
-    limits: [f64; 2],
+    /// Natural logarithms of the work of the median job, and of that from which a job is of the
+    /// upper and of the large class.
+    limits: [f64; 3],
     all: ServedPart,
     classes: [ServedPart; 3],
 }
 
 impl SizeShares {
     /// Shares of the route's jobs above the limits.
-    const SHARES_ABOVE: [f64; 2] = [0.3, 0.1];
+    const SHARES_ABOVE: [f64; 3] = [0.5, 0.3, 0.1];
 
     fn new(work: f64) -> Self {
         Self {
-            limits: [work.ln(); 2],
+            limits: [work.ln(); 3],
             all: ServedPart::default(),
             classes: [ServedPart::default(); 3],
         }
@@ -267,9 +272,12 @@
 
     fn size_of(&self, work: f64) -> JobSize {
         let work = work.ln();
-        if work > self.limits[1] {
+        let [median, upper, large] = self.limits;
+        if work < median + MIN_SIZE_DIFFERENCE {
+            JobSize::Usual
+        } else if work > large {
             JobSize::Large
-        } else if work > self.limits[0] {
+        } else if work > upper {
             JobSize::Upper
         } else {
             JobSize::Usual
