--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -3,6 +3,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+use bramley_core::units::UnixTime;
 use bramley_pool::decision::{Decision, LogPriority};
 use bramley_pool::pool::PoolAction;
 use bramley_pool::relay::RelayAction;
@@ -15,6 +16,7 @@
 use super::{Engine, LOCAL_RELAY};
 use crate::clock::wall_clock_now;
 use crate::deadline::timeout_at_with_grace;
+use crate::links::OutgoingFrame;
 use crate::links::convert::{encode_pool_message, encode_relay_message};
 use crate::platform::Platform;
 
@@ -70,13 +72,19 @@
             }
             PoolAction::Send(relay, message) => {
                 if let Some(outgoing) = self.state.borrow().relays.get(&relay) {
-                    queue_frame(outgoing, encode_pool_message(message));
+                    queue_frame(
+                        outgoing,
+                        OutgoingFrame::Single(encode_pool_message(message)),
+                    );
                 }
             }
             PoolAction::Broadcast(message) => {
                 let mut state = self.state.borrow_mut();
-                for outgoing in state.relays.values() {
-                    queue_frame(outgoing, encode_pool_message(message.clone()));
+                if !state.relays.is_empty() {
+                    let frame = OutgoingFrame::shared(&encode_pool_message(message.clone()));
+                    for outgoing in state.relays.values() {
+                        queue_frame(outgoing, frame.clone());
+                    }
                 }
                 state.local_relay_inbox.push(message);
             }
@@ -130,7 +138,7 @@
                     .get(&domain)
                     .and_then(|link| link.outgoing.as_ref())
                 {
-                    let frame = encode_relay_message(message, now);
+                    let frame = OutgoingFrame::Single(encode_relay_message(message, now));
                     if outgoing.send(frame).is_err() {
                         log::debug!("event=frame_dropped pool={domain} reason=connection_ended");
                     }
@@ -148,7 +156,31 @@
         }
     }
 
+    /// Logs the numbers of refusals that were not logged in full.
+    pub(super) fn log_omitted_refusals(&self, now: UnixTime) {
+        let mut state = self.state.borrow_mut();
+        while let Some(omitted) = state.refusal_log.take_omitted(now) {
+            log::warn!(
+                "event=refusals_omitted reason={} count={}",
+                omitted.reason,
+                omitted.count,
+            );
+        }
+    }
+
+    /// Returns whether a refusal for the given reason is logged in full.
+    pub fn should_log_refusal(&self, reason: &'static str) -> bool {
+        let now = self.now();
+        self.state.borrow_mut().refusal_log.should_log(reason, now)
+    }
+
     pub(super) fn log_decision(&self, decision: &Decision) {
+        self.metrics.record_decision(decision);
+        if let Some(reason) = decision.refusal_reason()
+            && !self.should_log_refusal(reason)
+        {
+            return;
+        }
         match decision.priority() {
             LogPriority::Routine => {
                 let job = decision.job().unwrap_or_default();
@@ -162,12 +194,14 @@
             LogPriority::Notable => log::info!("{decision}"),
             LogPriority::Important => log::warn!("{decision}"),
         }
-        self.metrics.record_decision(decision);
     }
 }
 
 /// Queues a frame. If the queue is closed, the connection has ended, which its reader reports.
-pub(super) fn queue_frame(outgoing: &mpsc::UnboundedSender<PoolFrame>, frame: PoolFrame) {
+pub(super) fn queue_frame(
+    outgoing: &mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>,
+    frame: OutgoingFrame<PoolFrame>,
+) {
     if outgoing.send(frame).is_err() {
         log::trace!("event=frame_dropped reason=connection_ended");
     }
--- a/crates/bramley-dock/src/engine/callers.rs
+++ b/crates/bramley-dock/src/engine/callers.rs
@@ -1,9 +1,14 @@
 //! Tracks callers that wait for an answer to their job.
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use bramley_pool::job::{JobName, JobSubmission};
-use bramley_pool::relay::JobAnswer;
+use bramley_core::units::UnixTime;
+use bramley_pool::job::{JobName, JobPolicy, JobSubmission};
+use bramley_pool::refusal::Refusal;
+use bramley_pool::relay::{JobAnswer, RefusalSource, RouteOffer, RouteRefusal};
+use bramley_pool::retry::retry_time;
+use bramley_pool::shedding::ShedRequest;
 use tokio::sync::oneshot;
 
 use super::{Engine, WaitingCaller};
@@ -40,8 +45,66 @@
 }
 
 impl<P: Platform> Engine<P> {
-    /// Submits a caller's job to the relay.
-    pub fn submit(self: &Rc<Self>, submission: JobSubmission) -> PendingJob<P> {
+    /// Decides on a request of a route before its body is read. A refusal is logged and counted
+    /// here; any other offer is to be passed to [`Engine::submit`].
+    #[must_use]
+    pub fn offer_early(
+        &self,
+        job: &str,
+        request_id: &str,
+        policy: &JobPolicy,
+        deadline: UnixTime,
+    ) -> RouteOffer {
+        self.detect_pause();
+        let now = self.now();
+        let route = &policy.route;
+        let offer = {
+            let mut state = self.state.borrow_mut();
+            if state.callers.contains_key(job) || state.relay.may_run(job) {
+                return RouteOffer::Ordinary;
+            }
+            if let Some(change) = state.shedder.request_arrived(now) {
+                log::warn!("{change}");
+            }
+            match state.shedder.shed(policy.priority) {
+                Some(request) => RouteOffer::Refused(self.shed(job, request)),
+                None => state.relay.offer_early(job, route, deadline, now),
+            }
+        };
+        if let RouteOffer::Refused(refusal) = &offer {
+            self.metrics.record_early_refusal(refusal.source);
+            if self.should_log_refusal(refusal.refusal.answer().reason) {
+                log::warn!(
+                    "event=job_refused job={job} request={request_id} route={route} {refusal} \
+                     body=unread"
+                );
+            }
+        }
+        offer
+    }
+
+    fn shed(&self, job: &str, request: ShedRequest) -> RouteRefusal {
+        let ShedRequest {
+            delay,
+            pass_permille,
+        } = request;
+        RouteRefusal {
+            refusal: Refusal::Overloaded,
+            source: RefusalSource::HostShedding,
+            retry_after: retry_time(&self.settings.relay, delay, pass_permille, job),
+            pass_permille,
+            wait: delay,
+            state_age: Duration::ZERO,
+        }
+    }
+
+    /// Submits a caller's job to the relay, with the offer that was decided before its body was
+    /// read.
+    pub fn submit(
+        self: &Rc<Self>,
+        submission: JobSubmission,
+        early_offer: Option<RouteOffer>,
+    ) -> PendingJob<P> {
         self.detect_pause();
         let job = submission.work.job.clone();
         let (answer, receiver) = oneshot::channel();
@@ -56,7 +119,8 @@
             if state.callers.insert(job.clone(), caller).is_some() {
                 log::info!("event=job_sent_again job={job} outcome=answer_moves_to_new_caller");
             }
-            state.relay.accept(submission, self.now());
+            let now = self.now();
+            state.relay.accept_offered(submission, early_offer, now);
             caller_number
         };
         self.process_actions();
@@ -81,7 +145,7 @@
 
     /// Returns whether a caller waits for the answer to the job.
     #[must_use]
-    pub fn is_open(&self, job: &JobName) -> bool {
+    pub fn is_open(&self, job: &str) -> bool {
         self.state.borrow().callers.contains_key(job)
     }
 
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -4,6 +4,7 @@
 //! - `callers` tracks callers that wait for an answer.
 //! - `claims` applies claims read from the store.
 //! - `dump` describes the state for operators.
+//! - `inbox` queues messages of other processes' relays.
 //! - `peers` handles connections between relays and pools.
 //! - `timers` runs periodic work and detects pauses of the process.
 
@@ -11,11 +12,12 @@
 mod callers;
 mod claims;
 mod dump;
+mod inbox;
 mod peers;
 mod timers;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -28,6 +30,7 @@
 use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
 use bramley_pool::pool::Pool;
 use bramley_pool::relay::{JobAnswer, Relay};
+use bramley_pool::shedding::{HostShedder, SheddingSettings};
 use bramley_wire::pool::{PoolFrame, RelayFrame};
 use rustc_hash::FxHashMap;
 use tokio::sync::{Notify, mpsc, oneshot};
@@ -35,9 +38,11 @@
 
 pub use self::callers::PendingJob;
 use crate::clock::{MonotonicClock, time_since_boot};
+use crate::links::OutgoingFrame;
 use crate::logging::JobLogSampler;
 use crate::metrics::DockMetrics;
 use crate::platform::{EvacuationItem, Platform, WorkerChange};
+use crate::refusal_log::RefusalLog;
 use crate::routes::RouteTable;
 use crate::settings::DockSettings;
 
@@ -56,7 +61,7 @@
 struct PoolLink {
     claim: ClaimView,
     connector: Option<AbortHandle>,
-    outgoing: Option<mpsc::UnboundedSender<RelayFrame>>,
+    outgoing: Option<mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>>,
     last_heard_at: UnixTime,
     /// Whether the pool asks for its leadership to be taken over, as its last heartbeat stated.
     gives_way: bool,
@@ -71,7 +76,7 @@
     callers: FxHashMap<JobName, WaitingCaller>,
     next_caller_number: u64,
     /// Connections of other processes' relays to the local pool.
-    relays: FxHashMap<RelayId, mpsc::UnboundedSender<PoolFrame>>,
+    relays: FxHashMap<RelayId, mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>>,
     next_relay_id: u64,
     pools: BTreeMap<DomainName, PoolLink>,
     routes: Arc<RouteTable>,
@@ -81,7 +86,11 @@
     /// Whether a relay of another host in the same failure domain has ever connected.
     has_successor: bool,
     sampler: JobLogSampler,
+    refusal_log: RefusalLog,
+    shedder: HostShedder,
     last_heartbeat_at: UnixTime,
+    /// Messages of other processes' relays that the local pool has not handled yet.
+    inbox: VecDeque<(RelayId, RelayMessage)>,
     /// Messages between the local relay and the local pool, which need no connection.
     local_pool_inbox: Vec<RelayMessage>,
     local_relay_inbox: Vec<PoolMessage>,
@@ -121,8 +130,10 @@
             address,
             settings.host.cpu_milli,
         );
+        let mut pool = Pool::new(settings.pool.clone());
+        pool.relay_connected(LOCAL_RELAY, settings.host.domain.clone());
         let state = EngineState {
-            pool: Pool::new(settings.pool.clone()),
+            pool,
             relay: Relay::new(settings.relay.clone(), settings.host.domain.clone()),
             claim,
             callers: FxHashMap::default(),
@@ -135,7 +146,10 @@
             stopping_since: None,
             has_successor: false,
             sampler: JobLogSampler::new(routine_lines_per_s),
+            refusal_log: RefusalLog::default(),
+            shedder: HostShedder::new(SheddingSettings::default()),
             last_heartbeat_at: UnixTime::default(),
+            inbox: VecDeque::new(),
             local_pool_inbox: Vec::new(),
             local_relay_inbox: Vec::new(),
         };
@@ -204,6 +218,7 @@
         let state = self.state.borrow();
         state.stopping_since.is_none()
             && state.routes.version > 0
+            && !state.shedder.is_unready(self.now())
             && state.relay.is_well_connected(state.pools.len())
     }
 
@@ -264,6 +279,7 @@
             "event=configuration_in_force version={} before={current_version}",
             table.version
         );
+        state.relay.set_known_routes(table.route_names());
         state.routes = Arc::new(table);
         state.routes_applied_at = self.now();
     }
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 
 use bramley_core::names::DomainName;
-use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
+use bramley_pool::message::{PoolMessage, RelayId};
 use bramley_wire::pool::{PoolBeat, PoolFrame, RelayFrame, RelayHello};
 use tokio::sync::mpsc;
 
 use super::Engine;
 use super::actions::queue_frame;
-use crate::links::DisconnectReason;
 use crate::links::convert::{decode_admissions, decode_load, encode_heartbeat};
+use crate::links::{DisconnectReason, OutgoingFrame};
 use crate::platform::Platform;
 
 impl<P: Platform> Engine<P> {
@@ -18,11 +18,13 @@
     pub(crate) fn relay_connected(
         &self,
         hello: &RelayHello,
-        outgoing: mpsc::UnboundedSender<PoolFrame>,
+        outgoing: mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>,
     ) -> RelayId {
         let mut state = self.state.borrow_mut();
         let relay = RelayId(state.next_relay_id);
         state.next_relay_id += 1;
+        let domain = DomainName::from(hello.relay_domain.as_str());
+        state.pool.relay_connected(relay, domain);
         state.has_successor |= hello.relay_domain == self.settings.host.domain.as_str();
         log::info!(
             "event=relay_connected host={} incarnation={} relay={}",
@@ -36,7 +38,7 @@
         let is_leader = state.pool.token().is_some();
         let gives_way = state.gives_way(now);
         let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
-        queue_frame(&outgoing, heartbeat);
+        queue_frame(&outgoing, OutgoingFrame::Single(heartbeat));
         state.relays.insert(relay, outgoing);
         relay
     }
@@ -45,24 +47,13 @@
         let now = self.now();
         self.update_state(|state| {
             state.relays.remove(&relay);
+            // The relay submits unfinished jobs again, here or elsewhere.
+            state.inbox.retain(|(sender, _)| *sender != relay);
             state.pool.relay_lost(relay, now);
         });
         self.process_actions();
     }
 
-    pub(crate) fn handle_relay_message(self: &Rc<Self>, relay: RelayId, message: RelayMessage) {
-        self.detect_pause();
-        let now = self.now();
-        let is_connected = self.state.borrow().relays.contains_key(&relay);
-        if !is_connected {
-            let number = relay.0;
-            log::info!("event=message_ignored relay={number} reason=connection_dropped");
-            return;
-        }
-        self.update_state(|state| state.pool.handle_relay_message(relay, message, now));
-        self.process_actions();
-    }
-
     pub(crate) fn pool_frame_received(&self, domain: &DomainName) {
         let now = self.now();
         if let Some(link) = self.state.borrow_mut().pools.get_mut(domain) {
@@ -74,7 +65,7 @@
     pub(crate) fn pool_connected(
         self: &Rc<Self>,
         domain: &DomainName,
-        outgoing: mpsc::UnboundedSender<RelayFrame>,
+        outgoing: mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>,
     ) {
         self.detect_pause();
         let now = self.now();
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -9,6 +9,7 @@
 use super::Engine;
 use super::actions::queue_frame;
 use crate::clock::time_since_boot;
+use crate::links::OutgoingFrame;
 use crate::links::convert::encode_heartbeat;
 use crate::platform::Platform;
 
@@ -25,8 +26,9 @@
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            let scheduled_at = ticks.tick().await;
             self.detect_pause();
+            self.record_queueing_delay(scheduled_at.elapsed());
             self.tick_claim();
             let now = self.now();
             self.update_state(|state| {
@@ -34,7 +36,23 @@
                 state.relay.tick(now);
             });
             self.send_due_heartbeats(now);
-            self.process_actions();
+            // Goes on if handling a message has failed by a bug.
+            self.handle_inbox();
+            self.log_omitted_refusals(now);
+        }
+    }
+
+    /// Records the delay of the timer, which is the time that work waits for the processor.
+    fn record_queueing_delay(&self, delay: Duration) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let is_leader = state.pool.token().is_some();
+        let due_at = now.after(TICK_INTERVAL);
+        let change = state.shedder.timer_fired(delay, due_at, is_leader, now);
+        self.metrics
+            .record_shedding(state.shedder.delay(), state.shedder.shed_permille());
+        if let Some(change) = change {
+            log::warn!("{change}");
         }
     }
 
@@ -58,6 +76,7 @@
         state.pool.process_resumed(now);
         state.relay.process_resumed(now);
         if pause > self.settings.link.idle_timeout {
+            state.inbox.clear();
             for (relay, _) in state.relays.drain() {
                 state.pool.relay_lost(relay, now);
             }
@@ -74,10 +93,14 @@
         let is_leader = state.pool.token().is_some();
         let gives_way = state.gives_way(now);
         let admissions = state.pool.route_admissions(now);
-        let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
-        for outgoing in state.relays.values() {
-            queue_frame(outgoing, heartbeat.clone());
+        if !state.relays.is_empty() {
+            let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
+            let heartbeat = OutgoingFrame::shared(&heartbeat);
+            for outgoing in state.relays.values() {
+                queue_frame(outgoing, heartbeat.clone());
+            }
         }
+        self.metrics.record_admissions(&admissions);
         let local_domain = self.settings.host.domain.clone();
         if is_leader {
             state.relay.update_pool_load(&local_domain, load);
@@ -87,6 +110,7 @@
         }
         self.metrics
             .record_load(load, is_leader, state.callers.len());
+        self.metrics.record_slow_workers(state.pool.slow_workers());
         let list_age = state.pool.list_age(now);
         self.metrics
             .record_ages(now.since(state.routes_applied_at), list_age);
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -1,12 +1,14 @@
 //! Metrics for operators in the OpenMetrics format.
 
-use std::cell::OnceCell;
+use std::borrow::Cow;
+use std::cell::{OnceCell, RefCell};
 use std::fmt;
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
 use bramley_pool::decision::Decision;
-use bramley_pool::message::PoolLoad;
+use bramley_pool::message::{PoolLoad, RouteAdmission};
+use bramley_pool::relay::RefusalSource;
 use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerRequest};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -23,12 +25,22 @@
 /// Number of buckets of time histograms; each upper bound is twice the previous one.
 const BUCKETS: u16 = 15;
 
-type Labels<const N: usize> = [(&'static str, String); N];
+type Labels<const N: usize> = [(&'static str, Cow<'static, str>); N];
+
+/// Counter of the requests of one route with one status.
+#[derive(Debug)]
+struct RequestCounter {
+    route: Box<str>,
+    status: u16,
+    counter: Counter,
+}
 
 /// Metrics of one process.
 pub struct DockMetrics {
     registry: Registry,
     requests: Family<Labels<2>, Counter>,
+    /// Counters of `requests` by route and status, found without creating labels.
+    request_counters: RefCell<Vec<RequestCounter>>,
     request_seconds: Histogram,
     wait_seconds: Histogram,
     run_seconds: Histogram,
@@ -39,6 +51,11 @@
     tasks_given_up: Counter,
     jobs_returned: Counter,
     refusals: Family<Labels<1>, Counter>,
+    refusals_by_state: Counter,
+    early_refusals: Counter,
+    shed_requests: Counter,
+    shed_permille: Gauge,
+    queueing_delay_ms: Gauge,
     store_calls: Family<Labels<2>, Counter>,
     part_failures: Family<Labels<1>, Counter>,
     commands: Gauge,
@@ -47,6 +64,8 @@
     free_cpu_milli: Gauge,
     workers: Gauge,
     waiting_tasks: Gauge,
+    slow_workers: Gauge,
+    passed_permille: Family<Labels<1>, Gauge>,
     configuration_age_seconds: Gauge,
     list_age_seconds: Gauge,
     log_lines_dropped: Gauge,
@@ -65,6 +84,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix("bramley_dock"),
             requests: Family::default(),
+            request_counters: RefCell::default(),
             request_seconds: time_histogram(),
             wait_seconds: time_histogram(),
             run_seconds: time_histogram(),
@@ -75,6 +95,11 @@
             tasks_given_up: Counter::default(),
             jobs_returned: Counter::default(),
             refusals: Family::default(),
+            refusals_by_state: Counter::default(),
+            early_refusals: Counter::default(),
+            shed_requests: Counter::default(),
+            shed_permille: Gauge::default(),
+            queueing_delay_ms: Gauge::default(),
             store_calls: Family::default(),
             part_failures: Family::default(),
             commands: Gauge::default(),
@@ -83,6 +108,8 @@
             free_cpu_milli: Gauge::default(),
             workers: Gauge::default(),
             waiting_tasks: Gauge::default(),
+            slow_workers: Gauge::default(),
+            passed_permille: Family::default(),
             configuration_age_seconds: Gauge::default(),
             list_age_seconds: Gauge::default(),
             log_lines_dropped: Gauge::default(),
@@ -144,6 +171,31 @@
             self.evacuated.clone(),
         );
         registry.register("refusals", "Refused jobs by reason", self.refusals.clone());
+        registry.register(
+            "refusals_by_state",
+            "Jobs refused by the relay after their body was read, by the published state",
+            self.refusals_by_state.clone(),
+        );
+        registry.register(
+            "early_refusals",
+            "Jobs refused by the relay before their body was read, by the published state",
+            self.early_refusals.clone(),
+        );
+        registry.register(
+            "shed_requests",
+            "Requests refused because the host is short of processor time",
+            self.shed_requests.clone(),
+        );
+        registry.register(
+            "shed_permille",
+            "Share of new requests that the host sheds",
+            self.shed_permille.clone(),
+        );
+        registry.register(
+            "queueing_delay_ms",
+            "Shortest delay of the host's timer in the last window",
+            self.queueing_delay_ms.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the store by kind and result",
@@ -171,6 +223,16 @@
             "Tasks that wait for room",
             self.waiting_tasks.clone(),
         );
+        registry.register(
+            "slow_workers",
+            "Commanded workers that take a quarter longer than usual or more",
+            self.slow_workers.clone(),
+        );
+        registry.register(
+            "passed_permille",
+            "Share of each route's jobs that relays should submit",
+            self.passed_permille.clone(),
+        );
         registry.register(
             "configuration_age_seconds",
             "Time since the configuration came into force here",
@@ -190,27 +252,51 @@
 
     /// Records a response to a caller.
     pub fn record_request(&self, route: &str, status: u16, time: Duration) {
-        let labels = [
-            ("route", String::from(route)),
-            ("status", status.to_string()),
-        ];
-        self.requests.get_or_create(&labels).inc();
+        let mut known = self.request_counters.borrow_mut();
+        let found = known
+            .iter()
+            .find(|known| known.status == status && *known.route == *route);
+        if let Some(found) = found {
+            found.counter.inc();
+        } else {
+            let labels = [
+                ("route", Cow::from(String::from(route))),
+                ("status", Cow::from(status.to_string())),
+            ];
+            let counter = self.requests.get_or_create_owned(&labels);
+            counter.inc();
+            known.push(RequestCounter {
+                route: route.into(),
+                status,
+                counter,
+            });
+        }
         self.request_seconds.observe(time.as_secs_f64());
     }
 
+    pub(crate) fn record_early_refusal(&self, source: RefusalSource) {
+        match source {
+            RefusalSource::PublishedState => self.early_refusals.inc(),
+            RefusalSource::HostShedding => self.shed_requests.inc(),
+        };
+    }
+
+    pub(crate) fn record_shedding(&self, delay: Duration, shed_permille: u32) {
+        let delay = i64::try_from(delay.as_millis()).unwrap_or(i64::MAX);
+        self.queueing_delay_ms.set(delay);
+        self.shed_permille.set(i64::from(shed_permille));
+    }
+
     /// Counts an unexpected end of a part of the process.
     pub fn record_part_failure(&self, part: &'static str) {
         self.part_failures
-            .get_or_create(&[("part", String::from(part))])
+            .get_or_create(&[("part", Cow::from(part))])
             .inc();
     }
 
     /// Records a call to the store.
     pub fn record_store_call(&self, kind: &'static str, result: &'static str) {
-        let labels = [
-            ("kind", String::from(kind)),
-            ("result", String::from(result)),
-        ];
+        let labels = [("kind", Cow::from(kind)), ("result", Cow::from(result))];
         self.store_calls.get_or_create(&labels).inc();
     }
 
@@ -228,10 +314,7 @@
             CallAnswer::NotSent => "not_sent",
             CallAnswer::Unanswered => "unanswered",
         };
-        let labels = [
-            ("kind", String::from(kind)),
-            ("result", String::from(result)),
-        ];
+        let labels = [("kind", Cow::from(kind)), ("result", Cow::from(result))];
         self.calls.get_or_create(&labels).inc();
         if is_timed {
             self.call_seconds
@@ -244,12 +327,12 @@
             Decision::Placed { age, .. } => self.wait_seconds.observe(age.as_secs_f64()),
             Decision::RunEnded { end, ran, .. } => {
                 let end_name = end.map_or("not_there", bramley_pool::worker::RunEnd::as_str);
-                let labels = [("end", String::from(end_name))];
+                let labels = [("end", Cow::from(end_name))];
                 self.run_ends.get_or_create(&labels).inc();
                 self.run_seconds.observe(ran.as_secs_f64());
             }
             Decision::RunLost { evidence, .. } => {
-                let labels = [("evidence", String::from(evidence.as_str()))];
+                let labels = [("evidence", Cow::from(evidence.as_str()))];
                 self.runs_lost.get_or_create(&labels).inc();
             }
             Decision::TaskGivenUp { .. } => {
@@ -258,10 +341,19 @@
             Decision::JobReturned { .. } => {
                 self.jobs_returned.inc();
             }
+            Decision::RefusedByState { .. } => {
+                self.refusals_by_state.inc();
+            }
             Decision::JobRefused { refusal, .. } => {
-                let labels = [("reason", String::from(refusal.answer().reason))];
+                let labels = [("reason", Cow::from(refusal.answer().reason))];
                 self.refusals.get_or_create(&labels).inc();
             }
+            Decision::RefusalsCounted { refusal, count, .. } => {
+                let labels = [("reason", Cow::from(refusal.answer().reason))];
+                self.refusals
+                    .get_or_create(&labels)
+                    .inc_by(u64::from(*count));
+            }
             _ => {}
         }
     }
@@ -276,6 +368,20 @@
         self.waiting_tasks.set(i64::from(load.waiting_tasks));
     }
 
+    pub(crate) fn record_slow_workers(&self, count: usize) {
+        self.slow_workers
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
+    pub(crate) fn record_admissions(&self, admissions: &[RouteAdmission]) {
+        for admission in admissions {
+            let labels = [("route", Cow::from(String::from(admission.route.as_str())))];
+            self.passed_permille
+                .get_or_create(&labels)
+                .set(i64::from(admission.pass_permille));
+        }
+    }
+
     pub(crate) fn record_ages(&self, configuration: Duration, list: Duration) {
         let seconds = |age: Duration| i64::try_from(age.as_secs()).unwrap_or(i64::MAX);
         self.configuration_age_seconds.set(seconds(configuration));
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -88,6 +88,8 @@
         self.evacuation = EvacuationState::default();
         self.log_leadership_change();
         self.jobs.clear();
+        self.route_loads.clear();
+        self.shares.clear();
         self.queue.clear();
         for worker in &mut self.workers {
             worker.reset();
@@ -95,6 +97,8 @@
     }
 
     fn log_leadership_change(&mut self) {
+        self.summary.invalidate();
+        self.max_free_cpu_milli = None;
         let decision = Decision::LeadershipChanged {
             token: self.token,
             workers: u32::try_from(self.workers.len()).unwrap_or(u32::MAX),
@@ -147,6 +151,7 @@
         let worker = self.worker_mut(index);
         worker.cold_until = now.after(entry.cold_remaining);
         worker.entry = entry;
+        self.max_free_cpu_milli = None;
         if starts_leaving {
             self.log_worker_change(index, "leaving", now);
         }
@@ -191,6 +196,7 @@
         let evidence = self.judge_restart(index, now);
         let worker = self.worker_mut(index);
         worker.lost_runs.clear();
+        worker.forget_speed();
         worker.entry.born_unix_ms = born_unix_ms;
         worker.clock = ClockEstimate::default();
         worker.acknowledged = 0;
@@ -258,6 +264,7 @@
         self.last_read_end = 0;
         self.orphaned_ends.clear();
         self.lost_runs.clear();
+        self.forget_speed();
         self.runs.clear();
         self.allocated = crate::resources::TaskResources::default();
         self.poll_in_flight = false;
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -3,31 +3,47 @@
 //! - `admission`: estimates whether a job can meet its latency objective.
 //! - `answer_time`: time that workers take to answer start requests.
 //! - `evacuation`: evacuation of the failure domain and its gradual return to use.
+//! - `faster`: jobs that wait for a faster worker.
 //! - `fleet`: the platform's list of workers and changes of leader.
 //! - `health`: worker health as judged from the outcome of runs.
 //! - `jobs`: submission, adoption, completion and cancellation of jobs.
 //! - `losses`: runs that are lost together with their worker, and tasks that are to blame for it.
 //! - `maintenance`: timed work such as polls, lease expiry and repeated stop requests.
 //! - `placement`: order and rounds in which waiting tasks are started.
+//! - `queue`: jobs with waiting tasks in the order in which they are to be started.
+//! - `refusal_log`: bounded logging of refused jobs.
 //! - `reports`: answers and reports of workers.
 //! - `reservation`: workers kept free for jobs that have waited long.
+//! - `route_load`: offered and admitted jobs of each route, and what is published of it.
 //! - `scoring`: choice of the best worker for a task.
+//! - `speed`: speed of each worker.
+//! - `spread`: spread of each route's run times.
+//! - `shares`: shares of the capacity by route, failure domain and size.
 //! - `starts`: start requests and their answers.
+//! - `summary`: summary of slots and queue for admission.
 //! - `utilization`: average utilization of the workers.
 
 mod admission;
 mod answer_time;
 mod evacuation;
+mod faster;
 mod fleet;
 mod health;
 mod jobs;
 mod losses;
 mod maintenance;
 mod placement;
+mod queue;
+mod refusal_log;
 mod reports;
 mod reservation;
+mod route_load;
 mod scoring;
+mod shares;
+mod speed;
+mod spread;
 mod starts;
+mod summary;
 mod utilization;
 
 use std::cell::Cell;
@@ -41,13 +57,21 @@
 
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
-use crate::job::{JobName, JobPolicy, JobRecord, JobWork};
-use crate::message::{PoolLoad, PoolMessage, RelayId, RouteAdmission};
+use crate::job::{JobName, JobPolicy, JobRecord, JobWork, RouteName};
+use crate::message::{PoolLoad, PoolMessage, RelayId};
 use crate::run::StopCause;
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
 use evacuation::EvacuationState;
+use faster::FasterSlots;
+use queue::WaitQueue;
+use refusal_log::RefusalLog;
+use route_load::RouteLoads;
+use shares::CapacityShares;
+pub use speed::SpeedEstimate;
+use spread::RouteSpread;
+use summary::AdmissionSummary;
 use utilization::SlotUtilization;
 
 /// Multiple of the usual answer time after which a start request is resent.
@@ -100,6 +124,9 @@
     pub workers_scored: u64,
     /// Begun jobs returned to their relays because the failure domain is evacuated.
     pub jobs_returned: u64,
+    /// Number of workers and waiting jobs visited to estimate starts, as a measure of the cost of
+    /// admission.
+    pub estimate_visits: u64,
     /// Jobs cancelled because their relay or client disconnected.
     pub jobs_cancelled: u64,
     /// Active runs adopted after a change of leader.
@@ -129,9 +156,13 @@
     started_jobs: FxHashMap<JobName, UnixTime>,
     /// Crashes of workers under the tasks of recent jobs.
     crashes: CrashMemory,
-    /// Jobs with waiting tasks, unordered.
-    queue: Vec<JobName>,
+    /// Jobs with waiting tasks.
+    queue: WaitQueue,
     run_times: RunTimeEstimator,
+    /// Spread of run times by route.
+    spreads: FxHashMap<RouteName, RouteSpread>,
+    /// Relative run time that counts as speed 1 for the run times of routes.
+    common_run_time: f64,
     listed_at: UnixTime,
     /// Whether the worker list is still to be read since the pool became leader. Entries from an
     /// earlier term may be out of date, for example for workers that are being drained.
@@ -142,8 +173,12 @@
     counts: PoolCounts,
     /// Number of times a worker was scored for a task.
     scored: Cell<u64>,
+    /// Number of workers and waiting jobs visited to estimate starts.
+    estimate_visits: Cell<u64>,
     /// Workers that may have gained free resources since the last placement round.
     freed_workers: Vec<WorkerIndex>,
+    /// Upper bound of the free CPU of any worker; `None` if it has to be computed.
+    max_free_cpu_milli: Option<u32>,
     /// Jobs whose tasks have started to wait since the last placement round.
     newly_waiting: Vec<JobName>,
     /// Workers kept free for a job that has waited long; recomputed in each full placement round.
@@ -151,6 +186,16 @@
     /// Whether so many tasks wait that a late job would delay jobs that can still meet their
     /// objective.
     is_contended: bool,
+    /// Summary of slots and queue since the last tick.
+    summary: AdmissionSummary,
+    /// Offered and admitted jobs of each route.
+    route_loads: RouteLoads,
+    /// Shares of the capacity by route, failure domain and size.
+    shares: CapacityShares,
+    /// Number of logged refusals.
+    refusal_log: RefusalLog,
+    /// Jobs that wait for a faster worker.
+    faster: FasterSlots,
     /// Average utilization of the usable workers.
     utilization: SlotUtilization,
     /// Time in which workers answer start requests.
@@ -175,18 +220,27 @@
             jobs: FxHashMap::default(),
             started_jobs: FxHashMap::default(),
             crashes: CrashMemory::default(),
-            queue: Vec::new(),
+            queue: WaitQueue::default(),
             run_times: RunTimeEstimator::default(),
+            spreads: FxHashMap::default(),
+            common_run_time: 1.0,
             listed_at: UnixTime::default(),
             awaits_list: false,
             evacuation: EvacuationState::default(),
             actions: Vec::new(),
             counts: PoolCounts::default(),
             scored: Cell::new(0),
+            estimate_visits: Cell::new(0),
             freed_workers: Vec::new(),
+            max_free_cpu_milli: None,
             newly_waiting: Vec::new(),
             reservations: FxHashMap::default(),
             is_contended: false,
+            summary: AdmissionSummary::default(),
+            route_loads: RouteLoads::default(),
+            shares: CapacityShares::default(),
+            refusal_log: RefusalLog::default(),
+            faster: FasterSlots::default(),
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
             latest_answered_call: UnixTime::default(),
@@ -210,6 +264,7 @@
     pub const fn counts(&self) -> PoolCounts {
         PoolCounts {
             workers_scored: self.scored.get(),
+            estimate_visits: self.estimate_visits.get(),
             ..self.counts
         }
     }
@@ -236,7 +291,7 @@
     #[must_use]
     pub fn load(&self, now: UnixTime) -> PoolLoad {
         let mut load = PoolLoad {
-            waiting_tasks: self.waiting_tasks(),
+            waiting_tasks: self.queue.waiting_tasks(),
             evacuated: self.is_evacuated(),
             ..PoolLoad::default()
         };
@@ -253,18 +308,10 @@
         load
     }
 
-    /// Returns the admission state of the routes with recent traffic, to be published.
-    #[must_use]
-    pub const fn route_admissions(&self, _now: UnixTime) -> Vec<RouteAdmission> {
-        Vec::new()
-    }
-
-    fn waiting_tasks(&self) -> u32 {
-        self.queue
-            .iter()
-            .filter_map(|name| self.jobs.get(name))
-            .map(|job| job.waiting)
-            .sum()
+    /// Counts workers and waiting jobs visited to estimate starts.
+    fn count_visits(&self, visits: u64) {
+        self.estimate_visits
+            .set(self.estimate_visits.get() + visits);
     }
 
     fn log(&mut self, decision: Decision) {
@@ -360,6 +407,10 @@
             return;
         }
         let details = run.details().clone();
+        if details.needed || cause == StopCause::NotNeeded {
+            self.observe_stopped_run(index, position, now);
+        }
+        let worker = self.worker_mut(index);
         worker.runs[position] = run.stopped(cause, retry_at);
         let name = worker.entry.name.clone();
         self.log(Decision::Stopping {
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -5,12 +5,17 @@
 use bramley_core::units::UnixTime;
 
 use super::Pool;
+use super::faster::SpeedPlan;
 use crate::crash::Suspicion;
 use crate::job::{JobName, JobRecord, TaskState};
 use crate::message::{PoolMessage, RelayId, TaskPlacement};
 use crate::run::RunDetails;
 use crate::worker::{WorkerIndex, WorkerRecord};
 
+/// Multiple of the expected run time from which a run is taken for a long task. Declared run times
+/// are wrong by a factor of 1.4.
+const LONG_TASK_FACTOR: u32 = 2;
+
 impl Pool {
     /// Full placement round: starts waiting tasks in queue order on all workers and recomputes the
     /// reservations. Once a job could not be placed, later jobs are only tried if their tasks need
@@ -20,6 +25,7 @@
             return;
         }
         self.clear_round();
+        self.begin_faster_round(now);
         let mut min_failed_cpu = u32::MAX;
         for name in self.waiting_order(now) {
             let Some(job) = self.jobs.get(&name) else {
@@ -28,16 +34,21 @@
             let cpu = job.submission.work.resources.cpu_milli;
             let needs_idle_worker = job.awaits_idle_worker();
             let is_tried = needs_idle_worker || cpu < min_failed_cpu;
-            if is_tried && self.place_job(&name, now) {
+            if is_tried && !self.waits_without_room(&name, now) && self.place_job(&name, now) {
                 continue;
             }
-            // The lack of an idle worker does not show that smaller tasks fit nowhere.
-            if !needs_idle_worker {
+            // The lack of an idle or a faster worker does not show that smaller tasks fit nowhere.
+            let waits_for_faster = self.plan_job(&name, now) == Some(SpeedPlan::InTime);
+            if waits_for_faster
+                && !needs_idle_worker
+                && let Some(job) = self.jobs.get(&name)
+            {
+                self.faster.record_no_room(job, now);
+            } else if !needs_idle_worker {
                 min_failed_cpu = min_failed_cpu.min(cpu);
             }
             self.reserve_workers(&name, now);
         }
-        self.remove_placed_from_queue();
     }
 
     /// Incremental placement round: considers only workers that have gained free resources and jobs
@@ -50,22 +61,26 @@
         let mut freed = std::mem::take(&mut self.freed_workers);
         freed.sort_unstable();
         freed.dedup();
+        self.record_freed(&freed);
         if !freed.is_empty() {
             let order = self.waiting_order(now);
             for index in freed {
                 self.place_on(index, &order, now);
+                self.raise_max_free_cpu(index);
             }
         }
         for name in std::mem::take(&mut self.newly_waiting) {
-            self.place_job(&name, now);
+            if self.may_fit_anywhere(&name) {
+                self.place_job(&name, now);
+            }
         }
-        self.remove_placed_from_queue();
     }
 
     /// Returns whether there are waiting tasks and starts are allowed now. If the queue is empty,
     /// also clears the state of the last round.
     fn may_place(&mut self, now: UnixTime) -> bool {
         if self.queue.is_empty() {
+            self.faster.clear();
             self.clear_round();
             return false;
         }
@@ -77,34 +92,26 @@
 
     /// Clears the changes since the last round and the reservations.
     fn clear_round(&mut self) {
-        self.freed_workers.clear();
+        for index in std::mem::take(&mut self.freed_workers) {
+            self.raise_max_free_cpu(index);
+        }
         self.newly_waiting.clear();
         self.reservations.clear();
     }
 
     /// Returns the waiting jobs in queue order, up to the limit of one round.
     fn waiting_order(&self, now: UnixTime) -> Vec<JobName> {
-        let mut order: Vec<((u8, UnixTime), &JobName)> = self
-            .queue
-            .iter()
-            .filter_map(|name| Some((self.order_key(self.jobs.get(name)?, now), name)))
-            .collect();
-        order.sort_by_key(|(key, _)| *key);
-        order.truncate(self.settings.scan_limit);
-        order.into_iter().map(|(_, name)| name.clone()).collect()
-    }
-
-    /// Removes jobs without waiting tasks from the queue.
-    fn remove_placed_from_queue(&mut self) {
-        let jobs = &self.jobs;
-        self.queue
-            .retain(|name| jobs.get(name).is_some_and(|job| job.waiting > 0));
+        let order = self.queue.in_order(self.is_contended, now);
+        order.take(self.settings.scan_limit).cloned().collect()
     }
 
     /// Starts waiting tasks in queue order on one worker, as far as they fit.
     fn place_on(&mut self, index: WorkerIndex, order: &[JobName], now: UnixTime) {
         for name in order {
-            if self.is_reserved(index, name) {
+            let is_left = self.is_reserved(index, name)
+                || !self.may_fit(index, name)
+                || self.leaves_worker(name, index, now);
+            if is_left {
                 continue;
             }
             self.place_tasks(name, now, |pool, job, task| {
@@ -114,6 +121,43 @@
         }
     }
 
+    /// Returns whether any worker may have room for a task of the job. Without this check, each job
+    /// that is admitted while all workers are busy would have all of them scored.
+    fn may_fit_anywhere(&mut self, name: &JobName) -> bool {
+        let Some(job) = self.jobs.get(name) else {
+            return false;
+        };
+        let cpu_milli = job.submission.work.resources.cpu_milli;
+        if !job.submission.placements.is_empty() {
+            return true;
+        }
+        let max_free = self.max_free_cpu_milli.unwrap_or_else(|| {
+            self.count_visits(self.workers.len() as u64);
+            let free = self.workers.iter().map(|worker| worker.free().cpu_milli);
+            free.max().unwrap_or(0)
+        });
+        self.max_free_cpu_milli = Some(max_free);
+        cpu_milli <= max_free
+    }
+
+    /// Includes the free CPU of a worker in the upper bound.
+    fn raise_max_free_cpu(&mut self, index: WorkerIndex) {
+        let free = self.worker(index).free().cpu_milli;
+        if let Some(max_free) = &mut self.max_free_cpu_milli {
+            *max_free = free.max(*max_free);
+        }
+    }
+
+    /// Returns whether the worker has room for a task of the job, or the job has to be looked at
+    /// for another reason.
+    fn may_fit(&self, index: WorkerIndex, name: &JobName) -> bool {
+        self.jobs.get(name).is_some_and(|job| {
+            let has_earlier_placements = !job.submission.placements.is_empty();
+            let resources = job.submission.work.resources;
+            has_earlier_placements || resources.fits_in(self.worker(index).free())
+        })
+    }
+
     /// Returns whether a task waits and can be started safely.
     fn awaits_placement(&self, job: &JobRecord, position: usize, now: UnixTime) -> bool {
         let task = &job.tasks[position];
@@ -146,6 +190,11 @@
             return true;
         }
         let (tasks, relay) = (job.tasks.len(), job.relay);
+        let plan = self.plan_job(name, now);
+        if plan == Some(SpeedPlan::Late) && !self.serve_late(name, now) {
+            return true;
+        }
+        let waits_for_faster = plan == Some(SpeedPlan::InTime);
         let mut placements = Vec::new();
         let mut all_placed = true;
         for position in 0..tasks {
@@ -166,7 +215,10 @@
                 break;
             };
             let is_suspected = job.tasks[position].suspicion != Suspicion::Unsuspected;
-            let Some(worker) = choose(self, job, position) else {
+            let chosen = choose(self, job, position).filter(|worker| {
+                !waits_for_faster || !self.is_too_slow(self.worker(*worker), job, now)
+            });
+            let Some(worker) = chosen else {
                 all_placed = false;
                 if is_suspected {
                     // The job's other tasks need no idle worker.
@@ -212,8 +264,19 @@
     now.since(worker.report_requested_at)
 }
 
-/// Returns when a run is expected to end, but not earlier than `now`.
+/// Returns when a run is expected to end, but not earlier than `now`. A run that has taken twice the
+/// expected time or more is a long task, which takes about as long again.
 pub(super) fn expected_end(worker: &WorkerRecord, details: &RunDetails, now: UnixTime) -> UnixTime {
+    let expected = details.expected.mul_f64(worker.relative_run_time);
+    let elapsed = now.since(details.started_at);
+    if elapsed >= expected * LONG_TASK_FACTOR {
+        return now.after(elapsed);
+    }
+    usual_end(worker, details, now)
+}
+
+/// Returns when a run would usually end, but not earlier than `now`.
+pub(super) fn usual_end(worker: &WorkerRecord, details: &RunDetails, now: UnixTime) -> UnixTime {
     let expected = details.expected.mul_f64(worker.relative_run_time);
     details.started_at.after(expected).max(now)
 }
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -3,7 +3,7 @@
 use bramley_core::units::UnixTime;
 
 use super::placement::report_age;
-use super::{Pool, PoolAction, run_time_key};
+use super::{Pool, PoolAction};
 use crate::decision::Decision;
 use crate::job::{JobName, TaskName, TaskState};
 use crate::message::{JobOutcome, PoolMessage};
@@ -220,6 +220,7 @@
         job.waiting -= 1;
         job.unfinished -= 1;
         let relay = job.relay;
+        self.update_queued(&end.task.job);
         let message = PoolMessage::TaskDone {
             job: end.task.job.clone(),
             index: end.task.index,
@@ -302,7 +303,9 @@
                 duplicate = true;
             }
         }
-        if !details.needed {
+        if details.needed {
+            self.update_queued(&task.job);
+        } else {
             self.remember_started(&task.job, now);
         }
         let stop_now = duplicate || (!details.needed && self.orphaned_runs_kept_until <= now);
@@ -397,12 +400,10 @@
             job.unfinished -= 1;
             let relay = job.relay;
             let is_complete = job.unfinished == 0;
-            let key = run_time_key(&job.submission.policy);
             let message = PoolMessage::TaskDone {
                 job: details.task.job.clone(),
                 index: details.task.index,
             };
-            self.run_times.observe(&key.0, &key.1, ran);
             if is_complete {
                 self.finish(&details.task.job, JobOutcome::Completed, now);
             } else {
@@ -439,6 +440,8 @@
         belief: &'static str,
         now: UnixTime,
     ) {
+        self.summary.invalidate();
+        self.max_free_cpu_milli = None;
         let worker = self.worker(index);
         let decision = Decision::WorkerChanged {
             worker: worker.entry.name.clone(),
--- a/crates/bramley-pool/src/pool/scoring.rs
+++ b/crates/bramley-pool/src/pool/scoring.rs
@@ -25,7 +25,9 @@
     /// For a task that has failed: time since the start of the worker's latest successful run, in
     /// steps.
     success_age_steps: u32,
-    /// Expected run time on this worker, in quarters of that on a healthy one.
+    /// Whether the job would miss its objective because of the worker's speed.
+    is_too_slow: bool,
+    /// Rank by the expected run time on this worker, in quarters of that on a healthy one.
     time_steps: u32,
     /// CPU that would stay free; preferring less of it packs tasks tightly.
     free_cpu_milli: u32,
@@ -113,9 +115,11 @@
                 .unwrap_or(u32::MAX)
         };
         let time_steps = (worker.relative_run_time * rack_factor * 4.0).max(0.0) as u32;
+        let time_steps = self.rank_by_time(worker, job, time_steps, now);
         Some(PlacementScore {
             is_suspect,
             success_age_steps,
+            is_too_slow: self.is_too_slow(worker, job, now),
             time_steps,
             free_cpu_milli: free.saturating_sub(work.resources).cpu_milli,
         })
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -46,7 +46,7 @@
     pub priority_step: Duration,
     /// Factor on a task's run time when its data is on another rack.
     pub remote_factor: f64,
-    /// Ratio of actual to expected run time from which a worker counts as slow.
+    /// Largest relative run time of a worker for which the limit of a stalled run is raised.
     pub slow_ratio: f64,
     /// Multiple of the expected run time after which a run counts as stalled.
     pub stall_ratio: f64,
@@ -130,6 +130,8 @@
     pub resume_wait: Duration,
     /// Minimum `Retry-After` time of a refusal.
     pub min_retry_after: Duration,
+    /// Maximum `Retry-After` time of a refusal; most clients stop waiting before.
+    pub max_retry_after: Duration,
     /// Maximum number of pools that are asked to serve a job late.
     pub max_late_offers: usize,
     /// Time for which crashes under a job's tasks are remembered after the last one. Clients may
@@ -143,6 +145,7 @@
             lost_pool_wait: Duration::from_millis(2_500),
             resume_wait: Duration::from_millis(100),
             min_retry_after: Duration::from_secs(1),
+            max_retry_after: Duration::from_secs(5),
             max_late_offers: 2,
             crash_retention: Duration::from_secs(30),
         }
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
+pub mod burst;
 pub mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -172,6 +173,10 @@
     pub tasks: u32,
     pub cpu_milli: u32,
     pub run: Duration,
+    /// Run time as declared by the client, if that is wrong.
+    pub declared: Option<Duration>,
+    /// Tasks with run times of their own, by index.
+    pub task_runs: Vec<(u32, Duration)>,
     pub priority: u32,
     pub attempts: u32,
 }
@@ -184,6 +189,8 @@
             tasks: 1,
             cpu_milli: 10_000,
             run: Duration::from_millis(100),
+            declared: None,
+            task_runs: Vec::new(),
             priority: 0,
             attempts: 2,
         }
@@ -349,9 +356,20 @@
 
     /// Submits a job at a host.
     pub fn submit(&mut self, host: usize, job: &TestJob) {
-        let submission = self.submission(job);
+        self.submit_aged(host, job, Duration::ZERO);
+    }
+
+    /// Submits a job whose request arrived at a host some time ago.
+    pub fn submit_aged(&mut self, host: usize, job: &TestJob, age: Duration) {
+        let mut submission = self.submission(job);
+        submission.arrived_at = self.now.before(age);
         for worker in &mut self.workers {
             worker.run_times.insert(job.name.clone(), job.run);
+            for (index, run) in &job.task_runs {
+                worker
+                    .run_times
+                    .insert(format!("{}.0.0.{index}", job.name), *run);
+            }
             worker.set_task_cpu(&job.name, job.cpu_milli);
         }
         let now = self.now;
@@ -359,6 +377,7 @@
         self.run_actions();
     }
 
+    /// Returns the submission of a job that arrives now.
     pub fn submission(&self, job: &TestJob) -> JobSubmission {
         JobSubmission {
             work: JobWork {
@@ -370,7 +389,7 @@
                     cpu_milli: job.cpu_milli,
                     memory_mb: 64,
                 },
-                declared: job.run,
+                declared: job.declared.unwrap_or(job.run),
                 required_label: "".into(),
                 preferred_rack: "".into(),
                 spread_limit: 0,
