Random runs with connections that are reset in three failure domains

Cause: a doubled start was seen beside reset connections, and the random runs know no resets. Change: tests/world/links.rs models connections that are reset, hosts that lag, callers that leave; tests/reset_links.rs runs it.

--- /dev/null
+++ b/crates/bramley-pool/tests/reset_links.rs
@@ -0,0 +1,265 @@
+//! Randomized simulation of three failure domains whose connections are reset at the same moment,
+//! with full pools, hosts that process their events late, and callers that leave.
+
+mod world;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bramley_core::units::UnixTime;
+use bramley_pool::settings::PoolSettings;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use world::links::job_of;
+use world::{TestJob, World};
+
+/// Seeds that CI runs.
+const SEEDS: std::ops::Range<u64> = 0..12;
+
+/// Failure domains.
+const DOMAINS: [&str; 3] = ["domain-1", "domain-2", "domain-3"];
+
+/// Hosts of each domain; the first one is the leader.
+const HOSTS: usize = 3;
+
+/// Workers of each domain, few enough that the pools are often full.
+const WORKERS: usize = 4;
+
+/// Number of steps, each of about 30 ms on average.
+const STEPS: usize = 150;
+
+/// Time after which a client resends a job whose connection was closed.
+const RESEND: Duration = Duration::from_millis(1_300);
+
+/// When clients send a job again whose connection has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ClientKind {
+    /// After the pause that the platform specifies.
+    Patient,
+    /// Within milliseconds to any host, against the platform's specification.
+    Hasty,
+    /// Within milliseconds to the same host.
+    HastyAtSameHost,
+}
+
+/// Result of the runs of some seeds.
+#[derive(Debug, Default)]
+struct Totals {
+    jobs: usize,
+    runs: usize,
+    resets: usize,
+    refusals: usize,
+    /// Jobs that were refused as not run and sent again at once.
+    refused: usize,
+    left: usize,
+    /// Doubled runs of jobs that were sent again before the pause had passed.
+    doubled_early: usize,
+    doubled: Vec<String>,
+}
+
+struct ResetRun {
+    rng: ChaCha8Rng,
+    world: World,
+    kind: ClientKind,
+    next_job: u32,
+    left: usize,
+}
+
+impl ResetRun {
+    fn new(seed: u64, kind: ClientKind) -> Self {
+        let settings = PoolSettings::default();
+        let mut world = World::with_domains(&DOMAINS, HOSTS, WORKERS, &settings);
+        for domain in 0..DOMAINS.len() {
+            world.become_leader(domain * HOSTS);
+        }
+        world.run_for(Duration::from_millis(50));
+        world.use_links(!seed);
+        // The first connections after a change of leader carry resubmissions only.
+        world.run_for(Duration::from_millis(2_000));
+        Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            world,
+            kind,
+            next_job: 0,
+            left: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        let jobs = self.rng.random_range(0..6);
+        for _ in 0..jobs {
+            self.submit();
+        }
+        if self.rng.random_bool(0.1) {
+            self.reset_many();
+        } else if self.rng.random_bool(0.15) {
+            let host = self.rng.random_range(0..DOMAINS.len() * HOSTS);
+            self.world.reset_links_of(host);
+        }
+        if self.rng.random_bool(0.3) {
+            self.delay_some();
+        }
+        let pause = self.rng.random_range(1..60);
+        self.world.run_for(Duration::from_millis(pause));
+    }
+
+    /// Resets the connections of most hosts within a few milliseconds, with jobs in between.
+    fn reset_many(&mut self) {
+        self.delay_some();
+        for host in 0..DOMAINS.len() * HOSTS {
+            if self.rng.random_bool(0.7) {
+                self.world.reset_links_of(host);
+            }
+            if self.rng.random_bool(0.5) {
+                self.submit();
+            }
+            let pause = self.rng.random_range(0..3);
+            self.world.run_for(Duration::from_millis(pause));
+        }
+    }
+
+    fn delay_some(&mut self) {
+        for host in 0..DOMAINS.len() * HOSTS {
+            if self.rng.random_bool(0.3) {
+                let span = Duration::from_millis(self.rng.random_range(1..=40));
+                self.world.delay_host(host, span);
+            }
+        }
+    }
+
+    fn submit(&mut self) {
+        self.next_job += 1;
+        // A few runs outlast the time after which a relay takes those of a lost pool for ended.
+        let run_ms = if self.rng.random_bool(0.03) {
+            self.rng.random_range(2_000..6_000)
+        } else {
+            self.rng.random_range(20..400)
+        };
+        let job = TestJob {
+            name: format!("job-{}", self.next_job),
+            tasks: self.rng.random_range(1..5),
+            run: Duration::from_millis(run_ms),
+            cpu_milli: self.rng.random_range(6_000..16_000),
+            priority: self.rng.random_range(0..3),
+            ..TestJob::default()
+        };
+        let host = self.rng.random_range(0..DOMAINS.len() * HOSTS);
+        let leaves_after = self
+            .rng
+            .random_bool(0.3)
+            .then(|| Duration::from_millis(self.rng.random_range(0..80)));
+        let caller = self.world.call_host(host, &job, leaves_after);
+        let Some(leaves_after) = leaves_after else {
+            return;
+        };
+        self.left += 1;
+        let hosts: Vec<usize> = (0..DOMAINS.len() * HOSTS).collect();
+        let other = hosts.choose(&mut self.rng).copied().unwrap_or(host);
+        let next = if self.kind == ClientKind::HastyAtSameHost || self.rng.random_bool(0.3) {
+            host
+        } else {
+            other
+        };
+        let pause = match self.kind {
+            ClientKind::Patient => RESEND,
+            ClientKind::Hasty | ClientKind::HastyAtSameHost => {
+                if let Some(links) = &mut self.world.links {
+                    links.resent_early.insert(job.name.clone());
+                }
+                Duration::from_millis(self.rng.random_range(0..20))
+            }
+        };
+        self.world
+            .resend_after(leaves_after + pause, caller, next, &job);
+    }
+
+    fn add_to(mut self, totals: &mut Totals, seed: u64) {
+        self.world.run_for(Duration::from_secs(12));
+        let doubled = self.world.overlaps();
+        totals.jobs += self.next_job as usize;
+        totals.runs += self.world.runs();
+        totals.left += self.left;
+        let Some(links) = &self.world.links else {
+            return;
+        };
+        totals.resets += links.resets;
+        totals.refusals += links.refusals;
+        totals.refused += links.refused.len();
+        let early: BTreeSet<&str> = links.resent_early.iter().map(String::as_str).collect();
+        for task in doubled {
+            let job = job_of(&task);
+            if early.contains(job.as_str()) {
+                totals.doubled_early += 1;
+            } else {
+                let spans = self.spans_of(&task);
+                totals
+                    .doubled
+                    .push(format!("seed {seed}: {task} {spans:?}"));
+            }
+        }
+    }
+
+    /// Returns the workers and spans of the runs of a task.
+    fn spans_of(&self, task: &str) -> Vec<(String, UnixTime, UnixTime)> {
+        let mut spans = Vec::new();
+        for worker in &self.world.workers {
+            for (name, from, to) in worker.history(self.world.now) {
+                if name == task {
+                    spans.push((format!("{} {}", worker.domain, worker.name), from, to));
+                }
+            }
+        }
+        spans
+    }
+}
+
+fn run_seeds(seeds: std::ops::Range<u64>, kind: ClientKind) -> Totals {
+    let mut totals = Totals::default();
+    for seed in seeds {
+        let mut run = ResetRun::new(seed, kind);
+        for _ in 0..STEPS {
+            run.step();
+        }
+        run.add_to(&mut totals, seed);
+    }
+    println!("{kind:?} {totals:?}");
+    totals
+}
+
+/// Guards against a job that a relay submits to a second pool while the first one still runs it,
+/// when connections are reset between submission and placement.
+#[test]
+fn no_task_runs_twice_at_once_beside_reset_connections() {
+    let totals = run_seeds(SEEDS, ClientKind::Patient);
+    assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+    assert!(totals.resets > 0 && totals.refusals > 0 && totals.left > 0);
+}
+
+/// Guards against a doubled run of a job whose client keeps the pause, caused by other clients that do
+/// not. These may get doubled runs of their own jobs.
+#[test]
+fn clients_that_send_again_at_once_harm_only_their_own_jobs() {
+    for kind in [ClientKind::Hasty, ClientKind::HastyAtSameHost] {
+        let totals = run_seeds(SEEDS.start..SEEDS.end / 2, kind);
+        assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+    }
+}
+
+/// Run with `cargo test --release -p bramley-pool --test reset_links -- --ignored --nocapture`.
+#[test]
+#[ignore = "takes minutes"]
+fn no_task_runs_twice_at_once_in_many_seeds() {
+    let totals = run_seeds(SEEDS.end..3_000, ClientKind::Patient);
+    assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+}
+
+/// Run with `cargo test --release -p bramley-pool --test reset_links -- --ignored --nocapture`.
+#[test]
+#[ignore = "takes minutes"]
+fn hasty_clients_harm_only_their_own_jobs_in_many_seeds() {
+    for kind in [ClientKind::Hasty, ClientKind::HastyAtSameHost] {
+        let totals = run_seeds(SEEDS.end..1_000, kind);
+        assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+    }
+}
--- /dev/null
+++ b/crates/bramley-pool/tests/world/links.rs
@@ -0,0 +1,544 @@
+//! Connections between relays and pools that are reset, hosts that process their events late, and
+//! callers whose connections end, for a simulation that asks for them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bramley_core::names::DomainName;
+use bramley_core::units::UnixTime;
+use bramley_pool::job::JobName;
+use bramley_pool::message::{JobOutcome, PoolMessage, RelayId, RelayMessage};
+use bramley_pool::relay::JobAnswer;
+use bramley_pool::worker::{CallAnswer, WorkerCall};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::{DELAY, Event, TestJob, World};
+
+/// Longest time from the reset of a connection until one of its ends notices it.
+const MAX_NOTICE_MS: u64 = 60;
+
+/// Delay before a relay opens a connection again, as in the driver.
+const RECONNECT_DELAY: Duration = Duration::from_millis(50);
+
+/// Interval of heartbeats, which bounds the age of the last message of a connected pool.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Longest difference in the processing of two sockets by a host that catches up.
+const MAX_SOCKET_SHIFT_MS: u64 = 4;
+
+/// Probability that a call to a worker fails while calls are being reset.
+const CALL_RESET_PROBABILITY: f64 = 0.25;
+
+/// Longest delay of a call that is carried out after its connection was reset.
+const MAX_LATE_CALL_MS: u64 = 60;
+
+/// Probability that a relay does not reach the pool again for seconds.
+const PARTITION_PROBABILITY: f64 = 0.05;
+
+/// Longest time for which it does not, which is beyond the time after which the relay takes the runs
+/// of the lost pool for ended.
+const MAX_PARTITION_MS: u64 = 4_000;
+
+/// HTTP status of an answer that promises that the job has not run.
+const NOT_RUN_STATUS: u16 = 503;
+
+/// Event of a connection. Each `usize` is the index of a host or the number of a connection.
+#[derive(Clone, Debug)]
+pub enum LinkEvent {
+    ToPool(usize, RelayMessage),
+    ToRelay(usize, PoolMessage),
+    /// The hello of a new connection arrives at the pool.
+    PoolAccepts(usize),
+    /// The first heartbeat arrives at the relay.
+    RelayConnects(usize),
+    PoolNotices(usize),
+    RelayNotices(usize),
+    /// The relay of a host connects to the pool of a failure domain.
+    Reconnect(usize, DomainName),
+    /// A job arrives at a host on the caller's connection with this number.
+    CallerArrives(usize, u64, TestJob),
+    /// A client sends a job to a host again, unless this earlier caller got an answer.
+    ClientResends(u64, usize, TestJob),
+    /// The host notices that the caller's connection with this number has ended.
+    CallerLeaves(usize, u64, String),
+}
+
+/// Source of events of a host, which are processed in order.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Socket {
+    Link(usize),
+    Caller(u64),
+    Workers,
+}
+
+/// A connection of a relay to a pool.
+#[derive(Debug)]
+struct Link {
+    relay: usize,
+    pool: usize,
+    relay_is_open: bool,
+    pool_is_open: bool,
+    last_heard_at: UnixTime,
+    /// Time from which messages to the pool are lost.
+    lost_to_pool_from: UnixTime,
+    /// Time from which messages to the relay are lost.
+    lost_to_relay_from: UnixTime,
+}
+
+/// Time in which a host processes nothing.
+#[derive(Clone, Copy, Debug, Default)]
+struct BusySpan {
+    until: UnixTime,
+    /// Varies the order in which the host then processes its sockets.
+    seed: u64,
+}
+
+/// State of all connections.
+#[derive(Debug)]
+pub struct Links {
+    rng: ChaCha8Rng,
+    connections: Vec<Link>,
+    busy: BTreeMap<usize, BusySpan>,
+    /// Current caller of each open job of a host.
+    callers: BTreeMap<(usize, String), u64>,
+    next_caller: u64,
+    /// Times at which callers' connections end on the side of the client.
+    ends_of_callers: BTreeMap<u64, UnixTime>,
+    /// Callers that got an answer.
+    answered_callers: BTreeSet<u64>,
+    /// All jobs by name.
+    jobs: BTreeMap<String, TestJob>,
+    /// Jobs that were refused as not run.
+    pub refused: BTreeSet<String>,
+    /// Hosts whose calls to workers are being reset, with the time until which they are.
+    calls_reset_until: BTreeMap<usize, UnixTime>,
+    /// Jobs that their clients sent again sooner than the platform's pause after their connection
+    /// had ended.
+    pub resent_early: BTreeSet<String>,
+    /// Number of connections that were reset.
+    pub resets: usize,
+    /// Number of refusals that relays got from pools.
+    pub refusals: usize,
+}
+
+impl Links {
+    fn current(&self, relay: usize, domain: &DomainName, world: &World) -> Option<usize> {
+        self.connections.iter().rposition(|link| {
+            link.relay == relay && link.relay_is_open && world.hosts[link.pool].domain == *domain
+        })
+    }
+
+    /// Returns whether the call is to be sent as usual, or the time by which it is late and its
+    /// answer.
+    fn draw_call(&mut self, host: usize, now: UnixTime) -> CallFate {
+        let until = self.calls_reset_until.get(&host).copied();
+        if until.is_none_or(|until| until <= now) || !self.rng.random_bool(CALL_RESET_PROBABILITY) {
+            return CallFate::Delivered;
+        }
+        match self.rng.random_range(0..4) {
+            0 => CallFate::NotSent,
+            1 => CallFate::Lost,
+            _ => {
+                let late_ms = self.rng.random_range(0..MAX_LATE_CALL_MS);
+                CallFate::Late(Duration::from_millis(late_ms))
+            }
+        }
+    }
+}
+
+/// What becomes of a call to a worker.
+#[derive(Clone, Copy, Debug)]
+pub enum CallFate {
+    Delivered,
+    /// The connection failed before the request was sent.
+    NotSent,
+    /// The request was sent, was not carried out and is reported as unanswered.
+    Lost,
+    /// The request is reported as unanswered and is carried out after this delay.
+    Late(Duration),
+}
+
+impl World {
+    /// Replaces the immediate connections by ones that can be reset. Every relay connects to the
+    /// pool of every leader.
+    pub fn use_links(&mut self, seed: u64) {
+        self.links = Some(Links {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            connections: Vec::new(),
+            busy: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            next_caller: 0,
+            ends_of_callers: BTreeMap::new(),
+            answered_callers: BTreeSet::new(),
+            jobs: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            calls_reset_until: BTreeMap::new(),
+            resent_early: BTreeSet::new(),
+            resets: 0,
+            refusals: 0,
+        });
+        let domains: Vec<DomainName> = self.leaders.keys().cloned().collect();
+        for relay in 0..self.hosts.len() {
+            for domain in &domains {
+                self.open_link(relay, domain);
+            }
+        }
+    }
+
+    fn links_mut(&mut self) -> &mut Links {
+        self.links.as_mut().expect("links are in use")
+    }
+
+    fn open_link(&mut self, relay: usize, domain: &DomainName) {
+        let Some(pool) = self.leaders.get(domain).copied() else {
+            return;
+        };
+        if pool == relay {
+            return;
+        }
+        let links = self.links_mut();
+        let number = links.connections.len();
+        links.connections.push(Link {
+            relay,
+            pool,
+            relay_is_open: true,
+            pool_is_open: false,
+            last_heard_at: UnixTime::default(),
+            lost_to_pool_from: UnixTime::NEVER,
+            lost_to_relay_from: UnixTime::NEVER,
+        });
+        self.schedule(DELAY, Event::Link(LinkEvent::PoolAccepts(number)));
+    }
+
+    /// Resets all connections of the relay of a host, and the calls of its pool to workers for a
+    /// moment.
+    pub fn reset_links_of(&mut self, host: usize) {
+        let now = self.now;
+        let numbers: Vec<usize> = self
+            .links_mut()
+            .connections
+            .iter()
+            .enumerate()
+            .filter(|(_, link)| {
+                let is_open = link.relay_is_open && link.lost_to_pool_from == UnixTime::NEVER;
+                is_open && (link.relay == host || link.pool == host)
+            })
+            .map(|(number, _)| number)
+            .collect();
+        for number in numbers {
+            self.reset_link(number);
+        }
+        let links = self.links_mut();
+        let span = Duration::from_millis(links.rng.random_range(1..MAX_NOTICE_MS));
+        links.calls_reset_until.insert(host, now.after(span));
+    }
+
+    fn reset_link(&mut self, number: usize) {
+        let now = self.now;
+        let links = self.links_mut();
+        links.resets += 1;
+        let mut draw = |limit: u64| Duration::from_millis(links.rng.random_range(0..=limit));
+        // Of each direction, the messages that arrive after a random moment are lost.
+        let (to_pool, to_relay) = (now.after(draw(4)), now.after(draw(4)));
+        let (pool_notices, relay_notices) = (draw(MAX_NOTICE_MS), draw(MAX_NOTICE_MS));
+        let link = &mut links.connections[number];
+        link.lost_to_pool_from = to_pool;
+        link.lost_to_relay_from = to_relay;
+        self.schedule(pool_notices, Event::Link(LinkEvent::PoolNotices(number)));
+        self.schedule(relay_notices, Event::Link(LinkEvent::RelayNotices(number)));
+    }
+
+    /// Lets a host process nothing for a while. What arrives meanwhile is processed afterwards, in
+    /// order for each socket.
+    pub fn delay_host(&mut self, host: usize, span: Duration) {
+        let now = self.now;
+        let links = self.links_mut();
+        let seed = links.rng.random();
+        let busy = links.busy.entry(host).or_default();
+        if busy.until.after(Duration::from_millis(MAX_SOCKET_SHIFT_MS)) < now {
+            *busy = BusySpan {
+                until: now.after(span),
+                seed,
+            };
+        }
+    }
+
+    /// Returns whether a host is in the middle of a delay.
+    pub fn is_delayed(&self, host: usize) -> bool {
+        let links = self.links.as_ref();
+        let busy = links.and_then(|links| links.busy.get(&host));
+        busy.is_some_and(|busy| self.now < busy.until)
+    }
+
+    /// Returns the time at which an event is processed whose host processes its events late.
+    pub(super) fn held_until(&self, event: &Event) -> Option<UnixTime> {
+        let links = self.links.as_ref()?;
+        let (host, socket) = links.socket_of(event)?;
+        let busy = links.busy.get(&host)?;
+        let socket_seed = match socket {
+            Socket::Link(number) => number as u64 * 3,
+            Socket::Caller(number) => number * 3 + 1,
+            Socket::Workers => 2,
+        };
+        let shift = (busy.seed ^ socket_seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)) >> 7;
+        let shift = Duration::from_millis(shift % MAX_SOCKET_SHIFT_MS);
+        let held_until = busy.until.after(shift);
+        (self.now < held_until).then_some(held_until)
+    }
+
+    /// Sends a job at a host on a new connection and returns its number. It ends after `leaves_after`,
+    /// which the host notices later.
+    pub fn call_host(&mut self, host: usize, job: &TestJob, leaves_after: Option<Duration>) -> u64 {
+        let now = self.now;
+        let links = self.links_mut();
+        links.next_caller += 1;
+        let caller = links.next_caller;
+        let notice = Duration::from_millis(links.rng.random_range(0..=MAX_NOTICE_MS));
+        if let Some(leaves_after) = leaves_after {
+            let end = now.after(DELAY + leaves_after);
+            links.ends_of_callers.insert(caller, end);
+        }
+        let arrives = Event::Link(LinkEvent::CallerArrives(host, caller, job.clone()));
+        self.schedule(DELAY, arrives);
+        if let Some(leaves_after) = leaves_after {
+            let leaves = LinkEvent::CallerLeaves(host, caller, job.name.clone());
+            self.schedule(DELAY + leaves_after + notice, Event::Link(leaves));
+        }
+        caller
+    }
+
+    /// Sends a job again at a time after the connection of an earlier caller has ended, unless that
+    /// caller got an answer.
+    pub fn resend_after(&mut self, after: Duration, caller: u64, host: usize, job: &TestJob) {
+        let resends = LinkEvent::ClientResends(caller, host, job.clone());
+        self.schedule(after + DELAY, Event::Link(resends));
+    }
+
+    pub fn send_to_pool(&mut self, relay: usize, domain: &DomainName, message: RelayMessage) {
+        if self.leaders.get(domain) == Some(&relay) {
+            self.schedule(Duration::ZERO, Event::ToPool(relay, relay, message));
+            return;
+        }
+        let links = self.links.as_ref();
+        if let Some(number) = links.and_then(|links| links.current(relay, domain, self)) {
+            self.schedule(DELAY, Event::Link(LinkEvent::ToPool(number, message)));
+        }
+    }
+
+    pub fn send_to_relay(&mut self, pool: usize, relay: RelayId, message: PoolMessage) {
+        let first = self.hosts.len();
+        let number = (relay.0 as usize).checked_sub(first);
+        match number {
+            None => self.schedule(Duration::ZERO, Event::ToRelay(pool, pool, message)),
+            Some(number) => {
+                let event = Event::Link(LinkEvent::ToRelay(number, message));
+                self.schedule(DELAY, event);
+            }
+        }
+    }
+
+    pub fn broadcast(&mut self, pool: usize, message: &PoolMessage) {
+        let first = self.hosts.len();
+        let numbers: Vec<usize> = (0..self.links_mut().connections.len())
+            .filter(|number| {
+                let link = &self.links_mut().connections[*number];
+                link.pool == pool && link.pool_is_open
+            })
+            .collect();
+        for number in numbers {
+            let relay = RelayId((first + number) as u64);
+            self.send_to_relay(pool, relay, message.clone());
+        }
+        self.send_to_relay(pool, RelayId(pool as u64), message.clone());
+    }
+
+    /// Draws what becomes of a call and carries out the failure, if any. Returns whether the call is
+    /// to be sent as usual.
+    pub fn passes_call(&mut self, host: usize, call: &WorkerCall) -> bool {
+        let now = self.now;
+        let Some(links) = self.links.as_mut() else {
+            return true;
+        };
+        let (answer, late_by) = match links.draw_call(host, now) {
+            CallFate::Delivered => return true,
+            CallFate::NotSent => (CallAnswer::NotSent, None),
+            CallFate::Lost => (CallAnswer::Unanswered, None),
+            CallFate::Late(late_by) => (CallAnswer::Unanswered, Some(late_by)),
+        };
+        self.schedule(DELAY, Event::Answer(host, call.clone(), answer));
+        if let Some(late_by) = late_by {
+            let worker = &self.workers[super::worker_of(call)];
+            let event = Event::LateRequest(call.clone(), worker.born_unix_ms);
+            self.schedule(late_by, event);
+        }
+        false
+    }
+
+    /// Forgets the caller of an answered job. A client whose job is refused as not run sends it once
+    /// more at once, because such a refusal promises that it has not run and never will.
+    pub fn caller_answered(&mut self, host: usize, job: &str, answer: JobAnswer) {
+        let (now, hosts) = (self.now, self.hosts.len());
+        let Some(links) = &mut self.links else {
+            return;
+        };
+        let Some(caller) = links.callers.remove(&(host, String::from(job))) else {
+            return;
+        };
+        let end = links.ends_of_callers.get(&caller);
+        if end.is_some_and(|end| *end <= now) {
+            return;
+        }
+        links.answered_callers.insert(caller);
+        let JobAnswer::Refused { refusal, .. } = answer else {
+            return;
+        };
+        let is_not_run = refusal.answer().status == NOT_RUN_STATUS;
+        if !is_not_run || !links.refused.insert(String::from(job)) {
+            return;
+        }
+        let Some(job) = links.jobs.get(job).cloned() else {
+            return;
+        };
+        let next = links.rng.random_range(0..hosts);
+        self.call_host(next, &job, None);
+    }
+
+    pub(super) fn handle_link_event(&mut self, event: LinkEvent) {
+        let now = self.now;
+        let first = self.hosts.len();
+        let relay_id = |number: usize| RelayId((first + number) as u64);
+        match event {
+            LinkEvent::ToPool(number, message) => {
+                let link = &self.links_mut().connections[number];
+                if !link.pool_is_open || now >= link.lost_to_pool_from {
+                    return;
+                }
+                let pool = link.pool;
+                let pool = &mut self.hosts[pool].pool;
+                pool.handle_relay_message(relay_id(number), message, now);
+            }
+            LinkEvent::ToRelay(number, message) => {
+                let links = self.links_mut();
+                let link = &mut links.connections[number];
+                if !link.relay_is_open || now >= link.lost_to_relay_from {
+                    return;
+                }
+                link.last_heard_at = now;
+                let (pool, relay) = (link.pool, link.relay);
+                links.refusals += usize::from(is_refusal(&message));
+                let domain = self.hosts[pool].domain.clone();
+                let relay = &mut self.hosts[relay].relay;
+                relay.handle_pool_message(&domain, message, now);
+            }
+            LinkEvent::PoolAccepts(number) => {
+                let link = &mut self.links_mut().connections[number];
+                if now < link.lost_to_pool_from {
+                    link.pool_is_open = true;
+                    self.schedule(DELAY, Event::Link(LinkEvent::RelayConnects(number)));
+                }
+            }
+            LinkEvent::RelayConnects(number) => {
+                let link = &mut self.links_mut().connections[number];
+                if !link.relay_is_open || now >= link.lost_to_relay_from {
+                    return;
+                }
+                link.last_heard_at = now;
+                let (pool, relay) = (link.pool, link.relay);
+                let domain = self.hosts[pool].domain.clone();
+                let load = self.hosts[pool].pool.load(now);
+                let relay = &mut self.hosts[relay].relay;
+                relay.pool_connected(&domain, now);
+                relay.update_pool_load(&domain, load);
+            }
+            LinkEvent::PoolNotices(number) => {
+                let link = &mut self.links_mut().connections[number];
+                link.pool_is_open = false;
+                let pool = link.pool;
+                self.hosts[pool].pool.relay_lost(relay_id(number), now);
+            }
+            LinkEvent::RelayNotices(number) => {
+                let link = &mut self.links_mut().connections[number];
+                link.relay_is_open = false;
+                let earliest = now.before(HEARTBEAT_INTERVAL);
+                let last_heard_at = link.last_heard_at.max(earliest);
+                let (pool, relay) = (link.pool, link.relay);
+                let domain = self.hosts[pool].domain.clone();
+                let host = &mut self.hosts[relay];
+                host.relay.pool_lost(&domain, last_heard_at);
+                let links = self.links_mut();
+                let delay = if links.rng.random_bool(PARTITION_PROBABILITY) {
+                    Duration::from_millis(links.rng.random_range(0..MAX_PARTITION_MS))
+                } else {
+                    Duration::ZERO
+                };
+                let event = Event::Link(LinkEvent::Reconnect(relay, domain));
+                self.schedule(RECONNECT_DELAY + delay, event);
+            }
+            LinkEvent::Reconnect(relay, domain) => self.open_link(relay, &domain),
+            LinkEvent::CallerArrives(host, caller, job) => {
+                let key = (host, job.name.clone());
+                let links = self.links_mut();
+                links.callers.insert(key, caller);
+                links.jobs.insert(job.name.clone(), job.clone());
+                self.submit(host, &job);
+            }
+            LinkEvent::ClientResends(caller, host, job) => {
+                if !self.links_mut().answered_callers.contains(&caller) {
+                    self.call_host(host, &job, None);
+                }
+            }
+            LinkEvent::CallerLeaves(host, caller, job) => {
+                let key = (host, job);
+                if self.links_mut().callers.get(&key) == Some(&caller) {
+                    self.links_mut().callers.remove(&key);
+                    self.disconnect_caller(host, &key.1);
+                }
+            }
+        }
+    }
+}
+
+impl Links {
+    /// Returns the host that processes an event and the socket from which it comes.
+    fn socket_of(&self, event: &Event) -> Option<(usize, Socket)> {
+        match event {
+            Event::Answer(host, ..)
+            | Event::CallTimesOut(host, _)
+            | Event::CallOverdue(host, _) => Some((*host, Socket::Workers)),
+            Event::Link(event) => self.socket_of_link(event),
+            _ => None,
+        }
+    }
+
+    fn socket_of_link(&self, event: &LinkEvent) -> Option<(usize, Socket)> {
+        let (host, socket) = match event {
+            LinkEvent::ToPool(number, _)
+            | LinkEvent::PoolAccepts(number)
+            | LinkEvent::PoolNotices(number) => {
+                (self.connections[*number].pool, Socket::Link(*number))
+            }
+            LinkEvent::ToRelay(number, _)
+            | LinkEvent::RelayConnects(number)
+            | LinkEvent::RelayNotices(number) => {
+                (self.connections[*number].relay, Socket::Link(*number))
+            }
+            LinkEvent::CallerArrives(host, caller, _)
+            | LinkEvent::CallerLeaves(host, caller, _) => (*host, Socket::Caller(*caller)),
+            LinkEvent::ClientResends(..) | LinkEvent::Reconnect(..) => return None,
+        };
+        Some((host, socket))
+    }
+}
+
+fn is_refusal(message: &PoolMessage) -> bool {
+    let PoolMessage::Ended { outcome, .. } = message else {
+        return false;
+    };
+    matches!(outcome, JobOutcome::Refused(_))
+}
+
+/// Returns the name of the job to which a task belongs.
+pub fn job_of(task: &str) -> JobName {
+    JobName::new(task.split('.').next().unwrap_or_default())
+}
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
+pub mod links;
 pub mod workers;
 
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -21,6 +22,7 @@
 use bramley_pool::settings::{PoolSettings, RelaySettings};
 use bramley_pool::worker::{CallAnswer, CallRefusal, WorkerCall, WorkerRequest};
 
+use links::{LinkEvent, Links};
 use workers::{FIRST_DOMAIN, VirtualWorker};
 
 /// One-way delay between any two processes.
@@ -61,6 +63,8 @@
     /// A worker crashes under a task, if it still runs it.
     WorkerCrashes(usize, String),
     WorkerRestarts(usize),
+    /// Event of a connection that can be reset.
+    Link(LinkEvent),
 }
 
 #[derive(Debug)]
@@ -156,6 +160,8 @@
     pub crash: CrashKind,
     /// Partitioned pairs of host and worker.
     pub partitions: BTreeSet<(usize, usize)>,
+    /// Connections that can be reset; `None` if messages always arrive.
+    pub links: Option<Links>,
     /// Calls that were answered or have timed out, by calling host and [`call_key`].
     answered: BTreeSet<(usize, u64)>,
     events: BinaryHeap<Scheduled>,
@@ -237,6 +243,7 @@
             guarded: true,
             crash: CrashKind::default(),
             partitions: BTreeSet::new(),
+            links: None,
             answered: BTreeSet::new(),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -429,6 +436,11 @@
                 break;
             };
             self.now = next.at;
+            if let Some(at) = self.held_until(&next.event) {
+                // The sequence number keeps the order of events of one socket.
+                self.events.push(Scheduled { at, ..next });
+                continue;
+            }
             self.handle(next.event);
             self.run_actions();
         }
@@ -473,7 +485,11 @@
         let now = self.now;
         match event {
             Event::Tick => {
-                for host in self.hosts.iter_mut().filter(|host| host.alive) {
+                for index in 0..self.hosts.len() {
+                    if !self.hosts[index].alive || self.is_delayed(index) {
+                        continue;
+                    }
+                    let host = &mut self.hosts[index];
                     host.pool.tick(now);
                     host.relay.tick(now);
                 }
@@ -533,6 +549,7 @@
             }
             Event::WorkerCrashes(index, task) => self.worker_crashes(index, &task),
             Event::WorkerRestarts(index) => self.worker_restarts(index),
+            Event::Link(event) => self.handle_link_event(event),
             Event::CallOverdue(host, call) => {
                 let key = (host, call_key(&call));
                 if self.hosts[host].alive && !self.answered.contains(&key) {
@@ -722,8 +739,17 @@
                 }
                 let limit = call.answer_by.since(self.now);
                 self.schedule(limit, Event::CallTimesOut(host, call.clone()));
+                if !self.passes_call(host, &call) {
+                    return;
+                }
                 self.schedule(DELAY, Event::CallArrives(host, call));
             }
+            PoolAction::Send(relay, message) if self.links.is_some() => {
+                self.send_to_relay(host, relay, message);
+            }
+            PoolAction::Broadcast(message) if self.links.is_some() => {
+                self.broadcast(host, &message);
+            }
             PoolAction::Send(relay, message) => {
                 self.schedule(DELAY, Event::ToRelay(host, relay.0 as usize, message));
             }
@@ -742,6 +768,9 @@
 
     fn run_relay_action(&mut self, host: usize, action: RelayAction) {
         match action {
+            RelayAction::Send(domain, message) if self.links.is_some() => {
+                self.send_to_pool(host, &domain, message);
+            }
             RelayAction::Send(domain, message) => {
                 if let Some(leader) = self.leaders.get(&domain).copied() {
                     self.schedule(DELAY, Event::ToPool(host, leader, message));
@@ -749,6 +778,7 @@
             }
             RelayAction::Answer(job, answer) => {
                 let now = self.now;
+                self.caller_answered(host, job.as_str(), answer);
                 self.answers
                     .insert(String::from(job.as_str()), (answer, now));
             }
