End the connection to an earlier leader when the claim changes

Cause: aborting the connector left its writer and its heartbeats running, so the earlier pool went on keeping the jobs of a relay that took them for lost and submits them elsewhere after 2,500 ms. Change: both tasks end with the connector. Result: the new test of whole_path.rs fails without the change ('the connection goes on' for 5 s) and passes with it; 16 of 16 tests of whole_path pass.

--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{interval, sleep, timeout};
+use tokio_util::task::AbortOnDropHandle;
 
 use super::convert::decode_pool_message;
 use super::{
@@ -66,18 +67,18 @@
         relay_domain: String::from(engine.settings().host.domain.as_str()),
     };
     send(&outgoing, relay_frame::Body::Hello(hello));
-    let write_task = spawn_local(write_frames(writer, queue));
+    // A change of the claim aborts this task. The connection has to end with it, or the earlier pool
+    // would keep the jobs of this relay.
+    let _write_task = AbortOnDropHandle::new(spawn_local(write_frames(writer, queue)));
     let heartbeat_sender = outgoing.clone();
-    let heartbeat_task = spawn_local(async move {
+    let _heartbeat_task = AbortOnDropHandle::new(spawn_local(async move {
         let mut ticks = interval(settings.heartbeat_interval);
         loop {
             ticks.tick().await;
             send(&heartbeat_sender, relay_frame::Body::Beat(RelayBeat {}));
         }
-    });
+    }));
     let reason = read_frames(engine, domain, &mut reader, outgoing).await;
-    heartbeat_task.abort();
-    write_task.abort();
     engine.pool_disconnected(domain, reason);
 }
 
