Changes of leader in the random runs with reset connections

Cause: an earlier leader may learn of its successor late, while connections are reset. Change: in runs with even seeds leadership passes on about three times, and hosts read the claim at different times.

--- a/crates/bramley-pool/tests/reset_links.rs
+++ b/crates/bramley-pool/tests/reset_links.rs
@@ -32,6 +32,10 @@
 /// Time after which a client resends a job whose connection was closed.
 const RESEND: Duration = Duration::from_millis(1_300);
 
+/// Probability that leadership of a failure domain passes on in a step, so that it does about three
+/// times in the runs with even seeds.
+const LEADER_CHANGE_PROBABILITY: f64 = 0.03;
+
 /// When clients send a job again whose connection has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ClientKind {
@@ -64,6 +68,8 @@
     kind: ClientKind,
     next_job: u32,
     left: usize,
+    /// Whether leadership passes on now and then.
+    changes_leaders: bool,
 }
 
 impl ResetRun {
@@ -83,6 +89,7 @@
             kind,
             next_job: 0,
             left: 0,
+            changes_leaders: seed.is_multiple_of(2),
         }
     }
 
@@ -97,6 +104,13 @@
             let host = self.rng.random_range(0..DOMAINS.len() * HOSTS);
             self.world.reset_links_of(host);
         }
+        if self.changes_leaders && self.rng.random_bool(LEADER_CHANGE_PROBABILITY) {
+            let host = self.rng.random_range(0..DOMAINS.len() * HOSTS);
+            let domain = self.world.hosts[host].domain.clone();
+            if self.world.leaders.get(&domain) != Some(&host) {
+                self.world.become_leader(host);
+            }
+        }
         if self.rng.random_bool(0.3) {
             self.delay_some();
         }
--- a/crates/bramley-pool/tests/world/links.rs
+++ b/crates/bramley-pool/tests/world/links.rs
@@ -40,6 +40,9 @@
 /// of the lost pool for ended.
 const MAX_PARTITION_MS: u64 = 4_000;
 
+/// Longest time until an earlier leader that the store does not answer learns of its successor.
+const MAX_LATE_CLAIM_MS: u64 = 2_000;
+
 /// HTTP status of an answer that promises that the job has not run.
 const NOT_RUN_STATUS: u16 = 503;
 
@@ -54,6 +57,8 @@
     RelayConnects(usize),
     PoolNotices(usize),
     RelayNotices(usize),
+    /// A host reads from the store that its failure domain or another has a new leader.
+    ClaimRead(usize, DomainName),
     /// The relay of a host connects to the pool of a failure domain.
     Reconnect(usize, DomainName),
     /// A job arrives at a host on the caller's connection with this number.
@@ -102,6 +107,8 @@
     busy: BTreeMap<usize, BusySpan>,
     /// Current caller of each open job of a host.
     callers: BTreeMap<(usize, String), u64>,
+    /// Hosts that take themselves for leaders.
+    local_leaders: BTreeSet<usize>,
     next_caller: u64,
     /// Times at which callers' connections end on the side of the client.
     ends_of_callers: BTreeMap<u64, UnixTime>,
@@ -168,6 +175,7 @@
             connections: Vec::new(),
             busy: BTreeMap::new(),
             callers: BTreeMap::new(),
+            local_leaders: self.leaders.values().copied().collect(),
             next_caller: 0,
             ends_of_callers: BTreeMap::new(),
             answered_callers: BTreeSet::new(),
@@ -197,6 +205,13 @@
         if pool == relay {
             return;
         }
+        let is_connected = {
+            let links = self.links.as_ref();
+            links.is_some_and(|links| links.current(relay, domain, self).is_some())
+        };
+        if is_connected {
+            return;
+        }
         let links = self.links_mut();
         let number = links.connections.len();
         links.connections.push(Link {
@@ -315,8 +330,79 @@
         self.schedule(after + DELAY, Event::Link(resends));
     }
 
+    /// Makes a host the leader of its failure domain. The other hosts learn of it from the store at
+    /// different times, the earlier leader sometimes late.
+    pub fn become_leader_over_links(&mut self, host: usize) {
+        let now = self.now;
+        self.token += 1;
+        let token = self.token;
+        let domain = self.hosts[host].domain.clone();
+        let before = self.leaders.insert(domain.clone(), host);
+        self.hosts[host].pool.become_leader(token, now);
+        self.schedule(super::LIST_DELAY, Event::List(host));
+        for reader in 0..self.hosts.len() {
+            let links = self.links_mut();
+            let is_late = Some(reader) == before && links.rng.random_bool(0.3);
+            let limit_ms = if is_late {
+                MAX_LATE_CLAIM_MS
+            } else {
+                MAX_NOTICE_MS
+            };
+            let delay = match reader == host {
+                true => Duration::ZERO,
+                false => Duration::from_millis(links.rng.random_range(0..limit_ms)),
+            };
+            let event = LinkEvent::ClaimRead(reader, domain.clone());
+            self.schedule(delay, Event::Link(event));
+        }
+    }
+
+    /// Lets a host turn to the new leader of a failure domain.
+    fn claim_read(&mut self, reader: usize, domain: &DomainName) {
+        let now = self.now;
+        let Some(leader) = self.leaders.get(domain).copied() else {
+            return;
+        };
+        let is_own = self.hosts[reader].domain == *domain;
+        if is_own && leader != reader && self.links_mut().local_leaders.remove(&reader) {
+            let host = &mut self.hosts[reader];
+            host.pool.step_down(now);
+            host.relay.pool_lost(domain, now);
+        }
+        let links = self.links.as_ref();
+        if let Some(number) = links.and_then(|links| links.current(reader, domain, self)) {
+            if self.links_mut().connections[number].pool == leader {
+                return;
+            }
+            let link = &mut self.links_mut().connections[number];
+            link.relay_is_open = false;
+            let last_heard_at = link.last_heard_at.max(now.before(HEARTBEAT_INTERVAL));
+            self.hosts[reader].relay.pool_lost(domain, last_heard_at);
+            self.schedule(DELAY, Event::Link(LinkEvent::PoolNotices(number)));
+        }
+        if leader == reader {
+            self.links_mut().local_leaders.insert(reader);
+            self.hosts[reader].relay.pool_connected(domain, now);
+        } else {
+            self.open_link(reader, domain);
+        }
+    }
+
+    /// Handles that the pool of a host was fenced.
+    pub fn leadership_lost(&mut self, host: usize) {
+        let now = self.now;
+        let Some(links) = &mut self.links else {
+            return;
+        };
+        if links.local_leaders.remove(&host) {
+            let domain = self.hosts[host].domain.clone();
+            self.hosts[host].relay.pool_lost(&domain, now);
+        }
+    }
+
     pub fn send_to_pool(&mut self, relay: usize, domain: &DomainName, message: RelayMessage) {
-        if self.leaders.get(domain) == Some(&relay) {
+        let is_own = self.hosts[relay].domain == *domain;
+        if is_own && self.links_mut().local_leaders.contains(&relay) {
             self.schedule(Duration::ZERO, Event::ToPool(relay, relay, message));
             return;
         }
@@ -459,6 +545,9 @@
             }
             LinkEvent::RelayNotices(number) => {
                 let link = &mut self.links_mut().connections[number];
+                if !link.relay_is_open {
+                    return;
+                }
                 link.relay_is_open = false;
                 let earliest = now.before(HEARTBEAT_INTERVAL);
                 let last_heard_at = link.last_heard_at.max(earliest);
@@ -475,6 +564,7 @@
                 let event = Event::Link(LinkEvent::Reconnect(relay, domain));
                 self.schedule(RECONNECT_DELAY + delay, event);
             }
+            LinkEvent::ClaimRead(reader, domain) => self.claim_read(reader, &domain),
             LinkEvent::Reconnect(relay, domain) => self.open_link(relay, &domain),
             LinkEvent::CallerArrives(host, caller, job) => {
                 let key = (host, job.name.clone());
@@ -525,7 +615,9 @@
             }
             LinkEvent::CallerArrives(host, caller, _)
             | LinkEvent::CallerLeaves(host, caller, _) => (*host, Socket::Caller(*caller)),
-            LinkEvent::ClientResends(..) | LinkEvent::Reconnect(..) => return None,
+            LinkEvent::ClaimRead(..) | LinkEvent::ClientResends(..) | LinkEvent::Reconnect(..) => {
+                return None;
+            }
         };
         Some((host, socket))
     }
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -264,6 +264,11 @@
 
     /// Makes a host the leader with the next fencing token and connects all relays to it.
     pub fn become_leader(&mut self, host: usize) {
+        if self.links.is_some() {
+            self.become_leader_over_links(host);
+            self.run_actions();
+            return;
+        }
         let now = self.now;
         self.token += 1;
         let token = self.token;
@@ -762,7 +767,7 @@
                 let line = format!("{} host={host} {decision}", self.now.as_millis());
                 self.log.push(line);
             }
-            PoolAction::LostLeadership => {}
+            PoolAction::LostLeadership => self.leadership_lost(host),
         }
     }
 
