--- a/crates/bramley-pool/tests/world/links.rs
+++ b/crates/bramley-pool/tests/world/links.rs
@@ -136,8 +136,7 @@
         })
     }
 
-    /// Returns whether the call is to be sent as usual, or the time by which it is late and its
-    /// answer.
+    /// Draws what becomes of a call of a host's pool to a worker.
     fn draw_call(&mut self, host: usize, now: UnixTime) -> CallFate {
         let until = self.calls_reset_until.get(&host).copied();
         if until.is_none_or(|until| until <= now) || !self.rng.random_bool(CALL_RESET_PROBABILITY) {
