Keep tasks of routes that slow each other down on different workers

Cause: tasks of some routes prolong each other on one worker, and the pool packs them together. Change: the leader learns the slowdown of each pair of routes by a weighted regression over run times, and scores workers by their speed times the mutual slowdown. Neighbours do not count against a worker's relative run time. Setting keeps_interfering_apart, metrics, state dump, one log line when a pair begins or ceases to count.

--- a/crates/bramley-dock/src/engine/dump.rs
+++ b/crates/bramley-dock/src/engine/dump.rs
@@ -42,6 +42,22 @@
                 })
             })
             .collect();
+        let route_pairs: Vec<serde_json::Value> = state
+            .pool
+            .route_pairs()
+            .iter()
+            .map(|pair| {
+                serde_json::json!({
+                    "route": pair.route.as_str(),
+                    "beside": pair.neighbour.as_str(),
+                    "slowdown": pair.slowdown,
+                    "lower": pair.lower,
+                    "upper": pair.upper,
+                    "observations": pair.observations,
+                    "interferes": pair.is_interfering,
+                })
+            })
+            .collect();
         serde_json::json!({
             "host": self.settings.host.host.as_str(),
             "domain": self.settings.host.domain.as_str(),
@@ -54,6 +70,8 @@
             "waiting_tasks": load.waiting_tasks,
             "pools": pools,
             "workers": workers,
+            "route_pairs": route_pairs,
+            "placements_kept_apart": state.pool.counts().placements_kept_apart,
         })
     }
 }
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -87,6 +87,9 @@
         }
         self.metrics
             .record_load(load, is_leader, state.callers.len());
+        let kept_apart = state.pool.counts().placements_kept_apart;
+        self.metrics
+            .record_interference(&state.pool.route_pairs(), kept_apart);
         let list_age = state.pool.list_age(now);
         self.metrics
             .record_ages(now.since(state.routes_applied_at), list_age);
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -2,11 +2,13 @@
 
 use std::cell::OnceCell;
 use std::fmt;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
 use bramley_pool::decision::Decision;
 use bramley_pool::message::PoolLoad;
+use bramley_pool::pool::RoutePair;
 use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerRequest};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -48,6 +50,8 @@
     configuration_age_seconds: Gauge,
     list_age_seconds: Gauge,
     log_lines_dropped: Gauge,
+    route_slowdown: Family<Labels<2>, Gauge<f64, AtomicU64>>,
+    placements_kept_apart: Gauge,
     /// Log buffer whose dropped lines are counted; set once at startup.
     log: OnceCell<LogBuffer>,
 }
@@ -82,6 +86,8 @@
             configuration_age_seconds: Gauge::default(),
             list_age_seconds: Gauge::default(),
             log_lines_dropped: Gauge::default(),
+            route_slowdown: Family::default(),
+            placements_kept_apart: Gauge::default(),
             log: OnceCell::new(),
         };
         metrics.register();
@@ -172,6 +178,16 @@
             "Log lines dropped since the start",
             self.log_lines_dropped.clone(),
         );
+        registry.register(
+            "route_slowdown",
+            "Estimated factor on the run time of a route beside another one on the same worker",
+            self.route_slowdown.clone(),
+        );
+        registry.register(
+            "placements_kept_apart",
+            "Placements for which another worker was chosen to keep interfering routes apart",
+            self.placements_kept_apart.clone(),
+        );
     }
 
     /// Records a response to a caller.
@@ -258,6 +274,22 @@
         self.waiting_tasks.set(i64::from(load.waiting_tasks));
     }
 
+    /// Replaces the slowdowns of pairs of routes by those known now.
+    pub(crate) fn record_interference(&self, pairs: &[RoutePair], kept_apart: u64) {
+        self.route_slowdown.clear();
+        for pair in pairs {
+            let labels = [
+                ("route", String::from(pair.route.as_str())),
+                ("beside", String::from(pair.neighbour.as_str())),
+            ];
+            self.route_slowdown
+                .get_or_create(&labels)
+                .set(pair.slowdown);
+        }
+        let kept_apart = i64::try_from(kept_apart).unwrap_or(i64::MAX);
+        self.placements_kept_apart.set(kept_apart);
+    }
+
     pub(crate) fn record_ages(&self, configuration: Duration, list: Duration) {
         let seconds = |age: Duration| i64::try_from(age.as_secs()).unwrap_or(i64::MAX);
         self.configuration_age_seconds.set(seconds(configuration));
--- a/crates/bramley-dock/src/settings.rs
+++ b/crates/bramley-dock/src/settings.rs
@@ -87,6 +87,9 @@
     pub peer_port_offset: u16,
     /// Port that serves metrics on the host's address; 0 for none.
     pub metrics_port: u16,
+    /// Whether tasks of routes that slow each other down are kept on different workers where there
+    /// is room.
+    pub keeps_interfering_apart: bool,
 }
 
 impl Default for TuningFile {
@@ -99,6 +102,7 @@
             worker_read_pause_ms: 400,
             peer_port_offset: 0,
             metrics_port: 9_464,
+            keeps_interfering_apart: true,
         }
     }
 }
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -9,6 +9,7 @@
 use crate::crash::{CrashEvidence, Suspicion, TaskCrash};
 use crate::job::{JobName, QueueClass, RouteName, TaskName};
 use crate::message::JobOutcome;
+use crate::pool::RoutePair;
 use crate::refusal::Refusal;
 use crate::run::StopCause;
 use crate::worker::{CallRefusal, RunEnd};
@@ -267,6 +268,11 @@
         /// Open jobs.
         jobs: u32,
     },
+    /// A pair of routes begins or ceases to count as interfering.
+    InterferenceChanged {
+        /// The pair as it is judged now.
+        pair: RoutePair,
+    },
     /// A preformatted line about an event that has no variant of its own.
     Text {
         /// Related job, if any.
@@ -296,7 +302,9 @@
             | Self::TaskGivenUp { task, .. }
             | Self::RunEnded { task, .. } => Some(task.job.as_str()),
             Self::Text { job, .. } => job.as_deref(),
-            Self::WorkerChanged { .. } | Self::LeadershipChanged { .. } => None,
+            Self::WorkerChanged { .. }
+            | Self::LeadershipChanged { .. }
+            | Self::InterferenceChanged { .. } => None,
         }
     }
 
@@ -328,6 +336,7 @@
             | Self::TaskGivenUp { .. }
             | Self::WorkerChanged { .. }
             | Self::LeadershipChanged { .. }
+            | Self::InterferenceChanged { .. }
             | Self::Text { .. } => LogPriority::Important,
         }
     }
@@ -557,6 +566,18 @@
                 "event=command_changed token={} workers={workers} jobs={jobs}",
                 token.unwrap_or_default(),
             ),
+            Self::InterferenceChanged { pair } => write!(
+                f,
+                "event=interference_changed route={} beside={} interferes={} slowdown={:.2} \
+                 lower={:.2} upper={:.2} observations={:.0}",
+                pair.route,
+                pair.neighbour,
+                pair.is_interfering,
+                pair.slowdown,
+                pair.lower,
+                pair.upper,
+                pair.observations,
+            ),
             Self::Text { text, .. } => f.write_str(text),
         }
     }
--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -8,6 +8,7 @@
 use bramley_core::units::UnixTime;
 
 use crate::crash::{CrashHistory, Suspicion};
+use crate::exposure::RouteIndex;
 use crate::message::{RelayId, TaskPlacement};
 use crate::resources::TaskResources;
 use crate::worker::{WorkerIndex, WorkerRecord};
@@ -241,6 +242,9 @@
     pub may_have_started: bool,
     /// Time by which the job is to be served.
     pub queue_class: QueueClass,
+    /// Index of the route in the table of routes that may slow each other down; `None` if the route
+    /// is not tracked.
+    pub route: Option<RouteIndex>,
 }
 
 impl JobRecord {
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -84,6 +84,7 @@
         self.log_leadership_change();
         self.jobs.clear();
         self.queue.clear();
+        self.interference.reset();
         for worker in &mut self.workers {
             worker.reset();
         }
--- a/crates/bramley-pool/src/pool/health.rs
+++ b/crates/bramley-pool/src/pool/health.rs
@@ -14,16 +14,19 @@
 
 impl Pool {
     /// Records a successful run. A run that was started before the worker's last failure does not
-    /// clear its faults, and a worker that is still slow stays on probation.
+    /// clear its faults, and a worker that is still slow stays on probation. `stretch` is the factor
+    /// by which interfering neighbours have prolonged the run, which is not the worker's fault.
     pub(super) fn record_success(
         &mut self,
         index: WorkerIndex,
         details: &RunDetails,
+        stretch: f64,
         now: UnixTime,
     ) {
         let ran = now.since(details.started_at).as_secs_f64();
         let expected = details.expected.as_secs_f64().max(0.001);
-        let ratio = (ran / expected).clamp(RELATIVE_RUN_TIME_BOUNDS.0, RELATIVE_RUN_TIME_BOUNDS.1);
+        let ratio = (ran / expected / stretch)
+            .clamp(RELATIVE_RUN_TIME_BOUNDS.0, RELATIVE_RUN_TIME_BOUNDS.1);
         let slow_ratio = self.settings.slow_ratio;
         let min_suspension = self.settings.min_suspension;
         let worker = self.worker_mut(index);
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -167,7 +167,12 @@
         }
     }
 
-    fn make_record(&self, relay: RelayId, submission: JobSubmission, now: UnixTime) -> JobRecord {
+    fn make_record(
+        &mut self,
+        relay: RelayId,
+        submission: JobSubmission,
+        now: UnixTime,
+    ) -> JobRecord {
         let fresh = TaskRecord {
             state: TaskState::Waiting,
             failures: 0,
@@ -218,6 +223,7 @@
             objective_at,
             useful_until,
             queue_class,
+            route: self.track_route(&submission.policy),
             submission,
         }
     }
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -42,6 +42,7 @@
         self.utilization.sample(usable, now);
         self.drop_abandoned_and_expired_jobs(now);
         self.expire_started_jobs(now);
+        self.judge_interference(now);
         for index in self.indices() {
             self.maintain_worker(index, now);
         }
@@ -201,7 +202,8 @@
             let expected = run.details.expected.max(declared);
             // The limit is not raised beyond `slow_ratio`, because a worker that is even slower is
             // unhealthy, and its tasks are better restarted elsewhere.
-            let relative_run_time = worker.relative_run_time.clamp(1.0, slow_ratio);
+            let stretch = self.run_stretch(worker, &run.details);
+            let relative_run_time = (worker.relative_run_time * stretch).clamp(1.0, slow_ratio);
             let limit = expected.mul_f64(ratio * relative_run_time).max(floor);
             if now.since(run.details.started_at) > limit {
                 let job = run.details.task.job.clone();
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -4,6 +4,7 @@
 //! - `answer_time`: time that workers take to answer start requests.
 //! - `fleet`: the platform's list of workers and changes of leader.
 //! - `health`: worker health as judged from the outcome of runs.
+//! - `interference`: pairs of routes whose tasks slow each other down on one worker.
 //! - `jobs`: submission, adoption, completion and cancellation of jobs.
 //! - `losses`: runs that are lost together with their worker, and tasks that are to blame for it.
 //! - `maintenance`: timed work such as polls, lease expiry and repeated stop requests.
@@ -11,6 +12,7 @@
 //! - `reports`: answers and reports of workers.
 //! - `reservation`: workers kept free for jobs that have waited long.
 //! - `scoring`: choice of the best worker for a task.
+//! - `slowdown`: estimate of the slowdown of a route's runs by each route beside them.
 //! - `starts`: start requests and their answers.
 //! - `utilization`: average utilization of the workers.
 
@@ -18,6 +20,7 @@
 mod answer_time;
 mod fleet;
 mod health;
+mod interference;
 mod jobs;
 mod losses;
 mod maintenance;
@@ -25,6 +28,7 @@
 mod reports;
 mod reservation;
 mod scoring;
+mod slowdown;
 mod starts;
 mod utilization;
 
@@ -45,6 +49,8 @@
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
 use answer_time::AnswerTime;
+use interference::InterferenceModel;
+pub use interference::RoutePair;
 use utilization::SlotUtilization;
 
 /// Multiple of the usual answer time after which a start request is resent.
@@ -99,6 +105,8 @@
     pub jobs_cancelled: u64,
     /// Active runs adopted after a change of leader.
     pub runs_adopted: u64,
+    /// Placements for which another worker was chosen so as to keep interfering routes apart.
+    pub placements_kept_apart: u64,
 }
 
 /// Schedules tasks on the workers of one failure domain while it holds a fencing token.
@@ -150,6 +158,8 @@
     answer_time: AnswerTime,
     /// Latest sending time of a start or stop request that was answered.
     latest_answered_call: UnixTime,
+    /// Slowdowns of routes by each other.
+    interference: InterferenceModel,
 }
 
 impl Pool {
@@ -182,6 +192,7 @@
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
             latest_answered_call: UnixTime::default(),
+            interference: InterferenceModel::default(),
         }
     }
 
@@ -201,6 +212,7 @@
     #[must_use]
     pub const fn counts(&self) -> PoolCounts {
         PoolCounts {
+            placements_kept_apart: self.interference.kept_apart(),
             workers_scored: self.scored.get(),
             ..self.counts
         }
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -5,6 +5,7 @@
 use super::placement::report_age;
 use super::{Pool, PoolAction, run_time_key};
 use crate::decision::Decision;
+use crate::exposure::RunExposure;
 use crate::job::{JobName, TaskName, TaskState};
 use crate::message::{JobOutcome, PoolMessage};
 use crate::resources::TaskResources;
@@ -279,6 +280,7 @@
             pending_starts: 0,
             born_unix_ms,
             incarnation_end: None,
+            exposure: RunExposure::unknown(),
         };
         let mut duplicate = false;
         if let Some(job) = self.jobs.get_mut(&task.job)
@@ -357,6 +359,7 @@
     ) {
         self.freed_workers.push(index);
         let ran = now.since(details.started_at);
+        let exposure = self.end_exposure(index, details, end, now);
         let worker = self.worker_mut(index);
         worker.last_end_at = now;
         let decision = Decision::RunEnded {
@@ -370,7 +373,8 @@
         match end {
             Some(RunEnd::Done) => {
                 self.counts.runs_done += 1;
-                self.record_success(index, details, now);
+                let stretch = self.observe_neighbours(index, details, &exposure, now);
+                self.record_success(index, details, stretch, now);
             }
             Some(RunEnd::Failed) => {
                 self.counts.runs_failed += 1;
--- a/crates/bramley-pool/src/pool/scoring.rs
+++ b/crates/bramley-pool/src/pool/scoring.rs
@@ -17,6 +17,10 @@
 /// Time since the last success beyond which workers are no longer distinguished.
 const MAX_SUCCESS_AGE: Duration = Duration::from_secs(2);
 
+/// Steps in which a mutual slowdown is compared per unit: less than the smallest slowdown that
+/// counts.
+const INTERFERENCE_STEPS: f64 = 20.0;
+
 /// Score of a worker for a task; fields are compared in order, and the lowest score wins.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(super) struct PlacementScore {
@@ -25,10 +29,25 @@
     /// For a task that has failed: time since the start of the worker's latest successful run, in
     /// steps.
     success_age_steps: u32,
-    /// Expected run time on this worker, in quarters of that on a healthy one.
+    /// Expected run time on this worker beside its runs, in quarters of that on a healthy one.
     time_steps: u32,
+    /// Mutual slowdown with interfering neighbours, in steps of a twentieth.
+    interference_steps: u32,
     /// CPU that would stay free; preferring less of it packs tasks tightly.
     free_cpu_milli: u32,
+    /// `time_steps` without the slowdown by neighbours.
+    plain_time_steps: u32,
+}
+
+impl PlacementScore {
+    /// Returns the score without the slowdown by neighbours.
+    const fn without_interference(self) -> Self {
+        Self {
+            time_steps: self.plain_time_steps,
+            interference_steps: 0,
+            ..self
+        }
+    }
 }
 
 impl Pool {
@@ -40,6 +59,8 @@
         now: UnixTime,
     ) -> Option<WorkerIndex> {
         let mut best: Option<(PlacementScore, WorkerIndex)> = None;
+        let mut plain_best: Option<(PlacementScore, WorkerIndex)> = None;
+        let is_interference_known = self.interference.is_active();
         let name = &job.submission.work.job;
         for index in self.indices() {
             if self.is_reserved(index, name) {
@@ -52,8 +73,18 @@
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, index));
             }
+            if is_interference_known {
+                let plain_score = score.without_interference();
+                if plain_best.is_none_or(|(lowest, _)| plain_score < lowest) {
+                    plain_best = Some((plain_score, index));
+                }
+            }
+        }
+        let chosen = best.map(|(_, index)| index);
+        if is_interference_known && chosen != plain_best.map(|(_, index)| index) {
+            self.interference.count_kept_apart();
         }
-        best.map(|(_, index)| index)
+        chosen
     }
 
     /// Scores a worker for a task; `None` if it must not be assigned the task now.
@@ -112,12 +143,15 @@
             u32::try_from(success_age.as_millis() / SUCCESS_AGE_STEP.as_millis())
                 .unwrap_or(u32::MAX)
         };
-        let time_steps = (worker.relative_run_time * rack_factor * 4.0).max(0.0) as u32;
+        let relative_time = worker.relative_run_time * rack_factor * 4.0;
+        let stretch = self.neighbour_stretch(worker, job, now);
         Some(PlacementScore {
             is_suspect,
             success_age_steps,
-            time_steps,
+            time_steps: (relative_time * stretch).max(0.0) as u32,
+            interference_steps: ((stretch - 1.0) * INTERFERENCE_STEPS).ceil() as u32,
             free_cpu_milli: free.saturating_sub(work.resources).cpu_milli,
+            plain_time_steps: relative_time.max(0.0) as u32,
         })
     }
 }
--- a/crates/bramley-pool/src/pool/starts.rs
+++ b/crates/bramley-pool/src/pool/starts.rs
@@ -54,6 +54,7 @@
             pending_starts: 1,
             born_unix_ms,
             incarnation_end: None,
+            exposure: Self::new_exposure(job, worker, now),
         };
         let task = details.task.clone();
         let worker = self.worker_mut(index);
--- a/crates/bramley-pool/src/run.rs
+++ b/crates/bramley-pool/src/run.rs
@@ -5,6 +5,7 @@
 use bramley_core::units::UnixTime;
 
 use crate::crash::CrashEvidence;
+use crate::exposure::RunExposure;
 use crate::job::TaskName;
 use crate::resources::TaskResources;
 
@@ -94,6 +95,8 @@
     /// What was seen of the end of that incarnation; `None` while it lives as far as is known. A
     /// start in flight may still reach the next incarnation.
     pub incarnation_end: Option<IncarnationEnd>,
+    /// Neighbours of the run that have ended.
+    pub exposure: RunExposure,
 }
 
 /// A run in phase `P`.
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -73,6 +73,9 @@
     pub crash_notice_limit: Duration,
     /// Maximum number of waiting jobs considered in one placement round.
     pub scan_limit: usize,
+    /// Whether tasks of routes that slow each other down are kept on different workers where there
+    /// is room.
+    pub keeps_interfering_apart: bool,
 }
 
 impl Default for PoolSettings {
@@ -106,6 +109,7 @@
             crash_retention: Duration::from_secs(30),
             crash_notice_limit: Duration::from_millis(300),
             scan_limit: 64,
+            keeps_interfering_apart: true,
         }
     }
 }
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -168,6 +168,8 @@
     pub tasks: u32,
     pub cpu_milli: u32,
     pub run: Duration,
+    /// Declared run time as a multiple of `run`.
+    pub declared_factor: f64,
     pub priority: u32,
     pub attempts: u32,
 }
@@ -180,6 +182,7 @@
             tasks: 1,
             cpu_milli: 10_000,
             run: Duration::from_millis(100),
+            declared_factor: 1.0,
             priority: 0,
             attempts: 2,
         }
@@ -301,6 +304,7 @@
         for worker in &mut self.workers {
             worker.run_times.insert(job.name.clone(), job.run);
             worker.set_task_cpu(&job.name, job.cpu_milli);
+            worker.task_routes.insert(job.name.clone(), job.route);
         }
         let now = self.now;
         self.hosts[host].relay.accept(submission, now);
@@ -318,7 +322,7 @@
                     cpu_milli: job.cpu_milli,
                     memory_mb: 64,
                 },
-                declared: job.run,
+                declared: job.run.mul_f64(job.declared_factor),
                 required_label: "".into(),
                 preferred_rack: "".into(),
                 spread_limit: 0,
--- a/crates/bramley-pool/tests/world/workers.rs
+++ b/crates/bramley-pool/tests/world/workers.rs
@@ -37,6 +37,8 @@
     ends_at: UnixTime,
     end: RunEnd,
     cpu_milli: u32,
+    /// Factor by which its present neighbours prolong it.
+    stretch: f64,
 }
 
 /// A worker with 32 cores.
@@ -78,6 +80,10 @@
     refused_up_to: BTreeMap<TaskName, u32>,
     finished: Vec<(String, UnixTime, UnixTime)>,
     task_cpu: BTreeMap<String, u32>,
+    /// Route of each job.
+    pub task_routes: BTreeMap<String, &'static str>,
+    /// Factors by which runs of the first route are prolonged while runs of the second are active.
+    pub slowdowns: BTreeMap<(&'static str, &'static str), f64>,
 }
 
 impl VirtualWorker {
@@ -109,6 +115,8 @@
             refused_up_to: BTreeMap::new(),
             finished: Vec::new(),
             task_cpu: BTreeMap::new(),
+            task_routes: BTreeMap::new(),
+            slowdowns: BTreeMap::new(),
         }
     }
 
@@ -208,6 +216,45 @@
 
     /// Ends the runs that are due to end or whose lease has expired.
     pub fn advance(&mut self, now: UnixTime) {
+        while !self.slowdowns.is_empty() {
+            let next = self.runs.iter().map(|run| run.ends_at).min();
+            let Some(next) = next.filter(|next| *next < now) else {
+                break;
+            };
+            self.end_due_runs(next);
+            self.update_stretches(next);
+        }
+        self.end_due_runs(now);
+        self.update_stretches(now);
+    }
+
+    /// Prolongs or shortens the rest of each run according to its present neighbours.
+    fn update_stretches(&mut self, now: UnixTime) {
+        if self.slowdowns.is_empty() {
+            return;
+        }
+        for position in 0..self.runs.len() {
+            let mut stretch = 1.0;
+            for other in (0..self.runs.len()).filter(|other| *other != position) {
+                let pair = (self.route_of(position), self.route_of(other));
+                stretch *= self.slowdowns.get(&pair).copied().unwrap_or(1.0);
+            }
+            let run = &mut self.runs[position];
+            if run.end != RunEnd::Done {
+                continue;
+            }
+            let rest = run.ends_at.since(now).mul_f64(stretch / run.stretch);
+            run.ends_at = now.after(rest);
+            run.stretch = stretch;
+        }
+    }
+
+    fn route_of(&self, position: usize) -> &'static str {
+        let job = self.runs[position].task.job.as_str();
+        self.task_routes.get(job).copied().unwrap_or_default()
+    }
+
+    fn end_due_runs(&mut self, now: UnixTime) {
         let lease_ends_at = UnixTime::from_millis(self.lease_end + 900_000 - self.clock_offset);
         let mut position = 0;
         while position < self.runs.len() {
@@ -355,7 +402,9 @@
             ends_at: now.after(span),
             end,
             cpu_milli,
+            stretch: 1.0,
         });
+        self.update_stretches(now);
         CallAnswer::Accepted(clock)
     }
 
