Explain where a submission would go now, without changing anything

Cause: operators want to know where a request would go and why, before they send it. Change: Relay::explain and Pool::explain let a copy of the state machine handle the submission and return its decisions as typed values.

--- a/crates/bramley-core/src/estimate.rs
+++ b/crates/bramley-core/src/estimate.rs
@@ -21,7 +21,7 @@
 /// Exponential moving averages of run times.
 ///
 /// Declared run times are very inaccurate, so they are used only until the first observation.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct RunTimeEstimator {
     estimates: FxHashMap<(TeamName, ClassName), RunEstimate>,
     all_classes: Option<RunEstimate>,
--- a/crates/bramley-pool/src/lib.rs
+++ b/crates/bramley-pool/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`claim`]: leader election, which decides the process that controls a domain's workers.
 //! - [`crash`]: crashes of workers and the tasks that ran there.
 //! - [`decision`]: structured log lines for scheduling decisions.
+//! - [`explanation`]: where a submission would go now, and why.
 //! - [`exposure`]: routes whose runs overlapped with a run on the same worker.
 //! - [`job`]: submitted jobs and their tasks.
 //! - [`message`]: messages between relays and pools.
@@ -22,6 +23,7 @@
 pub mod claim;
 pub mod crash;
 pub mod decision;
+pub mod explanation;
 pub mod exposure;
 pub mod job;
 pub mod message;
--- a/crates/bramley-pool/src/pool/interference.rs
+++ b/crates/bramley-pool/src/pool/interference.rs
@@ -211,7 +211,7 @@
     average: RunAverage,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct TrackedRoute {
     name: RouteName,
     /// Logarithm of the run time in seconds on an average worker without neighbours.
@@ -225,7 +225,7 @@
 }
 
 /// Learns which routes slow each other down.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct InterferenceModel {
     routes: Vec<TrackedRoute>,
     by_key: FxHashMap<(TeamName, ClassName), RouteIndex>,
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -83,7 +83,8 @@
         }
         self.update_contention(now);
         self.remember_crashes(&name, &submission.crashes, now);
-        let job = self.make_record(relay, submission, now);
+        let mut job = self.make_record(relay, submission, now);
+        job.route = self.track_route(&job.submission.policy);
         let adopted = self.adopt_runs(&name, job, now);
         if self.close_if_any_barred(&name, now) {
             return;
@@ -167,12 +168,7 @@
         }
     }
 
-    fn make_record(
-        &mut self,
-        relay: RelayId,
-        submission: JobSubmission,
-        now: UnixTime,
-    ) -> JobRecord {
+    fn make_record(&self, relay: RelayId, submission: JobSubmission, now: UnixTime) -> JobRecord {
         let fresh = TaskRecord {
             state: TaskState::Waiting,
             failures: 0,
@@ -223,7 +219,7 @@
             objective_at,
             useful_until,
             queue_class,
-            route: self.track_route(&submission.policy),
+            route: None,
             submission,
         }
     }
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `admission`: estimates whether a job can meet its latency objective.
 //! - `answer_time`: time that workers take to answer start requests.
+//! - `explanation`: what the pool would do with a submission now.
 //! - `fleet`: the platform's list of workers and changes of leader.
 //! - `health`: worker health as judged from the outcome of runs.
 //! - `interference`: pairs of routes whose tasks slow each other down on one worker.
@@ -18,6 +19,7 @@
 
 mod admission;
 mod answer_time;
+mod explanation;
 mod fleet;
 mod health;
 mod interference;
@@ -110,7 +112,7 @@
 }
 
 /// Schedules tasks on the workers of one failure domain while it holds a fencing token.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Pool {
     settings: PoolSettings,
     token: Option<u64>,
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -13,6 +13,7 @@
 
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
+use crate::explanation::PoolState;
 use crate::job::{JobName, JobSubmission};
 use crate::message::{
     JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
@@ -93,7 +94,7 @@
 }
 
 /// Routes the open jobs of the callers of one process.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Relay {
     settings: RelaySettings,
     local_domain: DomainName,
@@ -512,6 +513,22 @@
         })
     }
 
+    /// Returns the known pools in order of their names.
+    pub(crate) fn pool_states(&self) -> Vec<PoolState> {
+        let mut states: Vec<PoolState> = self
+            .pools
+            .iter()
+            .map(|(domain, view)| PoolState {
+                domain: domain.clone(),
+                is_local: *domain == self.local_domain,
+                is_connected: view.connected,
+                load: view.load,
+            })
+            .collect();
+        states.sort_by(|left, right| left.domain.cmp(&right.domain));
+        states
+    }
+
     fn pool_with_most_free_cpu(
         &self,
         is_eligible: impl Fn(&DomainName, &PoolView) -> bool,
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -301,17 +301,31 @@
     /// Submits a job at a host.
     pub fn submit(&mut self, host: usize, job: &TestJob) {
         let submission = self.submission(job);
+        self.prepare_workers(job);
+        let now = self.now;
+        self.hosts[host].relay.accept(submission, now);
+        self.run_actions();
+    }
+
+    /// Submits a job to a host's pool without delay, and without a caller at its relay.
+    pub fn submit_to_pool(&mut self, host: usize, job: &TestJob) {
+        let message = RelayMessage::Submit(Box::new(self.submission(job)));
+        self.prepare_workers(job);
+        let now = self.now;
+        let pool = &mut self.hosts[host].pool;
+        pool.handle_relay_message(RelayId(host as u64), message, now);
+        self.run_actions();
+    }
+
+    fn prepare_workers(&mut self, job: &TestJob) {
         for worker in &mut self.workers {
             worker.run_times.insert(job.name.clone(), job.run);
             worker.set_task_cpu(&job.name, job.cpu_milli);
             worker.task_routes.insert(job.name.clone(), job.route);
         }
-        let now = self.now;
-        self.hosts[host].relay.accept(submission, now);
-        self.run_actions();
     }
 
-    fn submission(&self, job: &TestJob) -> JobSubmission {
+    pub fn submission(&self, job: &TestJob) -> JobSubmission {
         JobSubmission {
             work: JobWork {
                 job: JobName::new(job.name.as_str()),
