Score workers without any cost for interference where no pair counts

Cause: the score had two more fields, which were compared among idle workers that tie, and the slowdown was computed without an interfering pair. Change: the slowdown is held in the lower bits of the run time, behind one check.

--- a/crates/bramley-pool/src/pool/interference.rs
+++ b/crates/bramley-pool/src/pool/interference.rs
@@ -527,10 +527,7 @@
         job: &JobRecord,
         now: UnixTime,
     ) -> f64 {
-        if !self.interference.is_active() {
-            return 1.0;
-        }
-        let Some(route) = job.route else {
+        let (true, Some(route)) = (self.interference.is_active(), job.route) else {
             return 1.0;
         };
         let own_span = job.expected.mul_f64(worker.relative_run_time);
--- a/crates/bramley-pool/src/pool/scoring.rs
+++ b/crates/bramley-pool/src/pool/scoring.rs
@@ -19,7 +19,10 @@
 
 /// Steps in which a mutual slowdown is compared per unit: less than the smallest slowdown that
 /// counts.
-const INTERFERENCE_STEPS: f64 = 20.0;
+const SLOWDOWN_STEPS: f64 = 20.0;
+
+/// Number of bits for these steps, which hold the largest slowdown that is assumed.
+const SLOWDOWN_BITS: u32 = 8;
 
 /// Score of a worker for a task; fields are compared in order, and the lowest score wins.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -29,25 +32,11 @@
     /// For a task that has failed: time since the start of the worker's latest successful run, in
     /// steps.
     success_age_steps: u32,
-    /// Expected run time on this worker beside its runs, in quarters of that on a healthy one.
+    /// Expected run time on this worker beside its runs, in quarters of that on a healthy one, and
+    /// behind it the mutual slowdown with interfering neighbours; see [`time_steps`].
     time_steps: u32,
-    /// Mutual slowdown with interfering neighbours, in steps of a twentieth.
-    interference_steps: u32,
     /// CPU that would stay free; preferring less of it packs tasks tightly.
     free_cpu_milli: u32,
-    /// `time_steps` without the slowdown by neighbours.
-    plain_time_steps: u32,
-}
-
-impl PlacementScore {
-    /// Returns the score without the slowdown by neighbours.
-    const fn without_interference(self) -> Self {
-        Self {
-            time_steps: self.plain_time_steps,
-            interference_steps: 0,
-            ..self
-        }
-    }
 }
 
 impl Pool {
@@ -74,7 +63,10 @@
                 best = Some((score, index));
             }
             if is_interference_known {
-                let plain_score = score.without_interference();
+                let plain_score = PlacementScore {
+                    time_steps: time_steps(self.relative_time(worker, job), 1.0),
+                    ..score
+                };
                 if plain_best.is_none_or(|(lowest, _)| plain_score < lowest) {
                     plain_best = Some((plain_score, index));
                 }
@@ -87,6 +79,19 @@
         chosen
     }
 
+    /// Returns the expected run time on a worker without neighbours, relative to that on a healthy
+    /// one.
+    fn relative_time(&self, worker: &WorkerRecord, job: &JobRecord) -> f64 {
+        let rack = &job.submission.work.preferred_rack;
+        let is_remote = !rack.is_empty() && !worker.entry.labels.contains(rack);
+        let rack_factor = if is_remote {
+            self.settings.remote_factor
+        } else {
+            1.0
+        };
+        worker.relative_run_time * rack_factor
+    }
+
     /// Scores a worker for a task; `None` if it must not be assigned the task now.
     pub(super) fn score(
         &self,
@@ -122,13 +127,6 @@
         if work.spread_limit > 0 && count_runs_of(worker, &work.job) >= work.spread_limit {
             return None;
         }
-        let is_remote =
-            !work.preferred_rack.is_empty() && !worker.entry.labels.contains(&work.preferred_rack);
-        let rack_factor = if is_remote {
-            self.settings.remote_factor
-        } else {
-            1.0
-        };
         let is_suspect = worker.health.on_probation || job.tasks[task].avoided == Some(index);
         // Another failure may fail the whole job, so wait for a healthy worker while there is time.
         if is_suspect && job.tasks[task].failures > 0 && now < job.objective_at {
@@ -143,19 +141,32 @@
             u32::try_from(success_age.as_millis() / SUCCESS_AGE_STEP.as_millis())
                 .unwrap_or(u32::MAX)
         };
-        let relative_time = worker.relative_run_time * rack_factor * 4.0;
-        let stretch = self.neighbour_stretch(worker, job, now);
+        let stretch = if self.interference.is_active() {
+            self.neighbour_stretch(worker, job, now)
+        } else {
+            1.0
+        };
         Some(PlacementScore {
             is_suspect,
             success_age_steps,
-            time_steps: (relative_time * stretch).max(0.0) as u32,
-            interference_steps: ((stretch - 1.0) * INTERFERENCE_STEPS).ceil() as u32,
+            time_steps: time_steps(self.relative_time(worker, job), stretch),
             free_cpu_milli: free.saturating_sub(work.resources).cpu_milli,
-            plain_time_steps: relative_time.max(0.0) as u32,
         })
     }
 }
 
+/// Returns the expected run time in quarters, with the mutual slowdown with neighbours in the lower
+/// bits, so that the slowdown decides between workers of similar speed.
+fn time_steps(relative_time: f64, stretch: f64) -> u32 {
+    let quarters = (relative_time * stretch * 4.0).max(0.0) as u32;
+    let steps = quarters.min(u32::MAX >> SLOWDOWN_BITS) << SLOWDOWN_BITS;
+    if stretch > 1.0 {
+        steps | ((stretch - 1.0) * SLOWDOWN_STEPS).ceil() as u32
+    } else {
+        steps
+    }
+}
+
 fn count_runs_of(worker: &WorkerRecord, job: &JobName) -> u32 {
     let count = worker
         .runs
