--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -8,6 +8,7 @@
 use bramley_core::units::UnixTime;
 
 use crate::crash::{CrashHistory, Suspicion};
+use crate::exposure::RouteIndex;
 use crate::message::{RelayId, TaskPlacement};
 use crate::resources::TaskResources;
 use crate::worker::{WorkerIndex, WorkerRecord};
@@ -244,6 +245,9 @@
     /// Whether the job was admitted before others because jobs of its size or of its relay's failure
     /// domain got less than is guaranteed.
     pub is_guaranteed: bool,
+    /// Index of the route in the table of routes that may slow each other down; `None` if the route
+    /// is not tracked.
+    pub route: Option<RouteIndex>,
 }
 
 impl JobRecord {
--- a/crates/bramley-pool/src/pool/faster.rs
+++ b/crates/bramley-pool/src/pool/faster.rs
@@ -62,7 +62,7 @@
 }
 
 /// A slot that is in use.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct BusySlot {
     worker: WorkerIndex,
     free_at: UnixTime,
@@ -98,7 +98,7 @@
 }
 
 /// Jobs that wait for a faster worker, and the slots that they wait for.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct FasterSlots {
     /// Whether workers differ in speed.
     is_uneven: bool,
--- a/crates/bramley-pool/src/pool/health.rs
+++ b/crates/bramley-pool/src/pool/health.rs
@@ -8,14 +8,16 @@
 
 impl Pool {
     /// Records a successful run. A run that was started before the worker's last failure does not
-    /// clear its faults.
+    /// clear its faults. `stretch` is the factor by which interfering neighbours have prolonged the
+    /// run, which is not the worker's fault.
     pub(super) fn record_success(
         &mut self,
         index: WorkerIndex,
         details: &RunDetails,
+        stretch: f64,
         now: UnixTime,
     ) {
-        self.observe_run(index, details, now);
+        self.observe_run(index, details, stretch, now);
         let min_suspension = self.settings.min_suspension;
         let worker = self.worker_mut(index);
         worker.health.latest_success_start =
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -90,6 +90,7 @@
         self.remember_crashes(&name, &submission.crashes, now);
         let mut job = self.make_record(relay, submission, now);
         self.add_tasks(&mut job);
+        job.route = self.track_route(&job.submission.policy);
         let adopted = self.adopt_runs(&name, job, now);
         if self.close_if_any_barred(&name, now) {
             return;
@@ -153,6 +154,7 @@
         if !self.admit_or_refuse(&mut job, now) {
             return;
         }
+        job.route = self.track_route(&job.submission.policy);
         self.add_tasks(&mut job);
         let name = job.submission.work.job.clone();
         self.jobs.insert(name.clone(), job);
@@ -263,6 +265,7 @@
             useful_until,
             queue_class,
             is_guaranteed: false,
+            route: None,
             submission,
         }
     }
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -58,6 +58,7 @@
         self.utilization.sample(usable, now);
         self.drop_abandoned_and_expired_jobs(now);
         self.expire_started_jobs(now);
+        self.judge_interference(now);
         for index in self.indices() {
             self.maintain_worker(index, now);
         }
@@ -255,9 +256,9 @@
         };
         // The limit is not raised beyond `slow_ratio`, because a worker that is even slower is
         // unhealthy, and its tasks are better restarted elsewhere.
-        let relative_run_time = worker
-            .relative_run_time
-            .clamp(1.0, self.settings.slow_ratio);
+        let stretch = self.run_stretch(worker, details);
+        let relative_run_time =
+            (worker.relative_run_time * stretch).clamp(1.0, self.settings.slow_ratio);
         let expected = expected.mul_f64(relative_run_time);
         let long_task_limit = expected.mul_f64(long_task_ratio).min(MAX_LONG_TASK);
         expected
--- a/crates/bramley-pool/src/pool/queue.rs
+++ b/crates/bramley-pool/src/pool/queue.rs
@@ -35,7 +35,7 @@
 }
 
 /// Jobs with waiting tasks. All changes take time that is logarithmic in the number of jobs.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct WaitQueue {
     order: BTreeMap<QueueKey, QueuedJob>,
     places: FxHashMap<JobName, QueuedPlace>,
--- a/crates/bramley-pool/src/pool/shares.rs
+++ b/crates/bramley-pool/src/pool/shares.rs
@@ -72,7 +72,7 @@
 }
 
 /// Shares of groups of one kind.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct ShareTable<K> {
     groups: FxHashMap<K, GroupShare>,
     short_groups: u32,
@@ -298,7 +298,7 @@
 }
 
 /// Shares by route, by the relay's failure domain and by size.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct CapacityShares {
     routes: ShareTable<RouteName>,
     domains: ShareTable<DomainName>,
--- a/crates/bramley-pool/src/pool/speed.rs
+++ b/crates/bramley-pool/src/pool/speed.rs
@@ -178,14 +178,22 @@
 impl Pool {
     /// Learns from a completed run: its worker's speed, and the run time and spread of its route on
     /// a worker of speed 1. A run that takes far longer than the route's others counts as
-    /// [`LONGEST_LEARNED`] times their time.
-    pub(super) fn observe_run(&mut self, index: WorkerIndex, details: &RunDetails, now: UnixTime) {
+    /// [`LONGEST_LEARNED`] times their time. `stretch` is the factor by which interfering neighbours
+    /// have prolonged the run, which is not the worker's speed. The run time and spread of the route
+    /// include it, so that admission does not depend on what is known of interference.
+    pub(super) fn observe_run(
+        &mut self,
+        index: WorkerIndex,
+        details: &RunDetails,
+        stretch: f64,
+        now: UnixTime,
+    ) {
         let ratio = run_ratio(details, now);
         let earlier_factor = self.worker(index).relative_run_time;
         let worker = self.worker_mut(index);
-        let has_changed = worker.speed.observe(ratio);
-        worker.update_relative_run_time(now);
-        let new_factor = worker.relative_run_time;
+        let has_changed = worker.speed.observe(ratio / stretch);
+        self.update_relative_run_time(index, now);
+        let new_factor = self.worker(index).relative_run_time;
         if has_changed {
             self.log_speed_change(index, earlier_factor, now);
         }
@@ -217,13 +225,28 @@
             let ratio = run_ratio(&run.details, now);
             let earlier_factor = worker.relative_run_time;
             let has_changed = worker.speed.observe_stopped(ratio);
-            worker.update_relative_run_time(now);
+            self.update_relative_run_time(index, now);
             if has_changed {
                 self.log_speed_change(index, earlier_factor, now);
             }
         }
     }
 
+    /// Updates a worker's relative run time from the ended runs and those that are still going, each
+    /// without what interfering neighbours may have prolonged it by.
+    fn update_relative_run_time(&mut self, index: WorkerIndex, now: UnixTime) {
+        let worker = self.worker(index);
+        let mut overdue: SmallVec<[f64; OUTLIER_COUNT]> = SmallVec::new();
+        for run in &worker.runs {
+            if let LiveRun::Running(run) = run {
+                let stretch = self.run_stretch(worker, &run.details);
+                overdue.push(run_ratio(&run.details, now) / stretch);
+            }
+        }
+        let worker = self.worker_mut(index);
+        worker.relative_run_time = worker.speed.relative_run_time(&overdue);
+    }
+
     fn log_speed_change(&mut self, index: WorkerIndex, earlier_factor: f64, now: UnixTime) {
         let is_slower = self.worker(index).relative_run_time > earlier_factor;
         let belief = if is_slower { "slower" } else { "faster" };
@@ -245,10 +268,11 @@
     /// of all workers does.
     pub(super) fn update_speeds(&mut self, now: UnixTime) {
         let mut listed: Vec<f64> = Vec::with_capacity(self.workers.len());
-        for worker in &mut self.workers {
-            if !worker.runs.is_empty() {
-                worker.update_relative_run_time(now);
+        for index in self.indices() {
+            if !self.worker(index).runs.is_empty() {
+                self.update_relative_run_time(index, now);
             }
+            let worker = self.worker(index);
             if worker.listed {
                 listed.push(worker.relative_run_time);
             }
@@ -271,15 +295,4 @@
         self.speed = SpeedEstimate::default();
         self.relative_run_time = 1.0;
     }
-
-    /// Updates the relative run time from the ended runs and those that are still going.
-    pub(super) fn update_relative_run_time(&mut self, now: UnixTime) {
-        let mut overdue: SmallVec<[f64; OUTLIER_COUNT]> = SmallVec::new();
-        for run in &self.runs {
-            if let LiveRun::Running(run) = run {
-                overdue.push(run_ratio(&run.details, now));
-            }
-        }
-        self.relative_run_time = self.speed.relative_run_time(&overdue);
-    }
 }
--- a/crates/bramley-pool/src/pool/summary.rs
+++ b/crates/bramley-pool/src/pool/summary.rs
@@ -128,7 +128,7 @@
 }
 
 /// Summary of slots and queue since the last tick.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct AdmissionSummary {
     summaries: FxHashMap<SummaryKey, SlotSummary>,
     /// Different capacities of workers.
