Answer where a request would go now, and print it with bramley-where

Cause: operators ask where a request would go and why before they send it; the explanations of the state machines had no way out of the process.

Change: the health port answers GET /where from copies of the relay and, at the leader, of the pool, at most four times in a second. bramley-where asks a host, prints its answer and follows to the leader of the host's failure domain at the same health port. Errors have a closed list with exit codes. percent-encoding, which the lock file had already, reads and writes the parameters.

--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -6,6 +6,7 @@
 //! - `dump` describes the state for operators.
 //! - `inbox` queues messages of other processes' relays.
 //! - `peers` handles connections between relays and pools.
+//! - `placement` explains where a request would go now.
 //! - `timers` runs periodic work and detects pauses of the process.
 
 mod actions;
@@ -14,6 +15,7 @@
 mod dump;
 mod inbox;
 mod peers;
+mod placement;
 mod timers;
 
 use std::cell::{Cell, RefCell};
@@ -41,6 +43,7 @@
 use crate::links::OutgoingFrame;
 use crate::logging::JobLogSampler;
 use crate::metrics::DockMetrics;
+use crate::placement_query::ExplanationLimit;
 use crate::platform::{EvacuationItem, Platform, WorkerChange};
 use crate::refusal_log::RefusalLog;
 use crate::routes::RouteTable;
@@ -114,6 +117,7 @@
     state: RefCell<EngineState>,
     /// Time since boot at which the process was last known to run.
     last_active_at: Cell<Duration>,
+    explanation_limit: Cell<ExplanationLimit>,
     leadership_changed: Notify,
 }
 
@@ -161,6 +165,7 @@
             metrics: DockMetrics::default(),
             state: RefCell::new(state),
             last_active_at: Cell::new(time_since_boot()),
+            explanation_limit: Cell::default(),
             leadership_changed: Notify::new(),
         })
     }
--- a/crates/bramley-dock/src/health.rs
+++ b/crates/bramley-dock/src/health.rs
@@ -1,4 +1,4 @@
-//! HTTP endpoints for readiness, metrics and a state dump.
+//! HTTP endpoints for readiness, metrics, a state dump and explanations of placements.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -15,12 +15,13 @@
 use tokio::task::spawn_local;
 
 use crate::engine::Engine;
+use crate::placement_query::{PlacementQuery, QUERY_PATH};
 use crate::platform::Platform;
 
 /// Delay after a failed accept, so that running out of file descriptors does not cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// Serves `/ready`, `/metrics` and `/state` until the process ends.
+/// Serves `/ready`, `/metrics`, `/state` and `/where` until the process ends.
 pub async fn serve_health<P: Platform>(engine: Rc<Engine<P>>, listener: TcpListener) {
     loop {
         let stream = match listener.accept().await {
@@ -56,9 +57,23 @@
         "/ready" => (StatusCode::SERVICE_UNAVAILABLE, String::from("not ready\n")),
         "/metrics" => (StatusCode::OK, engine.metrics().encode()),
         "/state" => (StatusCode::OK, engine.dump().to_string()),
+        QUERY_PATH => explain(engine, request.uri().query().unwrap_or_default()),
         _ => (StatusCode::NOT_FOUND, String::from("not found\n")),
     };
     let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     response
 }
+
+/// Answers a question where a request would go now.
+fn explain<P: Platform>(engine: &Rc<Engine<P>>, query: &str) -> (StatusCode, String) {
+    let answer = PlacementQuery::parse(query).and_then(|query| engine.explain_placement(&query));
+    match answer {
+        Ok(answer) => (StatusCode::OK, answer.to_string()),
+        Err(error) => {
+            let (status, label) = error.answer();
+            let body = serde_json::json!({"error": label, "message": error.to_string()});
+            (status, body.to_string())
+        }
+    }
+}
--- a/crates/bramley-dock/src/lib.rs
+++ b/crates/bramley-dock/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`links`] connects relays and pools of different processes.
 //! - [`logging`] writes bounded logs without blocking the caller.
 //! - [`metrics`] collects metrics for operators.
+//! - [`placement_query`] reads and limits questions where a request would go now.
 //! - [`platform`] defines the interface to the platform.
 //! - [`refusal_log`] limits the log lines on refused requests.
 //! - [`routes`] matches requests to routes.
@@ -25,6 +26,7 @@
 pub mod links;
 pub mod logging;
 pub mod metrics;
+pub mod placement_query;
 pub mod platform;
 pub mod refusal_log;
 pub mod routes;
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -658,6 +658,18 @@
         }
     }
 
+    /// Returns the published state of a route at a pool if it is recent and the pool does not pass
+    /// all jobs.
+    #[must_use]
+    pub fn published_overload(
+        &self,
+        domain: &DomainName,
+        route: &RouteName,
+        now: UnixTime,
+    ) -> Option<&RouteAdmission> {
+        self.gate.overload(domain, route, now)
+    }
+
     /// Returns the known pools in order of their names.
     pub(crate) fn pool_states(&self) -> Vec<PoolState> {
         let mut states: Vec<PoolState> = self
