--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -91,6 +91,7 @@
         self.route_loads.clear();
         self.shares.clear();
         self.queue.clear();
+        self.interference.reset();
         for worker in &mut self.workers {
             worker.reset();
         }
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -4,8 +4,10 @@
 //! - `answer_time`: time that workers take to answer start requests.
 //! - `evacuation`: evacuation of the failure domain and its gradual return to use.
 //! - `faster`: jobs that wait for a faster worker.
+//! - `explanation`: what the pool would do with a submission now.
 //! - `fleet`: the platform's list of workers and changes of leader.
 //! - `health`: worker health as judged from the outcome of runs.
+//! - `interference`: pairs of routes whose tasks slow each other down on one worker.
 //! - `jobs`: submission, adoption, completion and cancellation of jobs.
 //! - `losses`: runs that are lost together with their worker, and tasks that are to blame for it.
 //! - `maintenance`: timed work such as polls, lease expiry and repeated stop requests.
@@ -19,6 +21,7 @@
 //! - `speed`: speed of each worker.
 //! - `spread`: spread of each route's run times.
 //! - `shares`: shares of the capacity by route, failure domain and size.
+//! - `slowdown`: estimate of the slowdown of a route's runs by each route beside them.
 //! - `starts`: start requests and their answers.
 //! - `summary`: summary of slots and queue for admission.
 //! - `utilization`: average utilization of the workers.
@@ -26,9 +29,11 @@
 mod admission;
 mod answer_time;
 mod evacuation;
+mod explanation;
 mod faster;
 mod fleet;
 mod health;
+mod interference;
 mod jobs;
 mod losses;
 mod maintenance;
@@ -40,6 +45,7 @@
 mod route_load;
 mod scoring;
 mod shares;
+mod slowdown;
 mod speed;
 mod spread;
 mod starts;
@@ -65,6 +71,8 @@
 use answer_time::AnswerTime;
 use evacuation::EvacuationState;
 use faster::FasterSlots;
+use interference::InterferenceModel;
+pub use interference::RoutePair;
 use queue::WaitQueue;
 use refusal_log::RefusalLog;
 use route_load::RouteLoads;
@@ -131,10 +139,12 @@
     pub jobs_cancelled: u64,
     /// Active runs adopted after a change of leader.
     pub runs_adopted: u64,
+    /// Placements for which another worker was chosen so as to keep interfering routes apart.
+    pub placements_kept_apart: u64,
 }
 
 /// Schedules tasks on the workers of one failure domain while it holds a fencing token.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Pool {
     settings: PoolSettings,
     token: Option<u64>,
@@ -202,6 +212,8 @@
     answer_time: AnswerTime,
     /// Latest sending time of a start or stop request that was answered.
     latest_answered_call: UnixTime,
+    /// Slowdowns of routes by each other.
+    interference: InterferenceModel,
 }
 
 impl Pool {
@@ -244,6 +256,7 @@
             utilization: SlotUtilization::default(),
             answer_time: AnswerTime::default(),
             latest_answered_call: UnixTime::default(),
+            interference: InterferenceModel::default(),
         }
     }
 
@@ -263,6 +276,7 @@
     #[must_use]
     pub const fn counts(&self) -> PoolCounts {
         PoolCounts {
+            placements_kept_apart: self.interference.kept_apart(),
             workers_scored: self.scored.get(),
             estimate_visits: self.estimate_visits.get(),
             ..self.counts
--- a/crates/bramley-pool/src/pool/route_load.rs
+++ b/crates/bramley-pool/src/pool/route_load.rs
@@ -62,7 +62,7 @@
 }
 
 /// Load of all routes with recent traffic.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct RouteLoads {
     routes: FxHashMap<RouteName, RouteLoad>,
     adjusted_at: UnixTime,
--- a/crates/bramley-pool/src/pool/scoring.rs
+++ b/crates/bramley-pool/src/pool/scoring.rs
@@ -17,6 +17,13 @@
 /// Time since the last success beyond which workers are no longer distinguished.
 const MAX_SUCCESS_AGE: Duration = Duration::from_secs(2);
 
+/// Steps in which a mutual slowdown is compared per unit: less than the smallest slowdown that
+/// counts.
+const SLOWDOWN_STEPS: f64 = 20.0;
+
+/// Number of bits for these steps, which hold the largest slowdown that is assumed.
+const SLOWDOWN_BITS: u32 = 8;
+
 /// Score of a worker for a task; fields are compared in order, and the lowest score wins.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(super) struct PlacementScore {
@@ -27,7 +34,9 @@
     success_age_steps: u32,
     /// Whether the job would miss its objective because of the worker's speed.
     is_too_slow: bool,
-    /// Rank by the expected run time on this worker, in quarters of that on a healthy one.
+    /// Rank by the expected run time on this worker beside its runs, in quarters of that on a
+    /// healthy one, and behind it the mutual slowdown with interfering neighbours; see
+    /// [`Pool::time_steps`].
     time_steps: u32,
     /// CPU that would stay free; preferring less of it packs tasks tightly.
     free_cpu_milli: u32,
@@ -42,6 +51,8 @@
         now: UnixTime,
     ) -> Option<WorkerIndex> {
         let mut best: Option<(PlacementScore, WorkerIndex)> = None;
+        let mut plain_best: Option<(PlacementScore, WorkerIndex)> = None;
+        let is_interference_known = self.interference.is_active();
         let name = &job.submission.work.job;
         for index in self.indices() {
             if self.is_reserved(index, name) {
@@ -54,8 +65,58 @@
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, index));
             }
+            if is_interference_known {
+                let plain_score = PlacementScore {
+                    time_steps: self.time_steps(worker, job, 1.0, now),
+                    ..score
+                };
+                if plain_best.is_none_or(|(lowest, _)| plain_score < lowest) {
+                    plain_best = Some((plain_score, index));
+                }
+            }
+        }
+        let chosen = best.map(|(_, index)| index);
+        if is_interference_known && chosen != plain_best.map(|(_, index)| index) {
+            self.interference.count_kept_apart();
+        }
+        chosen
+    }
+
+    /// Returns the expected run time on a worker without neighbours, relative to that on a healthy
+    /// one.
+    fn relative_time(&self, worker: &WorkerRecord, job: &JobRecord) -> f64 {
+        let rack = &job.submission.work.preferred_rack;
+        let is_remote = !rack.is_empty() && !worker.entry.labels.contains(rack);
+        let rack_factor = if is_remote {
+            self.settings.remote_factor
+        } else {
+            1.0
+        };
+        worker.relative_run_time * rack_factor
+    }
+
+    /// Returns the rank of a worker by the expected run time there, with the mutual slowdown with
+    /// neighbours in the lower bits, so that the slowdown decides between workers of similar speed.
+    /// The slowdown never improves the rank, also where slower workers come first.
+    fn time_steps(
+        &self,
+        worker: &WorkerRecord,
+        job: &JobRecord,
+        stretch: f64,
+        now: UnixTime,
+    ) -> u32 {
+        let quarters = self.relative_time(worker, job) * 4.0;
+        let quarter_steps = quarters.max(0.0) as u32;
+        let stretched_steps = (quarters * stretch).max(0.0) as u32;
+        let rank = self
+            .rank_by_time(worker, job, quarter_steps, now)
+            .saturating_add(stretched_steps.saturating_sub(quarter_steps));
+        let steps = rank.min(u32::MAX >> SLOWDOWN_BITS) << SLOWDOWN_BITS;
+        if stretch > 1.0 {
+            steps | ((stretch - 1.0) * SLOWDOWN_STEPS).ceil() as u32
+        } else {
+            steps
         }
-        best.map(|(_, index)| index)
     }
 
     /// Scores a worker for a task; `None` if it must not be assigned the task now.
@@ -93,13 +154,6 @@
         if work.spread_limit > 0 && count_runs_of(worker, &work.job) >= work.spread_limit {
             return None;
         }
-        let is_remote =
-            !work.preferred_rack.is_empty() && !worker.entry.labels.contains(&work.preferred_rack);
-        let rack_factor = if is_remote {
-            self.settings.remote_factor
-        } else {
-            1.0
-        };
         let is_suspect = worker.health.on_probation || job.tasks[task].avoided == Some(index);
         // Another failure may fail the whole job, so wait for a healthy worker while there is time.
         if is_suspect && job.tasks[task].failures > 0 && now < job.objective_at {
@@ -114,13 +168,16 @@
             u32::try_from(success_age.as_millis() / SUCCESS_AGE_STEP.as_millis())
                 .unwrap_or(u32::MAX)
         };
-        let time_steps = (worker.relative_run_time * rack_factor * 4.0).max(0.0) as u32;
-        let time_steps = self.rank_by_time(worker, job, time_steps, now);
+        let stretch = if self.interference.is_active() {
+            self.neighbour_stretch(worker, job, now)
+        } else {
+            1.0
+        };
         Some(PlacementScore {
             is_suspect,
             success_age_steps,
             is_too_slow: self.is_too_slow(worker, job, now),
-            time_steps,
+            time_steps: self.time_steps(worker, job, stretch, now),
             free_cpu_milli: free.saturating_sub(work.resources).cpu_milli,
         })
     }
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -79,6 +79,9 @@
     pub evacuation_return_time: Duration,
     /// Maximum number of waiting jobs considered in one placement round.
     pub scan_limit: usize,
+    /// Whether tasks of routes that slow each other down are kept on different workers where there
+    /// is room.
+    pub keeps_interfering_apart: bool,
 }
 
 impl Default for PoolSettings {
@@ -114,6 +117,7 @@
             evacuation_bound: Duration::from_millis(5_000),
             evacuation_return_time: Duration::from_secs(2),
             scan_limit: 64,
+            keeps_interfering_apart: true,
         }
     }
 }
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-pool/tests/world/mod.rs
@@ -183,6 +183,8 @@
     pub declared: Option<Duration>,
     /// Tasks with run times of their own, by index.
     pub task_runs: Vec<(u32, Duration)>,
+    /// Declared run time as a multiple of `run`.
+    pub declared_factor: f64,
     pub priority: u32,
     pub attempts: u32,
 }
@@ -197,6 +199,7 @@
             run: Duration::from_millis(100),
             declared: None,
             task_runs: Vec::new(),
+            declared_factor: 1.0,
             priority: 0,
             attempts: 2,
         }
@@ -375,6 +378,23 @@
     pub fn submit_aged(&mut self, host: usize, job: &TestJob, age: Duration) {
         let mut submission = self.submission(job);
         submission.arrived_at = self.now.before(age);
+        self.prepare_workers(job);
+        let now = self.now;
+        self.hosts[host].relay.accept(submission, now);
+        self.run_actions();
+    }
+
+    /// Submits a job to a host's pool without delay, and without a caller at its relay.
+    pub fn submit_to_pool(&mut self, host: usize, job: &TestJob) {
+        let message = RelayMessage::Submit(Box::new(self.submission(job)));
+        self.prepare_workers(job);
+        let now = self.now;
+        let pool = &mut self.hosts[host].pool;
+        pool.handle_relay_message(RelayId(host as u64), message, now);
+        self.run_actions();
+    }
+
+    fn prepare_workers(&mut self, job: &TestJob) {
         for worker in &mut self.workers {
             worker.run_times.insert(job.name.clone(), job.run);
             for (index, run) in &job.task_runs {
@@ -383,10 +403,8 @@
                     .insert(format!("{}.0.0.{index}", job.name), *run);
             }
             worker.set_task_cpu(&job.name, job.cpu_milli);
+            worker.task_routes.insert(job.name.clone(), job.route);
         }
-        let now = self.now;
-        self.hosts[host].relay.accept(submission, now);
-        self.run_actions();
     }
 
     /// Returns the submission of a job that arrives now.
@@ -401,7 +419,9 @@
                     cpu_milli: job.cpu_milli,
                     memory_mb: 64,
                 },
-                declared: job.declared.unwrap_or(job.run),
+                declared: job
+                    .declared
+                    .unwrap_or_else(|| job.run.mul_f64(job.declared_factor)),
                 required_label: "".into(),
                 preferred_rack: "".into(),
                 spread_limit: 0,
