Let routes give way to others only under deep overload; margin of admission at most as before

Change: a group is short when it gets less than seven tenths of what its callers ask for, relays' own refusals included; the margin is at most an eighth.

--- a/crates/bramley-pool/src/pool/shares.rs
+++ b/crates/bramley-pool/src/pool/shares.rs
@@ -25,8 +25,10 @@
 /// Part of its entitlement below which a group counts as short; random arrivals vary by this much.
 const SHORT_PART: f64 = 0.8;
 
-/// Part of the offered work that has to be refused for a group to count as short.
-const REFUSED_PART: f64 = 0.1;
+/// Part of the work that callers have asked for that has to be refused, here or at relays, for a
+/// group to count as short. Below it, the queue order spreads the refusals; giving way already then
+/// refused jobs with a long slack although slots were free for them.
+const REFUSED_PART: f64 = 0.3;
 
 /// Multiple of its entitlement up to which a group is admitted while another is short. Above 1, so
 /// that the admitted work grows when there is more room.
@@ -69,7 +71,6 @@
     /// Work that callers have asked for, including what relays have refused for this pool.
     offered: f64,
     admitted: f64,
-    refused: f64,
     /// Part of the capacity to which the group is entitled.
     entitlement: f64,
     is_short: bool,
@@ -117,8 +118,6 @@
         group.offered += work.demand;
         if is_admitted {
             group.admitted += work.cpu_seconds;
-        } else {
-            group.refused += work.cpu_seconds;
         }
     }
 
@@ -145,7 +144,6 @@
         for group in self.groups.values_mut() {
             group.offered *= kept;
             group.admitted *= kept;
-            group.refused *= kept;
         }
         self.groups.retain(|_, group| group.offered > MIN_WORK);
         let capacity: f64 = self.groups.values().map(|group| group.admitted).sum();
@@ -169,8 +167,8 @@
                 RemainderRule::ByPriority => group.entitlement * SHORT_PART,
                 RemainderRule::Fair => group.entitlement * GUARANTEED_PART,
             };
-            let decided = group.admitted + group.refused;
-            group.is_short = group.refused > decided * REFUSED_PART && group.admitted < limit;
+            let served_limit = group.offered * (1.0 - REFUSED_PART);
+            group.is_short = group.admitted < limit.min(served_limit);
         }
         let short_groups = self.groups.values().filter(|group| group.is_short).count();
         self.short_groups = u32::try_from(short_groups).unwrap_or(u32::MAX);
--- a/crates/bramley-pool/src/pool/spread.rs
+++ b/crates/bramley-pool/src/pool/spread.rs
@@ -21,13 +21,13 @@
 /// eighth.
 const INITIAL_SPREAD: f64 = 0.118;
 
-/// Smallest margin for admission as a share of the expected run time: the variation of the tasks
-/// of one job.
-const MIN_MARGIN: f64 = 0.125;
+/// Smallest margin for admission as a share of the expected run time: half of the variation of the
+/// tasks of one job.
+const MIN_MARGIN: f64 = 0.0625;
 
-/// Largest margin as a share of the expected run time. The slack of a job is 0.6 of its run time
-/// and 60 ms; a margin that takes up half of that would shut out the route.
-const MAX_MARGIN: f64 = 0.25;
+/// Largest margin as a share of the expected run time: the variation of the tasks of one job. A
+/// margin of a quarter refused jobs of long tasks although slots were free for them.
+const MAX_MARGIN: f64 = 0.125;
 
 /// Share of `longest` that remains with each run; half of it after 1,000 runs, which include 30
 /// long ones if 3 % are long.
