--- a/crates/bramley-dock/src/settings.rs
+++ b/crates/bramley-dock/src/settings.rs
@@ -102,7 +102,7 @@
             worker_read_pause_ms: 400,
             peer_port_offset: 0,
             metrics_port: 9_464,
-            keeps_interfering_apart: true,
+            keeps_interfering_apart: false,
         }
     }
 }
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -117,7 +117,7 @@
             evacuation_bound: Duration::from_millis(5_000),
             evacuation_return_time: Duration::from_secs(2),
             scan_limit: 64,
-            keeps_interfering_apart: true,
+            keeps_interfering_apart: false,
         }
     }
 }
