Interference: one level for runs before and after a pair is kept apart

Cause: runs enter the regression relative to the route's level at the time. Until a pair counts, the level includes its slowdown; once it is known the level falls, runs without neighbours move from -0.3 to 0, and those of the pair, which get rarer as it is kept apart, keep their old base. So the estimate fell (true 2.6; 2.65 found, 1.75 after 50 s). Ruled out: the prior's weight (8 % at 10 observations), the clamp of single runs, the speeds of workers (all 1.00 while the estimate fell).

Change: each judgement moves level and sums by the regression's constant: 2.37 after 50 s, bound unchanged; the test is red no more. A pair that still shares workers ceases by its mean: with 282 observations and mean 0.999 the upper bound was 1.15, so it never did.

Tests: a slowdown that moves to another pair and ends; two of three routes on uneven workers. a_worker_is_not_blamed compared two runs of one seed, whose difference varies by 0.08 (0.07 to 0.29 on nine seeds), and rewarded workers of speed 1 that read 0.94 over ones that read 0.98. It now takes nine seeds with the same bound, and bounds the distance from the true speed as well.

--- a/crates/bramley-pool/src/pool/interference.rs
+++ b/crates/bramley-pool/src/pool/interference.rs
@@ -31,13 +31,16 @@
 /// Slowdown factor above which a pair is worth keeping apart.
 const INTERFERENCE_FACTOR: f64 = 1.1;
 
+/// Slowdown factor below which an interfering pair ceases to count: halfway to none. Run times vary
+/// too much for the upper bound to fall below [`INTERFERENCE_FACTOR`].
+const CEASED_FACTOR: f64 = 1.05;
+
 /// Distance of the lower bound from the mean in standard errors. With 3, one of 240 simulated
 /// minutes without interference gave a false alarm, as pairs are judged twice a second; with 3.5,
 /// none did.
 const LOWER_BOUND_ERRORS: f64 = 3.5;
 
-/// Distance of the upper bound from the mean in standard errors. A pair that ceases to count too
-/// early is found again.
+/// Distance of the upper bound from the mean in standard errors, for logs and dumps.
 const UPPER_BOUND_ERRORS: f64 = 2.0;
 
 /// Observations of a pair before it can count as interfering.
@@ -142,7 +145,7 @@
         let threshold = INTERFERENCE_FACTOR.ln();
         let was_interfering = self.is_interfering;
         self.is_interfering = if was_interfering {
-            self.upper() >= threshold && estimate.observations >= FORGOTTEN_OBSERVATIONS
+            estimate.mean > CEASED_FACTOR.ln() && estimate.observations >= FORGOTTEN_OBSERVATIONS
         } else {
             self.lower() > threshold && estimate.observations >= MIN_OBSERVATIONS
         };
@@ -383,11 +386,13 @@
         for (tracked, route) in self.routes.iter_mut().zip(0_u8..) {
             tracked.statistics.decay(kept);
             tracked.declared.decay(kept);
-            let estimates = tracked
-                .statistics
-                .estimate(count)
-                .unwrap_or_else(|| vec![SlowdownEstimate::default(); count]);
-            let pairs = tracked.pairs.iter_mut().zip(estimates);
+            let mut estimates = tracked.statistics.estimate(count).unwrap_or_default();
+            estimates.by_route.resize_with(count, Default::default);
+            // Earlier runs were compared with a level that included slowdowns not known then. On
+            // one level with later runs, which are kept apart, they keep their meaning.
+            tracked.statistics.rebase(estimates.constant);
+            tracked.level.mean += estimates.constant;
+            let pairs = tracked.pairs.iter_mut().zip(estimates.by_route);
             for ((pair, estimate), neighbour) in pairs.zip(0_u8..) {
                 if !pair.judge(estimate) {
                     continue;
--- a/crates/bramley-pool/src/pool/slowdown.rs
+++ b/crates/bramley-pool/src/pool/slowdown.rs
@@ -57,6 +57,15 @@
     pub(super) observations: f64,
 }
 
+/// Estimates from the runs of one route.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RouteSlowdowns {
+    /// Logarithm of the relative run time without neighbours.
+    pub(super) constant: f64,
+    /// Slowdown by each route.
+    pub(super) by_route: Vec<SlowdownEstimate>,
+}
+
 /// Decayed sums over the runs of one route, from which the slowdowns are estimated.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SlowdownStatistics {
@@ -114,8 +123,17 @@
         self.weight *= kept;
     }
 
-    /// Estimates the slowdown by each of the first `routes` routes; `None` if too little is known.
-    pub(super) fn estimate(&self, routes: usize) -> Option<Vec<SlowdownEstimate>> {
+    /// Takes the logarithmic ratios of all runs so far relative to a level that is higher by
+    /// `change`.
+    pub(super) fn rebase(&mut self, change: f64) {
+        for (ratio, row) in self.ratios.iter_mut().zip(&self.cross) {
+            *ratio -= change * row[0];
+        }
+    }
+
+    /// Estimates the constant and the slowdown by each of the first `routes` routes; `None` if too
+    /// little is known.
+    pub(super) fn estimate(&self, routes: usize) -> Option<RouteSlowdowns> {
         let unknowns = routes + 1;
         if self.weight < 1.0 {
             return None;
@@ -133,9 +151,10 @@
         }
         let inverse = invert(equations, unknowns)?;
         let variance = (self.squared_errors / self.weight).max(MIN_DEVIATION * MIN_DEVIATION);
-        let mut estimates = Vec::with_capacity(routes);
+        let mut constant = 0.0;
+        let mut by_route = Vec::with_capacity(routes);
         let observations = self.cross[0].into_iter();
-        for (row, observations) in inverse.iter().zip(observations).take(unknowns).skip(1) {
+        for ((row, observations), position) in inverse.iter().zip(observations).zip(0..unknowns) {
             let mut mean = 0.0;
             let mut spread = 0.0;
             for left in 0..unknowns {
@@ -144,13 +163,17 @@
                     spread += row[left] * noise[left][right] * row[right];
                 }
             }
-            estimates.push(SlowdownEstimate {
+            if position == 0 {
+                constant = mean;
+                continue;
+            }
+            by_route.push(SlowdownEstimate {
                 mean,
                 error: (variance * spread.max(0.0)).sqrt(),
                 observations,
             });
         }
-        Some(estimates)
+        Some(RouteSlowdowns { constant, by_route })
     }
 }
 
--- a/crates/bramley-pool/tests/interference.rs
+++ b/crates/bramley-pool/tests/interference.rs
@@ -359,27 +359,102 @@
     }
 }
 
-/// Two workers are shared most of the time. Guards against workers that count as slow because of
-/// the neighbours of their runs.
-#[test]
-fn a_worker_is_not_blamed_for_interfering_neighbours() {
-    let mut averages = Vec::new();
-    for settings in [with_separation(), PoolSettings::default()] {
-        let mut world = started_world(&settings);
-        set_slowdown(&mut world, 2.5);
-        let mut traffic = Traffic::new(9, 20);
-        traffic.run(&mut world, Duration::from_secs(60));
-        let (mut sum, mut count) = (0.0, 0.0);
-        for _ in 0..200 {
-            traffic.run(&mut world, Duration::from_millis(100));
-            for worker in world.hosts[0].pool.workers() {
-                sum += worker.relative_run_time;
-                count += 1.0;
-            }
+/// Seeds of the test for speeds of workers with interfering neighbours. One of them alone varies by
+/// 0.08, which is most of the bound.
+const BLAME_SEEDS: std::ops::RangeInclusive<u64> = 1..=9;
+
+/// Returns the average relative run time that a pool estimates of workers of speed 1 that most of
+/// the time are shared by an interfering pair.
+fn estimated_run_time(settings: &PoolSettings, seed: u64) -> f64 {
+    let mut world = started_world(settings);
+    set_slowdown(&mut world, 2.5);
+    let mut traffic = Traffic::new(seed, 20);
+    traffic.run(&mut world, Duration::from_secs(60));
+    let (mut sum, mut count) = (0.0, 0.0);
+    for _ in 0..200 {
+        traffic.run(&mut world, Duration::from_millis(100));
+        for worker in world.hosts[0].pool.workers() {
+            sum += worker.relative_run_time;
+            count += 1.0;
         }
-        averages.push(sum / count);
     }
+    sum / count
+}
+
+/// Guards against workers that count as slow because of the neighbours of their runs, and against
+/// ones that count as fast because too much is put down to the neighbours.
+#[test]
+fn a_worker_is_not_blamed_for_interfering_neighbours() {
+    let seeds = BLAME_SEEDS.count() as f64;
+    let mean = |settings: &PoolSettings| -> f64 {
+        BLAME_SEEDS
+            .map(|seed| estimated_run_time(settings, seed))
+            .sum::<f64>()
+            / seeds
+    };
+    let averages = [mean(&with_separation()), mean(&PoolSettings::default())];
     assert!(averages[0] < averages[1] - 0.1, "{averages:?}");
+    assert!((averages[0] - 1.0).abs() < 0.1, "{averages:?}");
+}
+
+/// Slowdowns begin on one pair, move to the reverse pair, and end. Guards against a pair that is
+/// kept apart after another one has taken its place, and against one that is never found because an
+/// earlier one explains its runs.
+#[test]
+fn a_slowdown_that_moves_to_another_pair_is_followed() {
+    let mut world = started_world(&with_separation());
+    let mut traffic = Traffic::new(17, 30);
+    traffic.run(&mut world, Duration::from_secs(20));
+    assert_eq!(changes(&world), Vec::<&String>::new());
+    set_slowdown(&mut world, 2.5);
+    traffic.run(&mut world, Duration::from_secs(40));
+    assert!(pair(&world, "parse", "grind").is_interfering);
+    assert!(!pair(&world, "grind", "parse").is_interfering);
+    for worker in &mut world.workers {
+        worker.slowdowns.clear();
+        worker.slowdowns.insert(("grind", "grind"), 2.5);
+    }
+    traffic.run(&mut world, Duration::from_secs(120));
+    assert!(pair(&world, "grind", "grind").is_interfering);
+    assert!(
+        !pair(&world, "parse", "grind").is_interfering,
+        "{:?} {:#?}",
+        world.hosts[0].pool.route_pairs(),
+        changes(&world)
+    );
+    set_slowdown(&mut world, 1.0);
+    for worker in &mut world.workers {
+        worker.slowdowns.clear();
+    }
+    traffic.run(&mut world, Duration::from_secs(180));
+    for found in world.hosts[0].pool.route_pairs() {
+        assert!(!found.is_interfering, "{found:?} {:?}", changes(&world));
+    }
+}
+
+/// Three routes, of which two slow each other down in both directions, on workers of different
+/// speed. Guards against the third route being kept apart from them, and against speeds that hide
+/// the pair.
+#[test]
+fn two_of_three_routes_interfere_on_uneven_workers() {
+    let mut world = started_world(&with_separation());
+    for worker in &mut world.workers {
+        worker.capacity_milli = 24_000;
+    }
+    world.list_workers(0);
+    set_uneven_speeds(&mut world);
+    for worker in &mut world.workers {
+        worker.slowdowns.insert(("parse", "grind"), 2.0);
+        worker.slowdowns.insert(("grind", "parse"), 2.0);
+    }
+    let mut traffic = Traffic::new(19, 30);
+    traffic.has_companions = true;
+    traffic.run(&mut world, Duration::from_secs(60));
+    for found in world.hosts[0].pool.route_pairs() {
+        let routes = (found.route.as_str(), found.neighbour.as_str());
+        let is_expected = matches!(routes, ("parse", "grind") | ("grind", "parse"));
+        assert_eq!(found.is_interfering, is_expected, "{found:?}");
+    }
 }
 
 /// Guards against a new leader that acts on what an earlier term has learned.
