bramley-fleet: the emulated fleet of the pool's tests as a crate of its own

Only tests of bramley-pool could reach the emulation of hosts, links, workers and callers around the real relays and pools.

--- a/crates/bramley-pool/tests/world/burst.rs
+++ b/crates/bramley-fleet/src/burst.rs
@@ -8,8 +8,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::workers::Behaviour;
-use super::{TestJob, World};
+use crate::workers::Behaviour;
+use crate::{TestJob, World};
 
 /// Factor by which a long task takes longer than others.
 const LONG_FACTOR: f64 = 7.0;
@@ -17,7 +17,9 @@
 /// Load and workers of a failure domain.
 #[derive(Clone, Debug)]
 pub struct BurstKind {
+    /// Mean number of jobs per second.
     pub jobs_per_s: f64,
+    /// Time in which jobs arrive.
     pub span: Duration,
     /// Run time factors of the workers, repeated over all of them.
     pub factors: Vec<f64>,
@@ -25,7 +27,9 @@
     pub long_share: f64,
     /// Factor by which declared run times are wrong at most, in either direction.
     pub declared_error: f64,
+    /// Number of workers.
     pub workers: usize,
+    /// Seed of the random draws.
     pub seed: u64,
 }
 
@@ -46,8 +50,11 @@
 /// A job of a burst.
 #[derive(Clone, Debug)]
 pub struct BurstJob {
+    /// Name of the job.
     pub name: String,
+    /// Route of the job.
     pub route: &'static str,
+    /// Time at which its caller sent it.
     pub sent_at: UnixTime,
     /// Latency objective as counted by the caller: 1.6 times the longest task plus 60 ms.
     pub objective: Duration,
@@ -56,10 +63,13 @@
 /// What became of the jobs of a burst, or of one of its routes.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BurstResult {
+    /// Jobs that were sent.
     pub jobs: u32,
+    /// Jobs completed within their objective.
     pub in_time: u32,
     /// Completed within three times the objective.
     pub late: u32,
+    /// Jobs that were refused.
     pub refused: u32,
 }
 
--- a/crates/bramley-pool/tests/world/mod.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -1,9 +1,11 @@
-//! Simulation of relays, pools and workers in virtual time.
+//! Emulated fleet: relays, pools and workers in virtual time, without I/O.
 //!
-//! Relays and pools are the real ones. The simulated workers implement fencing tokens, run leases
+//! Relays and pools are the real ones. The emulated workers implement fencing tokens, run leases
 //! and lists of ended runs like those of the platform, and record the time span of each run.
-
-#![allow(dead_code, reason = "each test file uses a part of the simulation")]
+//!
+//! - [`burst`]: load of one failure domain of a grown deployment.
+//! - [`links`]: connections that can be reset, and hosts that process their events late.
+//! - [`workers`]: emulated workers.
 
 pub mod burst;
 pub mod links;
@@ -98,9 +100,13 @@
 /// A host with a relay and a pool of its failure domain.
 #[derive(Debug)]
 pub struct VirtualHost {
+    /// Failure domain of the host.
     pub domain: DomainName,
+    /// Relay of the process.
     pub relay: Relay,
+    /// Pool of the process.
     pub pool: Pool,
+    /// Whether the process runs.
     pub alive: bool,
 }
 
@@ -131,8 +137,11 @@
 /// State of the simulation.
 #[derive(Debug)]
 pub struct World {
+    /// Current virtual time.
     pub now: UnixTime,
+    /// Hosts, those of one failure domain after the other.
     pub hosts: Vec<VirtualHost>,
+    /// Workers, in the same order.
     pub workers: Vec<VirtualWorker>,
     /// Hosts whose pools are leaders, by failure domain.
     pub leaders: BTreeMap<DomainName, usize>,
@@ -174,10 +183,15 @@
 /// A job of a test.
 #[derive(Clone, Debug)]
 pub struct TestJob {
+    /// Name of the job.
     pub name: String,
+    /// Route of the job.
     pub route: &'static str,
+    /// Number of tasks.
     pub tasks: u32,
+    /// CPU of each task in thousandths of a core.
     pub cpu_milli: u32,
+    /// Run time of each task on a worker of speed 1.
     pub run: Duration,
     /// Run time as declared by the client, if that is wrong.
     pub declared: Option<Duration>,
@@ -185,7 +199,9 @@
     pub task_runs: Vec<(u32, Duration)>,
     /// Declared run time as a multiple of `run`.
     pub declared_factor: f64,
+    /// Priority; 0 is the most urgent.
     pub priority: u32,
+    /// Failed runs after which a task has failed.
     pub attempts: u32,
 }
 
@@ -212,6 +228,7 @@
         Self::with_settings(hosts, workers, &PoolSettings::default())
     }
 
+    /// Creates a fleet of one failure domain.
     pub fn with_settings(hosts: usize, workers: usize, settings: &PoolSettings) -> Self {
         Self::with_domains(&[FIRST_DOMAIN], hosts, workers, settings)
     }
--- a/crates/bramley-pool/tests/world/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use super::{DELAY, Event, TestJob, World};
+use crate::{DELAY, Event, TestJob, World};
 
 /// Longest time from the reset of a connection until one of its ends notices it.
 const MAX_NOTICE_MS: u64 = 60;
@@ -49,13 +49,17 @@
 /// Event of a connection. Each `usize` is the index of a host or the number of a connection.
 #[derive(Clone, Debug)]
 pub enum LinkEvent {
+    /// A message of the relay arrives at the pool.
     ToPool(usize, RelayMessage),
+    /// A message of the pool arrives at the relay.
     ToRelay(usize, PoolMessage),
     /// The hello of a new connection arrives at the pool.
     PoolAccepts(usize),
     /// The first heartbeat arrives at the relay.
     RelayConnects(usize),
+    /// The pool notices that the connection was reset.
     PoolNotices(usize),
+    /// The relay notices that the connection was reset.
     RelayNotices(usize),
     /// A host reads from the store that its failure domain or another has a new leader.
     ClaimRead(usize, DomainName),
@@ -156,6 +160,7 @@
 /// What becomes of a call to a worker.
 #[derive(Clone, Copy, Debug)]
 pub enum CallFate {
+    /// The call is sent as usual.
     Delivered,
     /// The connection failed before the request was sent.
     NotSent,
@@ -286,7 +291,7 @@
     }
 
     /// Returns the time at which an event is processed whose host processes its events late.
-    pub(super) fn held_until(&self, event: &Event) -> Option<UnixTime> {
+    pub(crate) fn held_until(&self, event: &Event) -> Option<UnixTime> {
         let links = self.links.as_ref()?;
         let (host, socket) = links.socket_of(event)?;
         let busy = links.busy.get(&host)?;
@@ -338,7 +343,7 @@
         let domain = self.hosts[host].domain.clone();
         let before = self.leaders.insert(domain.clone(), host);
         self.hosts[host].pool.become_leader(token, now);
-        self.schedule(super::LIST_DELAY, Event::List(host));
+        self.schedule(crate::LIST_DELAY, Event::List(host));
         for reader in 0..self.hosts.len() {
             let links = self.links_mut();
             let is_late = Some(reader) == before && links.rng.random_bool(0.3);
@@ -399,6 +404,7 @@
         }
     }
 
+    /// Sends a message on the current connection of a relay to the pool of a failure domain.
     pub fn send_to_pool(&mut self, relay: usize, domain: &DomainName, message: RelayMessage) {
         let is_own = self.hosts[relay].domain == *domain;
         if is_own && self.links_mut().local_leaders.contains(&relay) {
@@ -411,6 +417,7 @@
         }
     }
 
+    /// Sends a message of a pool on the connection with this number.
     pub fn send_to_relay(&mut self, pool: usize, relay: RelayId, message: PoolMessage) {
         let first = self.hosts.len();
         let number = (relay.0 as usize).checked_sub(first);
@@ -423,6 +430,7 @@
         }
     }
 
+    /// Sends a message of a pool on all its connections.
     pub fn broadcast(&mut self, pool: usize, message: &PoolMessage) {
         let first = self.hosts.len();
         let numbers: Vec<usize> = (0..self.links_mut().connections.len())
@@ -453,7 +461,7 @@
         };
         self.schedule(DELAY, Event::Answer(host, call.clone(), answer));
         if let Some(late_by) = late_by {
-            let worker = &self.workers[super::worker_of(call)];
+            let worker = &self.workers[crate::worker_of(call)];
             let event = Event::LateRequest(call.clone(), worker.born_unix_ms);
             self.schedule(late_by, event);
         }
@@ -489,7 +497,7 @@
         self.call_host(next, &job, None);
     }
 
-    pub(super) fn handle_link_event(&mut self, event: LinkEvent) {
+    pub(crate) fn handle_link_event(&mut self, event: LinkEvent) {
         let now = self.now;
         let first = self.hosts.len();
         let relay_id = |number: usize| RelayId((first + number) as u64);
--- a/crates/bramley-pool/tests/world/workers.rs
+++ b/crates/bramley-fleet/src/workers.rs
@@ -47,23 +47,31 @@
 /// A worker with 32 cores.
 #[derive(Debug)]
 pub struct VirtualWorker {
+    /// Name, ending in the index of the worker.
     pub name: String,
     /// Name of its failure domain.
     pub domain: String,
+    /// Start time of the incarnation in milliseconds.
     pub born_unix_ms: u64,
+    /// CPU in thousandths of a core.
     pub capacity_milli: u32,
+    /// Whether the process runs.
     pub alive: bool,
     /// Neither receives nor answers requests, but keeps running tasks.
     pub silent: bool,
     /// Additional delay of its answers.
     pub answer_delay: Duration,
+    /// Whether the platform lists it.
     pub listed: bool,
+    /// Whether it is being drained.
     pub leaving: bool,
     /// Time for which its entry says that it is cold.
     pub cold: Duration,
+    /// What it does with tasks.
     pub behaviour: Behaviour,
     /// Run times by name of the job, or of the task if it has one of its own.
     pub run_times: BTreeMap<String, Duration>,
+    /// Number of starts refused for lack of resources.
     pub starts_refused: u32,
     /// Refuses connections while it is not alive; else it does not respond at all.
     pub refuses_connections: bool,
@@ -95,6 +103,7 @@
 }
 
 impl VirtualWorker {
+    /// Creates a healthy worker with 32 cores.
     pub fn new(index: usize) -> Self {
         Self {
             name: format!("worker-{index}"),
@@ -130,6 +139,7 @@
         }
     }
 
+    /// Returns its entry in the platform's list.
     pub fn entry(&self) -> WorkerEntry {
         WorkerEntry {
             name: WorkerName::new(self.name.as_str()),
@@ -221,6 +231,7 @@
         self.runs.len()
     }
 
+    /// Returns its clock in milliseconds.
     pub fn clock(&self, now: UnixTime) -> u64 {
         now.as_millis() - 900_000 + self.clock_offset
     }
@@ -316,10 +327,12 @@
         None
     }
 
+    /// Returns whether a run has ended after this position of the list.
     pub fn has_end_after(&self, position: u64) -> bool {
         self.ended.iter().any(|end| end.position > position)
     }
 
+    /// Returns a report of active and ended runs.
     pub fn report(&self, now: UnixTime) -> WorkerReport {
         WorkerReport {
             born_unix_ms: Some(self.born_unix_ms),
--- a/crates/bramley-pool/tests/crashing_tasks.rs
+++ b/crates/bramley-pool/tests/crashing_tasks.rs
@@ -3,16 +3,14 @@
 //! A task may be given up, and its job answered as failed, once two workers have crashed under it.
 //! After three crashes it must not be started three times more, whichever way its job takes.
 
-mod world;
-
 use std::time::Duration;
 
+use bramley_fleet::workers::VirtualWorker;
+use bramley_fleet::{CrashKind, TestJob, World};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::JobAnswer;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::workers::VirtualWorker;
-use world::{CrashKind, TestJob, World};
 
 /// Crashes after which the platform lets a task be given up.
 const CRASHES_TO_GIVE_UP: u32 = 2;
--- a/crates/bramley-pool/tests/evacuation.rs
+++ b/crates/bramley-pool/tests/evacuation.rs
@@ -1,17 +1,15 @@
 //! Evacuation of a failure domain and its return to use.
 
-mod world;
-
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction};
 use bramley_pool::settings::{PoolSettings, RelaySettings};
-use world::{TestJob, World};
 
 /// Bound of the deployments.
 const BOUND: Duration = Duration::from_millis(5_000);
--- a/crates/bramley-pool/tests/explanation.rs
+++ b/crates/bramley-pool/tests/explanation.rs
@@ -1,11 +1,10 @@
 //! Explanations of where a submission would go now.
 
-mod world;
-
 use std::time::Duration;
 
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::explanation::{OfferEnding, OfferReason, PoolAnswer};
 use bramley_pool::message::PoolLoad;
 use bramley_pool::refusal::Refusal;
@@ -13,7 +12,6 @@
 use bramley_pool::settings::RelaySettings;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::{TestJob, World};
 
 /// Compares explanations with what then happens, at loads from idle to overloaded. Guards against
 /// an explanation that follows other rules than the pool, or changes its state.
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -1,11 +1,9 @@
 //! Change of the leader of a failure domain while tasks run.
 
-mod world;
-
 use std::time::Duration;
 
+use bramley_fleet::{TestJob, World};
 use bramley_pool::relay::JobAnswer;
-use world::{TestJob, World};
 
 fn long_job(name: &str) -> TestJob {
     TestJob {
@@ -91,7 +89,7 @@
     let running: usize = world
         .workers
         .iter()
-        .map(world::workers::VirtualWorker::running)
+        .map(bramley_fleet::workers::VirtualWorker::running)
         .sum();
     assert_eq!(running, 0, "the lost job's runs were stopped");
 }
--- a/crates/bramley-pool/tests/heavy_load.rs
+++ b/crates/bramley-pool/tests/heavy_load.rs
@@ -1,15 +1,13 @@
 //! Load near and above the capacity of the workers: admission, queue order and placement.
 
-mod world;
-
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::JobAnswer;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::{TestJob, World};
 
 fn started_world(workers: usize) -> World {
     let mut world = World::new(1, workers);
--- a/crates/bramley-pool/tests/interference.rs
+++ b/crates/bramley-pool/tests/interference.rs
@@ -1,18 +1,16 @@
 //! Tasks that slow each other down on one worker: what is learned of them, and where they are
 //! placed.
 
-mod world;
-
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
+use bramley_fleet::workers::{Behaviour, VirtualWorker};
+use bramley_fleet::{TestJob, World};
 use bramley_pool::pool::RoutePair;
 use bramley_pool::relay::JobAnswer;
 use bramley_pool::settings::PoolSettings;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::workers::{Behaviour, VirtualWorker};
-use world::{TestJob, World};
 
 /// Routes of the jobs of these tests.
 const ROUTES: [&str; 2] = ["grind", "parse"];
--- a/crates/bramley-pool/tests/late_service.rs
+++ b/crates/bramley-pool/tests/late_service.rs
@@ -1,12 +1,11 @@
 //! Jobs that no pool can serve in time: they are served late in capacity that nobody else wants, or
 //! refused as soon as it is known that they cannot be.
 
-mod world;
-
 use std::time::Duration;
 
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::crash::CrashHistory;
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
 use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage};
@@ -14,7 +13,6 @@
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction};
 use bramley_pool::resources::TaskResources;
 use bramley_pool::settings::RelaySettings;
-use world::{TestJob, World};
 
 const NOW: UnixTime = UnixTime::from_millis(1_000_000);
 
--- a/crates/bramley-pool/tests/overload.rs
+++ b/crates/bramley-pool/tests/overload.rs
@@ -1,19 +1,17 @@
 //! Load far above the capacity of the workers: what is served, what a refusal costs, and the share
 //! of jobs that the pool asks relays to submit.
 
-mod world;
-
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::job::RouteName;
 use bramley_pool::message::{RelayId, RouteAdmission};
 use bramley_pool::relay::JobAnswer;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::{TestJob, World};
 
 /// Number of workers of a failure domain of a grown deployment.
 const WORKERS: usize = 117;
--- a/crates/bramley-pool/tests/published_state.rs
+++ b/crates/bramley-pool/tests/published_state.rs
@@ -1,12 +1,11 @@
 //! Relays that refuse by themselves what pools could not serve, by the state that pools publish.
 
-mod world;
-
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::job::{JobName, RouteName};
 use bramley_pool::message::{
     JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
@@ -14,7 +13,6 @@
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction, RouteOffer};
 use bramley_pool::settings::RelaySettings;
-use world::{TestJob, World};
 
 const ROUTE: &str = "holds";
 
--- a/crates/bramley-pool/tests/random_runs.rs
+++ b/crates/bramley-pool/tests/random_runs.rs
@@ -1,19 +1,17 @@
 //! Randomized simulation of relays, pools and workers with faults and changes of leader. Checks the
 //! guarantees against the runs on the workers and the answers to the callers.
 
-mod world;
-
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
+use bramley_fleet::workers::Behaviour;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::relay::JobAnswer;
 use bramley_pool::settings::PoolSettings;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::workers::Behaviour;
-use world::{TestJob, World};
 
 /// Seeds that CI runs.
 const SEEDS: std::ops::Range<u64> = 0..40;
--- a/crates/bramley-pool/tests/reset_links.rs
+++ b/crates/bramley-pool/tests/reset_links.rs
@@ -1,18 +1,16 @@
 //! Randomized simulation of three failure domains whose connections are reset at the same moment,
 //! with full pools, hosts that process their events late, and callers that leave.
 
-mod world;
-
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
+use bramley_fleet::links::job_of;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::settings::PoolSettings;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::links::job_of;
-use world::{TestJob, World};
 
 /// Seeds that CI runs.
 const SEEDS: std::ops::Range<u64> = 0..12;
--- a/crates/bramley-pool/tests/shrinking_capacity.rs
+++ b/crates/bramley-pool/tests/shrinking_capacity.rs
@@ -1,14 +1,12 @@
 //! Workers whose capacity shrinks and grows while they run, and that start whatever they are told
 //! to. No start may bring them over their capacity; runs that are being stopped count.
 
-mod world;
-
 use std::time::Duration;
 
+use bramley_fleet::{TestJob, World};
 use bramley_pool::relay::JobAnswer;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use world::{TestJob, World};
 
 /// Time that the platform allows until a smaller capacity must be respected: `contact_ms` and one
 /// heartbeat of the worker.
--- a/crates/bramley-pool/tests/stragglers.rs
+++ b/crates/bramley-pool/tests/stragglers.rs
@@ -1,12 +1,10 @@
 //! Runs that take longer than expected, and workers that hang, fail or lose requests.
 
-mod world;
-
 use std::time::Duration;
 
+use bramley_fleet::workers::Behaviour;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::relay::JobAnswer;
-use world::workers::Behaviour;
-use world::{TestJob, World};
 
 fn started_world(workers: usize) -> World {
     let mut world = World::new(1, workers);
--- a/crates/bramley-pool/tests/uneven_workers.rs
+++ b/crates/bramley-pool/tests/uneven_workers.rs
@@ -1,13 +1,11 @@
 //! Workers of different speed and tasks that take far longer than declared.
 
-mod world;
-
 use std::time::Duration;
 
+use bramley_fleet::burst::{BurstKind, BurstResult, count_answers, submit_burst, uneven_domain};
+use bramley_fleet::workers::Behaviour;
+use bramley_fleet::{TestJob, World};
 use bramley_pool::relay::JobAnswer;
-use world::burst::{BurstKind, BurstResult, count_answers, submit_burst, uneven_domain};
-use world::workers::Behaviour;
-use world::{TestJob, World};
 
 /// Run time factors with 40 % of the workers three times slower.
 const TWO_SLOW_IN_FIVE: [f64; 5] = [1.0, 3.0, 1.0, 3.0, 1.0];
