--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -3,8 +3,10 @@
 use std::pin::pin;
 use std::rc::Rc;
 
+use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
 use bramley_pool::decision::{Decision, LogPriority};
+use bramley_pool::message::RelayMessage;
 use bramley_pool::pool::PoolAction;
 use bramley_pool::relay::RelayAction;
 use bramley_pool::worker::{CallAnswer, WorkerCall};
@@ -88,6 +90,18 @@
                 }
                 state.local_relay_inbox.push(message);
             }
+            PoolAction::SendToPool(domain, message) => self.send_to_pool(&domain, message),
+            PoolAction::Publish(waiting) => {
+                let domains: Vec<DomainName> = {
+                    let state = self.state.borrow();
+                    let links = state.pools.iter();
+                    let others = links.filter(|(_, link)| link.outgoing.is_some());
+                    others.map(|(domain, _)| domain.clone()).collect()
+                };
+                for domain in domains {
+                    self.send_to_pool(&domain, RelayMessage::Waiting(waiting));
+                }
+            }
             PoolAction::LogDecision(decision) => self.log_decision(&decision),
             PoolAction::LostLeadership => {
                 let action = self.state.borrow_mut().claim.lost_leadership();
@@ -124,26 +138,7 @@
 
     pub(super) fn execute_relay_action(&self, action: RelayAction) {
         match action {
-            RelayAction::Send(domain, message) => {
-                let now = self.now();
-                let mut state = self.state.borrow_mut();
-                let is_local = state
-                    .pools
-                    .get(&domain)
-                    .is_some_and(|link| link.claim.incarnation == self.incarnation);
-                if is_local {
-                    state.local_pool_inbox.push(message);
-                } else if let Some(outgoing) = state
-                    .pools
-                    .get(&domain)
-                    .and_then(|link| link.outgoing.as_ref())
-                {
-                    let frame = OutgoingFrame::Single(encode_relay_message(message, now));
-                    if outgoing.send(frame).is_err() {
-                        log::debug!("event=frame_dropped pool={domain} reason=connection_ended");
-                    }
-                }
-            }
+            RelayAction::Send(domain, message) => self.send_to_pool(&domain, message),
             RelayAction::Answer(job, answer) => {
                 let caller = self.state.borrow_mut().callers.remove(&job);
                 if let Some(caller) = caller
@@ -156,6 +151,22 @@
         }
     }
 
+    /// Sends a message to the pool of a failure domain, if it is connected or local.
+    fn send_to_pool(&self, domain: &DomainName, message: RelayMessage) {
+        let now = self.now();
+        let mut state = self.state.borrow_mut();
+        let link = state.pools.get(domain);
+        let is_local = link.is_some_and(|link| link.claim.incarnation == self.incarnation);
+        if is_local {
+            state.local_pool_inbox.push(message);
+        } else if let Some(outgoing) = link.and_then(|link| link.outgoing.as_ref()) {
+            let frame = OutgoingFrame::Single(encode_relay_message(message, now));
+            if outgoing.send(frame).is_err() {
+                log::debug!("event=frame_dropped pool={domain} reason=connection_ended");
+            }
+        }
+    }
+
     /// Logs the numbers of refusals that were not logged in full.
     pub(super) fn log_omitted_refusals(&self, now: UnixTime) {
         let mut state = self.state.borrow_mut();
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -94,10 +94,10 @@
     pub(crate) fn handle_pool_message(self: &Rc<Self>, domain: &DomainName, message: PoolMessage) {
         self.detect_pause();
         let now = self.now();
-        self.state
-            .borrow_mut()
-            .relay
-            .handle_pool_message(domain, message, now);
+        self.update_state(|state| match message {
+            PoolMessage::Steal(request) => state.pool.handle_steal(domain, &request, now),
+            message => state.relay.handle_pool_message(domain, message, now),
+        });
         self.process_actions();
     }
 
--- a/crates/bramley-dock/src/engine/placement.rs
+++ b/crates/bramley-dock/src/engine/placement.rs
@@ -68,6 +68,7 @@
             earlier_workers: 0,
             resumed: false,
             accepts_late: false,
+            part: Vec::new(),
         };
         let plan = state.relay.explain(&submission, now);
         let ages: Vec<PoolAge> = plan
@@ -158,6 +159,7 @@
     }
     let late_submission = JobSubmission {
         accepts_late: true,
+        part: Vec::new(),
         ..submission.clone()
     };
     let late_answer = describe_answer(&state.pool.explain(&late_submission, now));
--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -2,18 +2,19 @@
 
 use std::time::Duration;
 
-use bramley_core::names::WorkerName;
+use bramley_core::names::{DomainName, WorkerName};
 use bramley_core::units::UnixTime;
 use bramley_pool::crash::{CrashEvidence, TaskCrash};
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
 use bramley_pool::message::{
-    JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
+    FreeSlot, JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, StealRequest,
+    TaskPlacement, WaitingTasks,
 };
 use bramley_pool::refusal::Refusal;
 use bramley_pool::resources::TaskResources;
 use bramley_wire::pool::{
     self as wire, CancelJob, JobCrash, JobEnded, PlacedTask, PoolBeat, PoolFrame, RelayFrame,
-    SubmitJob, TaskDone, TasksPlaced, pool_frame, relay_frame,
+    StealTasks, SubmitJob, TaskDone, TasksPlaced, TasksReleased, pool_frame, relay_frame,
 };
 
 /// Outcome code of a completed job.
@@ -39,6 +40,11 @@
         RelayMessage::Cancel(job) => relay_frame::Body::Cancel(CancelJob {
             job: String::from(job.as_str()),
         }),
+        RelayMessage::Waiting(waiting) => relay_frame::Body::Waiting(wire::WaitingTasks {
+            tasks: waiting.tasks,
+            min_cpu_milli: waiting.min_cpu_milli,
+            released: waiting.released,
+        }),
     };
     RelayFrame { body: Some(body) }
 }
@@ -56,6 +62,7 @@
         earlier_workers,
         resumed,
         accepts_late,
+        part,
     } = submission;
     SubmitJob {
         job: String::from(work.job.as_str()),
@@ -84,6 +91,7 @@
         accepts_late,
         crashes: crashes.iter().map(encode_crash).collect(),
         workers_unguarded: !policy.workers_are_guarded,
+        part,
     }
 }
 
@@ -165,6 +173,7 @@
         earlier_workers: submit.earlier_workers,
         resumed: submit.resumed,
         accepts_late: submit.accepts_late,
+        part: submit.part,
     }
 }
 
@@ -189,6 +198,18 @@
             outcome: encode_outcome(outcome),
             wait_us: micros(wait),
         }),
+        PoolMessage::Steal(request) => pool_frame::Body::Steal(StealTasks {
+            slots: request.slots.iter().map(encode_slot).collect(),
+        }),
+        PoolMessage::Released {
+            job,
+            tasks,
+            requester,
+        } => pool_frame::Body::Released(TasksReleased {
+            job: String::from(job.as_str()),
+            tasks,
+            failure_domain: String::from(requester.as_str()),
+        }),
     };
     PoolFrame { body: Some(body) }
 }
@@ -292,6 +313,46 @@
             outcome: decode_outcome(ended.outcome),
             wait: Duration::from_micros(ended.wait_us),
         }),
+        pool_frame::Body::Steal(steal) => Some(PoolMessage::Steal(StealRequest {
+            slots: steal.slots.into_iter().map(decode_slot).collect(),
+        })),
+        pool_frame::Body::Released(released) => Some(PoolMessage::Released {
+            job: JobName::new(released.job),
+            tasks: released.tasks,
+            requester: DomainName::from(released.failure_domain.as_str()),
+        }),
+    }
+}
+
+/// Decodes a message about tasks that wait at another pool.
+#[must_use]
+pub const fn decode_waiting(waiting: wire::WaitingTasks) -> WaitingTasks {
+    WaitingTasks {
+        tasks: waiting.tasks,
+        min_cpu_milli: waiting.min_cpu_milli,
+        released: waiting.released,
+    }
+}
+
+fn encode_slot(slot: &FreeSlot) -> wire::FreeSlot {
+    wire::FreeSlot {
+        service: String::from(slot.service.as_str()),
+        cpu_milli: slot.free.cpu_milli,
+        memory_mb: slot.free.memory_mb,
+        accelerators: slot.free.accelerators,
+        pace_permille: slot.pace_permille,
+    }
+}
+
+fn decode_slot(slot: wire::FreeSlot) -> FreeSlot {
+    FreeSlot {
+        service: ServiceName::new(slot.service),
+        free: TaskResources {
+            accelerators: slot.accelerators,
+            cpu_milli: slot.cpu_milli,
+            memory_mb: slot.memory_mb,
+        },
+        pace_permille: slot.pace_permille,
     }
 }
 
--- a/crates/bramley-dock/src/links/inbound.rs
+++ b/crates/bramley-dock/src/links/inbound.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 
-use super::convert::decode_submission;
+use super::convert::{decode_submission, decode_waiting};
 use super::{
     DisconnectReason, FrameReader, configure_stream, read_frame, split_stream, write_frames,
 };
@@ -81,6 +81,9 @@
             Some(relay_frame::Body::Cancel(cancel)) => {
                 RelayMessage::Cancel(JobName::new(cancel.job))
             }
+            Some(relay_frame::Body::Waiting(waiting)) => {
+                RelayMessage::Waiting(decode_waiting(waiting))
+            }
             Some(relay_frame::Body::Hello(_) | relay_frame::Body::Beat(_)) | None => continue,
         };
         engine.handle_relay_message(relay, message);
--- a/crates/bramley-dock/src/settings.rs
+++ b/crates/bramley-dock/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bramley_core::names::{DomainName, HostName};
+use bramley_pool::mechanism::{DisabledMechanisms, Mechanism};
 use bramley_pool::settings::{ClaimSettings, PoolSettings, RelaySettings};
 use bramley_settings::{ValidatedSettings, ValidationErrors};
 use serde::{Deserialize, Serialize};
@@ -90,6 +91,8 @@
     /// Whether tasks of routes that slow each other down are kept on different workers where there
     /// is room.
     pub keeps_interfering_apart: bool,
+    /// Names of mechanisms that are switched off, to measure what they are worth.
+    pub disabled_mechanisms: Vec<String>,
 }
 
 impl Default for TuningFile {
@@ -103,10 +106,20 @@
             peer_port_offset: 0,
             metrics_port: 9_464,
             keeps_interfering_apart: false,
+            disabled_mechanisms: Vec::new(),
         }
     }
 }
 
+impl TuningFile {
+    /// Returns the mechanisms that are switched off.
+    #[must_use]
+    pub fn disabled(&self) -> DisabledMechanisms {
+        let names = self.disabled_mechanisms.iter();
+        names.filter_map(|name| name.parse().ok()).collect()
+    }
+}
+
 impl ValidatedSettings for TuningFile {
     fn validate(&self, errors: &mut ValidationErrors) {
         if self.log_level.parse::<log::LevelFilter>().is_err() {
@@ -123,6 +136,13 @@
                 "100 to 1000",
             );
         }
+        for (name, position) in self.disabled_mechanisms.iter().zip(0_usize..) {
+            if name.parse::<Mechanism>().is_err() {
+                let path = format!("disabled_mechanisms[{position}]");
+                let expected = format!("one of {}", Mechanism::names());
+                errors.report(&path, format!("unknown mechanism `{name}`"), expected);
+            }
+        }
         if self.log_buffer_lines == 0 {
             errors.report(
                 "log_buffer_lines",
--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -67,6 +67,7 @@
         earlier_workers: 16,
         resumed: true,
         accepts_late: true,
+        part: Vec::new(),
     }
 }
 
--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -110,6 +110,16 @@
     pub alive: bool,
 }
 
+impl VirtualHost {
+    /// Handles a message of the pool of a failure domain.
+    fn receive(&mut self, domain: &DomainName, message: PoolMessage, now: UnixTime) {
+        match message {
+            PoolMessage::Steal(request) => self.pool.handle_steal(domain, &request, now),
+            message => self.relay.handle_pool_message(domain, message, now),
+        }
+    }
+}
+
 /// How workers crash under a task that crashes its workers.
 #[derive(Clone, Copy, Debug)]
 pub struct CrashKind {
@@ -461,6 +471,7 @@
             earlier_workers: 0,
             resumed: false,
             accepts_late: false,
+            part: Vec::new(),
         }
     }
 
@@ -567,9 +578,7 @@
             Event::ToRelay(from, to, message) => {
                 if self.hosts[to].alive && self.leads(from) {
                     let domain = self.hosts[from].domain.clone();
-                    self.hosts[to]
-                        .relay
-                        .handle_pool_message(&domain, message, now);
+                    self.hosts[to].receive(&domain, message, now);
                 }
             }
             Event::CallArrives(host, call) => self.call_arrives(host, call),
@@ -819,6 +828,17 @@
                     self.schedule(DELAY, Event::ToRelay(host, relay, message.clone()));
                 }
             }
+            PoolAction::SendToPool(domain, message) => {
+                self.run_relay_action(host, RelayAction::Send(domain, message));
+            }
+            PoolAction::Publish(waiting) => {
+                let own_domain = self.hosts[host].domain.clone();
+                let domains = self.leaders.keys().filter(|domain| **domain != own_domain);
+                for domain in domains.cloned().collect::<Vec<_>>() {
+                    let message = RelayMessage::Waiting(waiting);
+                    self.run_relay_action(host, RelayAction::Send(domain, message));
+                }
+            }
             PoolAction::LogDecision(decision) => {
                 let line = format!("{} host={host} {decision}", self.now.as_millis());
                 self.log.push(line);
--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -521,8 +521,7 @@
                 let (pool, relay) = (link.pool, link.relay);
                 links.refusals += usize::from(is_refusal(&message));
                 let domain = self.hosts[pool].domain.clone();
-                let relay = &mut self.hosts[relay].relay;
-                relay.handle_pool_message(&domain, message, now);
+                self.hosts[relay].receive(&domain, message, now);
             }
             LinkEvent::PoolAccepts(number) => {
                 let link = &mut self.links_mut().connections[number];
--- a/crates/bramley-pool/benches/admission.rs
+++ b/crates/bramley-pool/benches/admission.rs
@@ -73,6 +73,7 @@
         earlier_workers: 0,
         resumed: false,
         accepts_late: false,
+        part: Vec::new(),
     };
     RelayMessage::Submit(Box::new(submission))
 }
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bramley_core::names::WorkerName;
+use bramley_core::names::{DomainName, WorkerName};
 
 use crate::crash::{CrashEvidence, Suspicion, TaskCrash};
 use crate::job::{JobName, QueueClass, RouteName, TaskName};
@@ -263,6 +263,19 @@
         /// Time since the request arrived.
         age: Duration,
     },
+    /// Waiting tasks of a job were released to the pool of another failure domain.
+    TasksReleased {
+        /// Name of the job.
+        job: JobName,
+        /// Number of tasks.
+        tasks: u32,
+        /// Failure domain of the pool that has requested them.
+        requester: DomainName,
+        /// Tasks that waited here before.
+        waiting: u32,
+        /// Time since the request arrived.
+        age: Duration,
+    },
     /// A job was cancelled because no caller waits for it.
     JobCancelled {
         /// Name of the job.
@@ -332,6 +345,7 @@
             | Self::JobEnded { job, .. }
             | Self::JobCancelled { job, .. }
             | Self::JobReturned { job, .. }
+            | Self::TasksReleased { job, .. }
             | Self::JobResumed { job, .. } => Some(job.as_str()),
             Self::Placed { task, .. }
             | Self::StartRefused { task, .. }
@@ -366,7 +380,9 @@
     #[must_use]
     pub const fn priority(&self) -> LogPriority {
         match self {
-            Self::Admitted { .. } | Self::Placed { .. } => LogPriority::Routine,
+            Self::Admitted { .. } | Self::Placed { .. } | Self::TasksReleased { .. } => {
+                LogPriority::Routine
+            }
             Self::RunEnded { end, .. } => match end {
                 Some(RunEnd::Done) => LogPriority::Routine,
                 _ => LogPriority::Important,
@@ -628,6 +644,17 @@
                 "event=job_returned job={job} reason=evacuated left={left} age_ms={}",
                 age.as_millis(),
             ),
+            Self::TasksReleased {
+                job,
+                tasks,
+                requester,
+                waiting,
+                age,
+            } => write!(
+                f,
+                "event=tasks_released job={job} tasks={tasks} to={requester} waiting={waiting} age_ms={}",
+                age.as_millis(),
+            ),
             Self::JobResumed { job, done, adopted } => write!(
                 f,
                 "event=job_resumed job={job} done={done} adopted={adopted}"
--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -142,6 +142,9 @@
     /// Whether the pool may admit the job although it would miss its latency objective. Set once
     /// no pool could serve it in time.
     pub accepts_late: bool,
+    /// Tasks that the pool is to run if other pools run the rest; empty if it is to run all that are
+    /// not done.
+    pub part: Vec<u32>,
 }
 
 /// Largest number of tasks of one job; the largest known jobs have 32.
@@ -175,6 +178,8 @@
     Placed(WorkerIndex),
     /// Completed successfully.
     Done,
+    /// Run by the pool of another failure domain.
+    Elsewhere,
 }
 
 /// A pool's record of a task.
@@ -245,6 +250,8 @@
     /// Whether the job was admitted before others because jobs of its size or of its relay's failure
     /// domain got less than is guaranteed.
     pub is_guaranteed: bool,
+    /// Whether other pools run, or ran, some of the tasks.
+    pub is_split: bool,
     /// Index of the route in the table of routes that may slow each other down; `None` if the route
     /// is not tracked.
     pub route: Option<RouteIndex>,
--- a/crates/bramley-pool/src/lib.rs
+++ b/crates/bramley-pool/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`explanation`]: where a submission would go now, and why.
 //! - [`exposure`]: routes whose runs overlapped with a run on the same worker.
 //! - [`job`]: submitted jobs and their tasks.
+//! - [`mechanism`]: mechanisms that can be switched off.
 //! - [`message`]: messages between relays and pools.
 //! - [`pool`]: placement of tasks on workers and tracking of their runs.
 //! - [`refusal`]: reasons for refusing a job and the responses they map to.
@@ -30,6 +31,7 @@
 pub mod explanation;
 pub mod exposure;
 pub mod job;
+pub mod mechanism;
 pub mod message;
 pub mod pool;
 pub mod refusal;
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use bramley_core::names::WorkerName;
+use bramley_core::names::{DomainName, WorkerName};
 use bramley_core::units::UnixTime;
 
 use crate::crash::TaskCrash;
-use crate::job::{JobName, JobSubmission, RouteName};
+use crate::job::{JobName, JobSubmission, RouteName, ServiceName};
 use crate::refusal::Refusal;
+use crate::resources::TaskResources;
 
 /// Identifies one incarnation of a relay to a pool.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -20,6 +21,38 @@
     Submit(Box<JobSubmission>),
     /// Cancel a job whose caller no longer waits for the answer.
     Cancel(JobName),
+    /// Tasks wait at the pool of the sending process. Sent by pools, over the connection of their
+    /// process's relay.
+    Waiting(WaitingTasks),
+}
+
+/// Tasks that wait at a pool and that other pools may request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WaitingTasks {
+    /// Number of tasks.
+    pub tasks: u32,
+    /// Smallest CPU of such a task in thousandths of a core.
+    pub min_cpu_milli: u32,
+    /// Number of tasks released to the receiver, if this is the answer to its request.
+    pub released: Option<u32>,
+}
+
+/// Free resources of one worker.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct FreeSlot {
+    /// Service of the worker.
+    pub service: ServiceName,
+    /// Free resources.
+    pub free: TaskResources,
+    /// Run time relative to that on a usual worker, in thousandths.
+    pub pace_permille: u32,
+}
+
+/// Request of a pool for tasks that wait at another one.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StealRequest {
+    /// Free resources of the requesting pool's workers.
+    pub slots: Vec<FreeSlot>,
 }
 
 /// Worker to which a task was last assigned.
@@ -94,6 +127,18 @@
         /// Estimated time until a similar job could start.
         wait: Duration,
     },
+    /// Requests tasks that wait at the pool of the receiving process.
+    Steal(StealRequest),
+    /// The pool will not start these tasks; the relay is to submit them to the pool that has
+    /// requested them.
+    Released {
+        /// Name of the job.
+        job: JobName,
+        /// Indices of the tasks.
+        tasks: Vec<u32>,
+        /// Failure domain of the pool that has requested them.
+        requester: DomainName,
+    },
 }
 
 /// Load of a pool.
--- a/crates/bramley-pool/src/pool/evacuation.rs
+++ b/crates/bramley-pool/src/pool/evacuation.rs
@@ -204,7 +204,7 @@
             .all(|(task, index)| match task.state {
                 TaskState::Waiting => self.is_safe_to_start(job, index, now),
                 TaskState::Placed(_) => false,
-                TaskState::Done => true,
+                TaskState::Done | TaskState::Elsewhere => true,
             });
         have_ended && !self.workers.iter().any(has_known_run)
     }
--- a/crates/bramley-pool/src/pool/explanation.rs
+++ b/crates/bramley-pool/src/pool/explanation.rs
@@ -57,6 +57,8 @@
                 }
                 PoolAction::Send(..)
                 | PoolAction::Broadcast(_)
+                | PoolAction::SendToPool(..)
+                | PoolAction::Publish(_)
                 | PoolAction::Call(_)
                 | PoolAction::LostLeadership => {}
             }
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -92,6 +92,7 @@
         self.shares.clear();
         self.queue.clear();
         self.interference.reset();
+        self.stealing.clear();
         for worker in &mut self.workers {
             worker.reset();
         }
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -18,6 +18,7 @@
     pub fn handle_relay_message(&mut self, relay: RelayId, message: RelayMessage, now: UnixTime) {
         match message {
             RelayMessage::Submit(submission) => self.submit(relay, *submission, now),
+            RelayMessage::Waiting(waiting) => self.waiting_published(relay, waiting, now),
             RelayMessage::Cancel(job) => {
                 if self
                     .jobs
@@ -34,6 +35,7 @@
     /// time.
     pub fn relay_lost(&mut self, relay: RelayId, now: UnixTime) {
         self.shares.relay_lost(relay);
+        self.stealing.relay_lost(relay);
         let abandoned_at = now.after(self.settings.relay_grace);
         for job in self.jobs.values_mut() {
             if job.relay == Some(relay) {
@@ -45,12 +47,20 @@
 
     fn submit(&mut self, relay: RelayId, submission: JobSubmission, now: UnixTime) {
         let name = submission.work.job.clone();
+        self.count_arrived_part(&submission.part);
         if let Some(job) = self.jobs.get_mut(&name) {
+            let has_other_relay = job.relay.is_some_and(|known| known != relay);
+            if job.is_split && has_other_relay {
+                // Only the relay that has split the job knows where its other tasks run.
+                self.refuse_unread(relay, name, Refusal::Unknown);
+                return;
+            }
             job.relay = Some(relay);
             job.submission.deadline = submission.deadline;
             job.submission.resumed |= submission.resumed;
             job.submission.placements = submission.placements;
             job.submission.earlier_workers = submission.earlier_workers;
+            self.assign_part(&name, &submission.part);
             self.remember_crashes(&name, &submission.crashes, now);
             if self.close_if_any_barred(&name, now) {
                 return;
@@ -83,6 +93,10 @@
             return;
         }
         self.update_contention(now);
+        if !submission.part.is_empty() && !submission.resumed {
+            self.submit_part(relay, submission, now);
+            return;
+        }
         if self.is_surely_new(&submission, now) {
             self.submit_new(relay, submission, now);
             return;
@@ -100,6 +114,10 @@
         };
         let done = job.tasks.len() - job.unfinished as usize;
         if job.unfinished == 0 {
+            if job.is_split {
+                let tasks: Vec<u32> = job.done_tasks().collect();
+                self.report_progress(relay, &name, &tasks);
+            }
             self.finish(&name, JobOutcome::Completed, now);
             return;
         }
@@ -141,6 +159,17 @@
             && self.crashes.history(name).is_none()
     }
 
+    /// Takes over never started tasks of a job that has begun in another pool.
+    fn submit_part(&mut self, relay: RelayId, submission: JobSubmission, now: UnixTime) {
+        let name = submission.work.job.clone();
+        let mut job = self.make_record(relay, submission, now);
+        self.add_tasks(&mut job);
+        job.route = self.track_route(&job.submission.policy);
+        self.occupy_summary(&job, now);
+        self.jobs.insert(name.clone(), job);
+        self.place_admitted(relay, &name, now);
+    }
+
     /// Decides on a job that cannot have run. Records of its tasks are made only if it is admitted,
     /// because most jobs are refused under overload.
     fn submit_new(&mut self, relay: RelayId, submission: JobSubmission, now: UnixTime) {
@@ -222,7 +251,7 @@
             tasks
                 .filter_map(|(task, index)| match task.state {
                     TaskState::Placed(worker) => Some(self.placement(index, worker)),
-                    TaskState::Waiting | TaskState::Done => None,
+                    TaskState::Waiting | TaskState::Done | TaskState::Elsewhere => None,
                 })
                 .collect()
         });
@@ -256,6 +285,7 @@
             relay: Some(relay),
             abandoned_at: now,
             may_have_started: submission.resumed
+                || !submission.part.is_empty()
                 || self.started_jobs.contains_key(&submission.work.job),
             tasks: Vec::new(),
             waiting: 0,
@@ -265,6 +295,7 @@
             useful_until,
             queue_class,
             is_guaranteed: false,
+            is_split: !submission.part.is_empty(),
             route: None,
             submission,
         }
@@ -292,6 +323,13 @@
                 task.state = TaskState::Done;
             }
         }
+        if !submission.part.is_empty() {
+            for (task, index) in tasks.iter_mut().zip(0_u32..) {
+                if task.state == TaskState::Waiting && !submission.part.contains(&index) {
+                    task.state = TaskState::Elsewhere;
+                }
+            }
+        }
         let waiting = tasks
             .iter()
             .filter(|task| task.state == TaskState::Waiting)
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -10,6 +10,7 @@
 use crate::crash::CrashEvidence;
 use crate::decision::Decision;
 use crate::job::{JobName, QueueClass};
+use crate::mechanism::Mechanism;
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
 use crate::run::{LiveRun, RunDetails, StopCause};
@@ -92,7 +93,7 @@
     /// waiting for contended capacity. A job that could not be served there in time to be of use is
     /// refused.
     fn defer_late_jobs(&mut self, now: UnixTime) {
-        if !self.is_contended || !self.has_job_in_time(now) {
+        if !self.allows(Mechanism::Deferral) || !self.is_contended || !self.has_job_in_time(now) {
             return;
         }
         // Refused jobs leave their slots to those behind them.
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -23,6 +23,7 @@
 //! - `shares`: shares of the capacity by route, failure domain and size.
 //! - `slowdown`: estimate of the slowdown of a route's runs by each route beside them.
 //! - `starts`: start requests and their answers.
+//! - `stealing`: waiting tasks that pools of other failure domains run.
 //! - `summary`: summary of slots and queue for admission.
 //! - `utilization`: average utilization of the workers.
 
@@ -49,6 +50,7 @@
 mod speed;
 mod spread;
 mod starts;
+mod stealing;
 mod summary;
 mod utilization;
 
@@ -57,14 +59,15 @@
 use std::time::Duration;
 
 use bramley_core::estimate::RunTimeEstimator;
-use bramley_core::names::{ClassName, TeamName, WorkerName};
+use bramley_core::names::{ClassName, DomainName, TeamName, WorkerName};
 use bramley_core::units::UnixTime;
 use rustc_hash::FxHashMap;
 
 use crate::crash::CrashMemory;
 use crate::decision::Decision;
 use crate::job::{JobName, JobPolicy, JobRecord, JobWork, RouteName};
-use crate::message::{PoolLoad, PoolMessage, RelayId};
+use crate::mechanism::Mechanism;
+use crate::message::{PoolLoad, PoolMessage, RelayId, RelayMessage, WaitingTasks};
 use crate::run::StopCause;
 use crate::settings::PoolSettings;
 use crate::worker::{WorkerCall, WorkerIndex, WorkerRecord, WorkerRequest};
@@ -79,6 +82,7 @@
 use shares::CapacityShares;
 pub use speed::SpeedEstimate;
 use spread::RouteSpread;
+use stealing::StealState;
 use summary::AdmissionSummary;
 use utilization::SlotUtilization;
 
@@ -97,6 +101,10 @@
     Send(RelayId, PoolMessage),
     /// Send a message to all connected relays.
     Broadcast(PoolMessage),
+    /// Send a message to the pool of another failure domain.
+    SendToPool(DomainName, RelayMessage),
+    /// Tell the pools of all other failure domains about waiting tasks.
+    Publish(WaitingTasks),
     /// Log a decision.
     LogDecision(Decision),
     /// Another process controls the workers with a higher fencing token; release the claim.
@@ -141,6 +149,12 @@
     pub runs_adopted: u64,
     /// Placements for which another worker was chosen so as to keep interfering routes apart.
     pub placements_kept_apart: u64,
+    /// Requests for tasks that wait at other pools.
+    pub steal_requests: u64,
+    /// Waiting tasks released to other pools.
+    pub tasks_released: u64,
+    /// Tasks taken over from other pools.
+    pub tasks_taken: u64,
 }
 
 /// Schedules tasks on the workers of one failure domain while it holds a fencing token.
@@ -214,6 +228,8 @@
     latest_answered_call: UnixTime,
     /// Slowdowns of routes by each other.
     interference: InterferenceModel,
+    /// Work stealing between pools.
+    stealing: StealState,
 }
 
 impl Pool {
@@ -257,6 +273,7 @@
             answer_time: AnswerTime::default(),
             latest_answered_call: UnixTime::default(),
             interference: InterferenceModel::default(),
+            stealing: StealState::default(),
         }
     }
 
@@ -328,6 +345,11 @@
             .set(self.estimate_visits.get() + visits);
     }
 
+    /// Returns whether a mechanism is in use.
+    const fn allows(&self, mechanism: Mechanism) -> bool {
+        self.settings.disabled.allows(mechanism)
+    }
+
     fn log(&mut self, decision: Decision) {
         self.actions.push(PoolAction::LogDecision(decision));
     }
--- a/crates/bramley-pool/src/pool/placement.rs
+++ b/crates/bramley-pool/src/pool/placement.rs
@@ -22,6 +22,7 @@
     /// less CPU.
     pub(super) fn place_all(&mut self, now: UnixTime) {
         if !self.may_place(now) {
+            self.request_tasks(now);
             return;
         }
         self.clear_round();
@@ -49,6 +50,7 @@
             }
             self.reserve_workers(&name, now);
         }
+        self.publish_waiting(now);
     }
 
     /// Incremental placement round: considers only workers that have gained free resources and jobs
@@ -56,6 +58,7 @@
     /// score every worker for every waiting job.
     pub(super) fn place_due(&mut self, now: UnixTime) {
         if !self.may_place(now) {
+            self.request_tasks(now);
             return;
         }
         let mut freed = std::mem::take(&mut self.freed_workers);
@@ -74,6 +77,7 @@
                 self.place_job(&name, now);
             }
         }
+        self.publish_waiting(now);
     }
 
     /// Returns whether there are waiting tasks and starts are allowed now. If the queue is empty,
@@ -84,6 +88,11 @@
             self.clear_round();
             return false;
         }
+        self.may_start_tasks(now)
+    }
+
+    /// Returns whether starts are allowed now.
+    pub(super) fn may_start_tasks(&self, now: UnixTime) -> bool {
         self.token.is_some()
             && !self.awaits_list
             && self.evacuation.allows_starts(now)
@@ -159,7 +168,7 @@
     }
 
     /// Returns whether a task waits and can be started safely.
-    fn awaits_placement(&self, job: &JobRecord, position: usize, now: UnixTime) -> bool {
+    pub(super) fn awaits_placement(&self, job: &JobRecord, position: usize, now: UnixTime) -> bool {
         let task = &job.tasks[position];
         task.state == TaskState::Waiting
             && task.suspicion.allows_start()
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -402,16 +402,17 @@
         if end == Some(RunEnd::Done) {
             task.state = TaskState::Done;
             job.unfinished -= 1;
-            let relay = job.relay;
+            let (relay, is_split) = (job.relay, job.is_split);
             let is_complete = job.unfinished == 0;
             let message = PoolMessage::TaskDone {
                 job: details.task.job.clone(),
                 index: details.task.index,
             };
+            if !is_complete || is_split {
+                self.send(relay, message);
+            }
             if is_complete {
                 self.finish(&details.task.job, JobOutcome::Completed, now);
-            } else {
-                self.send(relay, message);
             }
             return;
         }
--- a/crates/bramley-pool/src/pool/reservation.rs
+++ b/crates/bramley-pool/src/pool/reservation.rs
@@ -7,6 +7,7 @@
 use super::admission::serves;
 use super::placement::expected_end;
 use crate::job::{JobName, JobRecord};
+use crate::mechanism::Mechanism;
 use crate::resources::TaskResources;
 use crate::worker::WorkerIndex;
 
@@ -28,7 +29,8 @@
         };
         let arrived = job.submission.arrived_at;
         let slack = job.latest_start().since(arrived);
-        if available == 0 || now < arrived.after(slack / 2) {
+        if !self.allows(Mechanism::Reservation) || available == 0 || now < arrived.after(slack / 2)
+        {
             return;
         }
         let count = available.min(job.waiting as usize);
--- a/crates/bramley-pool/src/pool/route_load.rs
+++ b/crates/bramley-pool/src/pool/route_load.rs
@@ -13,6 +13,7 @@
 use super::Pool;
 use super::admission::StartEstimate;
 use crate::job::{JobRecord, QueueClass, RouteName};
+use crate::mechanism::Mechanism;
 use crate::message::RouteAdmission;
 
 /// Share that passes all jobs, in thousandths.
@@ -206,7 +207,8 @@
     fn adjust_routes(&mut self, now: UnixTime) {
         self.update_contention(now);
         let passed = now.since(self.route_loads.adjusted_at).as_secs_f64();
-        let is_excessive = self.route_loads.demand() > UNLIMITED_DEMAND_PER_S * passed;
+        let is_excessive = self.allows(Mechanism::PublishedShares)
+            && self.route_loads.demand() > UNLIMITED_DEMAND_PER_S * passed;
         let mut routes = std::mem::take(&mut self.route_loads.routes);
         routes.retain(|_, load| now.since(load.offered_at) < ROUTE_RETENTION);
         for load in routes.values_mut() {
--- a/crates/bramley-pool/src/pool/shares.rs
+++ b/crates/bramley-pool/src/pool/shares.rs
@@ -14,6 +14,7 @@
 
 use super::Pool;
 use crate::job::{JobRecord, RouteName};
+use crate::mechanism::Mechanism;
 use crate::message::RelayId;
 
 /// Time constant of the decaying sums, which stand for the last second.
@@ -364,7 +365,8 @@
     /// Returns whether a job is to be refused in favour of a route that gets less than it is
     /// entitled to.
     pub(super) fn yields_to_others(&mut self, job: &JobRecord) -> bool {
-        let is_exempt = !self.route_loads.is_excessive()
+        let is_exempt = !self.allows(Mechanism::RouteShares)
+            || !self.route_loads.is_excessive()
             || self.utilization.share() < CONSERVING_UTILIZATION
             || self.shares.is_short_domain(job);
         if is_exempt {
@@ -377,6 +379,9 @@
     /// of its relay gets less than is guaranteed, or jobs of its size are refused far more often
     /// than others of its route.
     pub(super) fn is_underserved(&self, job: &JobRecord) -> bool {
+        if !self.allows(Mechanism::Guarantees) {
+            return false;
+        }
         let sizes = self.shares.sizes.get(&job.submission.policy.route);
         let is_short_size = sizes.is_some_and(|sizes| sizes.is_short(work_of(job)));
         is_short_size || self.shares.is_short_domain(job)
--- a/crates/bramley-pool/src/pool/speed.rs
+++ b/crates/bramley-pool/src/pool/speed.rs
@@ -10,6 +10,7 @@
 use smallvec::SmallVec;
 
 use super::{Pool, run_time_key};
+use crate::mechanism::Mechanism;
 use crate::run::{LiveRun, RunDetails};
 use crate::worker::{WorkerIndex, WorkerRecord};
 
@@ -285,7 +286,9 @@
         let quartile = listed.len() / 4;
         let tail = listed.len() / TAIL_DIVISOR;
         self.common_run_time = 1.0_f64.clamp(listed[quartile], listed[last - quartile]);
-        self.faster.set_bounds(listed[tail], listed[last - tail]);
+        if self.allows(Mechanism::SpeedPlans) {
+            self.faster.set_bounds(listed[tail], listed[last - tail]);
+        }
     }
 }
 
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -7,6 +7,7 @@
 //! runs have certainly ended.
 
 mod overload;
+mod parts;
 
 use std::time::Duration;
 
@@ -27,6 +28,7 @@
 use crate::spread::PoolSpread;
 
 pub use self::overload::{RefusalSource, RouteOffer, RouteRefusal};
+use self::parts::JobPart;
 
 /// Answer to a caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -68,13 +70,20 @@
         domain: DomainName,
         ended_by: UnixTime,
     },
+    /// All unfinished tasks belong to parts at other pools.
+    Elsewhere,
 }
 
 /// An open job of a caller.
 #[derive(Clone, Debug)]
 struct RelayJob {
     submission: JobSubmission,
+    /// Location of the job, or of what belongs to no part.
     state: JobState,
+    /// Tasks that other pools have taken over.
+    parts: Vec<JobPart>,
+    /// Whether any pool has released tasks of the job.
+    is_split: bool,
     /// Failure domains to whose pools the job was submitted.
     submitted_to: Vec<DomainName>,
     /// Refusals of pools that could not serve the job in time.
@@ -215,6 +224,8 @@
         let job = RelayJob {
             submission,
             state: JobState::Held,
+            parts: Vec::new(),
+            is_split: false,
             submitted_to: Vec::new(),
             declined: Vec::new(),
             late_offers: 0,
@@ -246,10 +257,7 @@
         if job.started || job.submission.resumed {
             self.remember_started(name);
         }
-        if let JobState::AtPool(domain) = job.state {
-            let message = RelayMessage::Cancel(name.clone());
-            self.actions.push(RelayAction::Send(domain, message));
-        }
+        self.cancel_elsewhere(name, &job, None);
     }
 
     /// Records a connection to a pool. Jobs in doubt after the loss of an earlier pool of the same
@@ -273,12 +281,13 @@
         let names: Vec<JobName> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.is_in_doubt_at(domain))
+            .filter(|(_, job)| job.is_rest_in_doubt_at(domain))
             .map(|(name, _)| name.clone())
             .collect();
         for name in names {
             self.resume(&name, domain.clone());
         }
+        self.resume_parts_of(domain);
     }
 
     /// Records the loss of the connection to a pool whose last message arrived at
@@ -291,6 +300,7 @@
             earlier_workers = pool.load.listed_workers;
         }
         let ended_by = last_message_at.after(self.settings.lost_pool_wait);
+        self.parts_lost(domain, ended_by, earlier_workers);
         for job in self.jobs.values_mut() {
             if matches!(&job.state, JobState::AtPool(at) if at == domain) {
                 let known = &mut job.submission.earlier_workers;
@@ -348,17 +358,23 @@
             PoolMessage::Placed { job, placements } => {
                 if let Some(job) = self.job_at(&job, domain) {
                     job.started |= !placements.is_empty();
-                    job.submission.acknowledged = true;
+                    job.acknowledged_by(domain);
                     job.record_placements(placements);
                 }
             }
             PoolMessage::TaskDone { job, index } => {
-                if let Some(job) = self.job_at(&job, domain)
-                    && !job.submission.done.contains(&index)
-                {
-                    job.submission.done.push(index);
+                if let Some(record) = self.job_at(&job, domain) {
+                    record.task_done(index);
+                    self.complete_if_done(&job);
                 }
             }
+            PoolMessage::Released {
+                job,
+                tasks,
+                requester,
+            } => self.tasks_released(&job, domain, &tasks, &requester),
+            // Handled by the pool of this process.
+            PoolMessage::Steal(_) => {}
             PoolMessage::TaskCrashed { job, crash } => {
                 let retention = self.settings.crash_retention;
                 self.crashes.record(&job, crash, retention, now);
@@ -368,6 +384,10 @@
                 let Some(record) = self.job_at(&job, domain) else {
                     return;
                 };
+                if record.is_split {
+                    self.part_ended(&job, domain, outcome, now);
+                    return;
+                }
                 if outcome == JobOutcome::Returned {
                     self.job_returned(&job, domain);
                     return;
@@ -416,12 +436,12 @@
                 None => self.refuse_unserved(&name, Refusal::Unknown),
             }
         }
+        self.reassign_ended_parts(now);
     }
 
     fn job_at(&mut self, name: &JobName, domain: &DomainName) -> Option<&mut RelayJob> {
         let job = self.jobs.get_mut(name)?;
-        let is_there = matches!(&job.state, JobState::AtPool(at) if at == domain);
-        is_there.then_some(job)
+        job.is_at(domain).then_some(job)
     }
 
     /// Resubmits a begun job whose runs have all ended at the pool of an evacuated failure domain.
@@ -473,12 +493,17 @@
         let Some(job) = self.jobs.get_mut(name) else {
             return;
         };
+        job.absorb_part(&domain);
+        let Some(mut submission) = job.rest_submission() else {
+            job.state = JobState::Elsewhere;
+            return;
+        };
         job.state = JobState::AtPool(domain.clone());
         job.submitted_to.push(domain.clone());
         if let Some(history) = self.crashes.history(name) {
-            job.submission.crashes = history.clone();
+            submission.crashes = history.clone();
         }
-        let message = RelayMessage::Submit(Box::new(job.submission.clone()));
+        let message = RelayMessage::Submit(Box::new(submission));
         // Only the new pool's acknowledgement counts from now on.
         job.submission.acknowledged = false;
         self.actions.push(RelayAction::Send(domain, message));
@@ -504,7 +529,11 @@
     }
 
     fn refuse_unserved(&mut self, name: &JobName, refusal: Refusal) {
-        self.jobs.remove(name);
+        if let Some(job) = self.jobs.remove(name)
+            && job.is_split
+        {
+            self.cancel_elsewhere(name, &job, None);
+        }
         let decision = Decision::RefusedUnserved {
             job: name.clone(),
             refusal,
@@ -712,7 +741,7 @@
         known.extend(placements);
     }
 
-    fn is_in_doubt_at(&self, lost: &DomainName) -> bool {
+    fn is_rest_in_doubt_at(&self, lost: &DomainName) -> bool {
         matches!(&self.state, JobState::InDoubt { domain, .. } if domain == lost)
     }
 
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::mechanism::DisabledMechanisms;
+
 /// Settings of a pool.
 #[derive(Clone, Debug)]
 pub struct PoolSettings {
@@ -82,6 +84,8 @@
     /// Whether tasks of routes that slow each other down are kept on different workers where there
     /// is room.
     pub keeps_interfering_apart: bool,
+    /// Mechanisms that are switched off.
+    pub disabled: DisabledMechanisms,
 }
 
 impl Default for PoolSettings {
@@ -118,6 +122,7 @@
             evacuation_return_time: Duration::from_secs(2),
             scan_limit: 64,
             keeps_interfering_apart: false,
+            disabled: DisabledMechanisms::default(),
         }
     }
 }
--- a/crates/bramley-pool/tests/late_service.rs
+++ b/crates/bramley-pool/tests/late_service.rs
@@ -122,6 +122,7 @@
         earlier_workers: 0,
         resumed: false,
         accepts_late: false,
+        part: Vec::new(),
     }
 }
 
