--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -180,6 +180,8 @@
     pub crash: CrashKind,
     /// Partitioned pairs of host and worker.
     pub partitions: BTreeSet<(usize, usize)>,
+    /// Fault: released tasks are assigned to the pool that has released them as well.
+    pub assigns_released_twice: bool,
     /// Connections that can be reset; `None` if messages always arrive.
     pub links: Option<Links>,
     /// Calls that were answered or have timed out, by calling host and [`call_key`].
@@ -280,6 +282,7 @@
             guarded: true,
             crash: CrashKind::default(),
             partitions: BTreeSet::new(),
+            assigns_released_twice: false,
             links: None,
             answered: BTreeSet::new(),
             events: BinaryHeap::new(),
@@ -578,7 +581,7 @@
             Event::ToRelay(from, to, message) => {
                 if self.hosts[to].alive && self.leads(from) {
                     let domain = self.hosts[from].domain.clone();
-                    self.hosts[to].receive(&domain, message, now);
+                    self.deliver(to, &domain, message);
                 }
             }
             Event::CallArrives(host, call) => self.call_arrives(host, call),
@@ -638,6 +641,18 @@
         }
     }
 
+    /// Delivers a message of the pool of a failure domain to a host.
+    pub(crate) fn deliver(&mut self, host: usize, domain: &DomainName, message: PoolMessage) {
+        let now = self.now;
+        if self.assigns_released_twice
+            && let PoolMessage::Released { job, tasks, .. } = &message
+            && let Some(owner) = self.leaders.get(domain).copied()
+        {
+            self.hosts[owner].pool.assign_part(job, tasks);
+        }
+        self.hosts[host].receive(domain, message, now);
+    }
+
     fn send_load(&mut self) {
         for (domain, leader) in &self.leaders {
             let load = self.hosts[*leader].pool.load(self.now);
--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -521,7 +521,7 @@
                 let (pool, relay) = (link.pool, link.relay);
                 links.refusals += usize::from(is_refusal(&message));
                 let domain = self.hosts[pool].domain.clone();
-                self.hosts[relay].receive(&domain, message, now);
+                self.deliver(relay, &domain, message);
             }
             LinkEvent::PoolAccepts(number) => {
                 let link = &mut self.links_mut().connections[number];
--- a/crates/bramley-load/src/lib.rs
+++ b/crates/bramley-load/src/lib.rs
@@ -1,6 +1,7 @@
 //! Open-loop load generator and experiments for bramleydock.
 //!
 //! - [`compare`]: tabulates two reports side by side.
+//! - [`fleet`]: compares decisions of relays and pools on an emulated fleet.
 //! - [`kernel_harness`]: drives a single kernel in steady state.
 //! - [`offer`]: sends load over HTTP to running entry hosts.
 //! - [`overhead`]: measures the latency and CPU time that an entry host adds to a call.
@@ -11,6 +12,7 @@
 //! - [`simulation`]: discrete-event simulation of dispatchers and workers in virtual time.
 
 pub mod compare;
+pub mod fleet;
 pub mod kernel_harness;
 pub mod offer;
 pub mod overhead;
--- a/crates/bramley-load/src/main.rs
+++ b/crates/bramley-load/src/main.rs
@@ -6,6 +6,10 @@
 
 use argh::FromArgs;
 use bramley_load::compare::compare_reports;
+use bramley_load::fleet::comparison::compare_days;
+use bramley_load::fleet::day::play_day;
+use bramley_load::fleet::outcome::DayOutcome;
+use bramley_load::fleet::scenario::FleetScenario;
 use bramley_load::offer::offer_load;
 use bramley_load::overhead::{OverheadPlan, measure_overhead};
 use bramley_load::plot::draw_reports;
@@ -14,6 +18,8 @@
 use bramley_load::scenario::Scenario;
 use bramley_load::simulation::dispatcher::{POLICIES, PolicyDescriptor, find_policy};
 use bramley_load::simulation::run_scenario;
+use bramley_pool::mechanism::{DisabledMechanisms, Mechanism};
+use bramley_pool::settings::PoolSettings;
 
 /// Generates load for bramleydock and measures it.
 #[derive(Debug, FromArgs)]
@@ -30,6 +36,7 @@
     Offer(OfferOptions),
     Overhead(OverheadOptions),
     Slopes(SlopesOptions),
+    Fleet(FleetOptions),
 }
 
 /// Simulates a scenario in virtual time.
@@ -125,6 +132,33 @@
     out: Option<PathBuf>,
 }
 
+/// Compares decisions of relays and pools on an emulated fleet in virtual time.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "fleet")]
+struct FleetOptions {
+    /// scenario file
+    #[argh(option)]
+    scenario: PathBuf,
+    /// number of seeds; default 6
+    #[argh(option, default = "6")]
+    seeds: u64,
+    /// offered load in percent, overrides the one in the scenario file
+    #[argh(option)]
+    load: Option<u32>,
+    /// mechanism to switch off and to compare with all in use; may be repeated
+    #[argh(option)]
+    without: Vec<String>,
+    /// switch off each mechanism in turn
+    #[argh(switch)]
+    ablate: bool,
+    /// days played at the same time; default 4
+    #[argh(option, default = "4")]
+    jobs: usize,
+    /// write the outcomes by variant and seed to this file as JSON
+    #[argh(option)]
+    json: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     env_logger::init();
     let options: LoadOptions = argh::from_env();
@@ -134,6 +168,7 @@
         LoadCommand::Offer(options) => run_offer(&options),
         LoadCommand::Overhead(options) => run_overhead(options),
         LoadCommand::Slopes(options) => run_slopes(&options),
+        LoadCommand::Fleet(options) => run_fleet(&options),
     };
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
@@ -227,6 +262,96 @@
     }
 }
 
+fn run_fleet(options: &FleetOptions) -> Result<(), String> {
+    let mut scenario: FleetScenario =
+        bramley_settings::load_file(&options.scenario).map_err(|error| error.to_string())?;
+    scenario.load_percent = options.load.unwrap_or(scenario.load_percent);
+    if options.seeds == 0 || scenario.load_percent == 0 {
+        return Err("--seeds and --load have to be at least 1".to_owned());
+    }
+    let mut variants: Vec<(String, DisabledMechanisms)> = Vec::new();
+    if !options.without.is_empty() {
+        let disabled: DisabledMechanisms = options
+            .without
+            .iter()
+            .map(|name| parse_mechanism(name))
+            .collect::<Result<Vec<_>, _>>()?
+            .into_iter()
+            .collect();
+        variants.push((options.without.join(", "), disabled));
+    }
+    if options.ablate {
+        for mechanism in Mechanism::ALL {
+            let disabled = DisabledMechanisms::default().with(mechanism);
+            variants.push((mechanism.to_string(), disabled));
+        }
+    }
+    let base = play_seeds(&scenario, DisabledMechanisms::default(), options);
+    println!("{}, {} seeds", scenario.name, options.seeds);
+    println!("{}", sum_of(&base).to_table());
+    let mut results = vec![(String::from("all mechanisms"), base.clone())];
+    for (name, disabled) in variants {
+        let days = play_seeds(&scenario, disabled, options);
+        println!("without {name}\n{}", sum_of(&days).to_table());
+        println!("difference without {name}, with its 95 % interval");
+        println!("{}", compare_days(&base, &days));
+        results.push((format!("without {name}"), days));
+    }
+    match &options.json {
+        Some(path) => {
+            let text = serde_json::to_string_pretty(&results).map_err(|error| error.to_string())?;
+            write_file(path, &text)
+        }
+        None => Ok(()),
+    }
+}
+
+fn parse_mechanism(name: &str) -> Result<Mechanism, String> {
+    let mechanism = name.parse();
+    mechanism.map_err(|_unknown| {
+        let names = Mechanism::names();
+        format!("unknown mechanism {name:?}, expected one of: {names}")
+    })
+}
+
+/// Plays the days of all seeds, several at the same time.
+fn play_seeds(
+    scenario: &FleetScenario,
+    disabled: DisabledMechanisms,
+    options: &FleetOptions,
+) -> Vec<DayOutcome> {
+    let settings = PoolSettings {
+        disabled,
+        ..PoolSettings::default()
+    };
+    let seeds: Vec<u64> = (1..=options.seeds).collect();
+    let mut days = Vec::new();
+    for batch in seeds.chunks(options.jobs.max(1)) {
+        std::thread::scope(|scope| {
+            let players: Vec<_> = batch
+                .iter()
+                .map(|seed| scope.spawn(|| play_day(scenario, &settings, *seed)))
+                .collect();
+            for player in players {
+                match player.join() {
+                    Ok(day) => days.push(day),
+                    Err(panic) => std::panic::resume_unwind(panic),
+                }
+            }
+        });
+        eprintln!("{} of {} days played", days.len(), seeds.len());
+    }
+    days
+}
+
+fn sum_of(days: &[DayOutcome]) -> DayOutcome {
+    let mut sum = DayOutcome::default();
+    for day in days {
+        sum.add(day);
+    }
+    sum
+}
+
 fn read_report(path: &Path) -> Result<RunReport, String> {
     let text =
         std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/crates/bramley-pool/src/pool/stealing.rs
+++ b/crates/bramley-pool/src/pool/stealing.rs
@@ -338,7 +338,7 @@
 
     /// Takes over tasks of a job that another pool has released. The relay has assigned them to this
     /// pool, so they are run whatever the load is.
-    pub(super) fn assign_part(&mut self, name: &JobName, part: &[u32]) {
+    pub fn assign_part(&mut self, name: &JobName, part: &[u32]) {
         let Some(job) = self.jobs.get_mut(name) else {
             return;
         };
--- a/crates/bramley-pool/tests/reset_links.rs
+++ b/crates/bramley-pool/tests/reset_links.rs
@@ -1,12 +1,14 @@
 //! Randomized simulation of three failure domains whose connections are reset at the same moment,
-//! with full pools, hosts that process their events late, and callers that leave.
+//! with full pools, hosts that process their events late, and callers that leave. Where most callers
+//! use one domain, the pools of the others run the tasks that wait there.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
 use bramley_fleet::links::job_of;
 use bramley_fleet::{TestJob, World};
+use bramley_pool::relay::JobAnswer;
 use bramley_pool::settings::PoolSettings;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -45,6 +47,15 @@
     HastyAtSameHost,
 }
 
+/// Failure domains whose hosts callers use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum LoadKind {
+    /// All alike.
+    Even,
+    /// Mostly the first one, so that tasks wait there while the others have free workers.
+    Skewed,
+}
+
 /// Result of the runs of some seeds.
 #[derive(Debug, Default)]
 struct Totals {
@@ -58,12 +69,18 @@
     /// Doubled runs of jobs that were sent again before the pause had passed.
     doubled_early: usize,
     doubled: Vec<String>,
+    /// Tasks that pools have taken over from others.
+    taken: u64,
+    /// Answers that came although a task had no whole run, and jobs without an answer.
+    broken: Vec<String>,
 }
 
 struct ResetRun {
     rng: ChaCha8Rng,
     world: World,
     kind: ClientKind,
+    load: LoadKind,
+    jobs: Vec<TestJob>,
     next_job: u32,
     left: usize,
     /// Whether leadership passes on now and then.
@@ -71,7 +88,7 @@
 }
 
 impl ResetRun {
-    fn new(seed: u64, kind: ClientKind) -> Self {
+    fn new(seed: u64, kind: ClientKind, load: LoadKind) -> Self {
         let settings = PoolSettings::default();
         let mut world = World::with_domains(&DOMAINS, HOSTS, WORKERS, &settings);
         for domain in 0..DOMAINS.len() {
@@ -85,6 +102,8 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             world,
             kind,
+            load,
+            jobs: Vec::new(),
             next_job: 0,
             left: 0,
             changes_leaders: seed.is_multiple_of(2),
@@ -156,7 +175,11 @@
             priority: self.rng.random_range(0..3),
             ..TestJob::default()
         };
-        let host = self.rng.random_range(0..DOMAINS.len() * HOSTS);
+        let mut host = self.rng.random_range(0..DOMAINS.len() * HOSTS);
+        if self.load == LoadKind::Skewed && host % 5 != 0 {
+            host %= HOSTS;
+        }
+        self.jobs.push(job.clone());
         let leaves_after = self
             .rng
             .random_bool(0.3)
@@ -188,7 +211,20 @@
 
     fn add_to(mut self, totals: &mut Totals, seed: u64) {
         self.world.run_for(Duration::from_secs(12));
+        // A run of 6 s that was lost with its connection starts again 2.5 s later.
+        if self
+            .world
+            .hosts
+            .iter()
+            .any(|host| host.relay.open_jobs() > 0)
+        {
+            self.world.run_for(Duration::from_secs(12));
+        }
         let doubled = self.world.overlaps();
+        for host in &self.world.hosts {
+            totals.taken += host.pool.counts().tasks_taken;
+        }
+        self.find_broken(totals, seed);
         totals.jobs += self.next_job as usize;
         totals.runs += self.world.runs();
         totals.left += self.left;
@@ -212,6 +248,34 @@
         }
     }
 
+    /// Finds answers to jobs of which a task has no whole run, and jobs that stay open.
+    fn find_broken(&self, totals: &mut Totals, seed: u64) {
+        let mut longest: BTreeMap<String, Duration> = BTreeMap::new();
+        for worker in &self.world.workers {
+            for (task, from, to) in worker.history(self.world.now) {
+                let span = longest.entry(task).or_default();
+                *span = to.since(from).max(*span);
+            }
+        }
+        for job in &self.jobs {
+            let answer = self.world.answer(&job.name);
+            let is_whole = (0..job.tasks).all(|index| {
+                let task = format!("{}.0.0.{index}", job.name);
+                longest.get(&task).is_some_and(|span| *span >= job.run)
+            });
+            if answer == Some(JobAnswer::Completed) && !is_whole {
+                totals.broken.push(format!("seed {seed}: {}", job.name));
+            }
+        }
+        for (host, number) in self.world.hosts.iter().zip(0..) {
+            let open = host.relay.open_jobs();
+            if open > 0 {
+                let line = format!("seed {seed}: {open} jobs stay open at host {number}");
+                totals.broken.push(line);
+            }
+        }
+    }
+
     /// Returns the workers and spans of the runs of a task.
     fn spans_of(&self, task: &str) -> Vec<(String, UnixTime, UnixTime)> {
         let mut spans = Vec::new();
@@ -227,9 +291,20 @@
 }
 
 fn run_seeds(seeds: std::ops::Range<u64>, kind: ClientKind) -> Totals {
+    run_load(seeds, kind, LoadKind::Even, |_| {})
+}
+
+/// Runs seeds whose simulations were changed by `prepare`.
+fn run_load(
+    seeds: std::ops::Range<u64>,
+    kind: ClientKind,
+    load: LoadKind,
+    prepare: impl Fn(&mut World),
+) -> Totals {
     let mut totals = Totals::default();
     for seed in seeds {
-        let mut run = ResetRun::new(seed, kind);
+        let mut run = ResetRun::new(seed, kind, load);
+        prepare(&mut run.world);
         for _ in 0..STEPS {
             run.step();
         }
@@ -258,6 +333,38 @@
     }
 }
 
+/// Guards against a task that two pools run at once, an answer that lacks a task and a job that
+/// stays open when tasks are taken over by other pools while connections are reset, leadership
+/// passes on and callers leave.
+#[test]
+fn tasks_taken_over_by_other_pools_run_once() {
+    let totals = run_load(SEEDS, ClientKind::Patient, LoadKind::Skewed, |_| {});
+    assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+    assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
+    assert!(totals.taken > 1_000, "{totals:?}");
+}
+
+/// Shows that the search finds a doubled run if a released task is also assigned to its first pool
+/// again.
+#[test]
+fn the_search_finds_tasks_that_two_pools_hold() {
+    let totals = run_load(0..2, ClientKind::Patient, LoadKind::Skewed, |world| {
+        world.assigns_released_twice = true;
+    });
+    assert!(!totals.doubled.is_empty());
+}
+
+/// Run with `cargo test --release -p bramley-pool --test reset_links -- --ignored --nocapture`.
+#[test]
+#[ignore = "takes minutes"]
+fn tasks_taken_over_by_other_pools_run_once_in_many_seeds() {
+    for kind in [ClientKind::Patient, ClientKind::HastyAtSameHost] {
+        let totals = run_load(SEEDS.end..1_000, kind, LoadKind::Skewed, |_| {});
+        assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+        assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
+    }
+}
+
 /// Run with `cargo test --release -p bramley-pool --test reset_links -- --ignored --nocapture`.
 #[test]
 #[ignore = "takes minutes"]
