Queue: begun jobs by latest start; urgent jobs may delay less urgent ones

Hypothesis: the most urgent kind is served worst under overload because any begun job goes before it, and because it is refused when a less urgent job would become late by it.

--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -265,9 +265,9 @@
         self.objective_at.before(self.expected)
     }
 
-    /// Returns whether the job goes before those of which no task has started.
+    /// Returns whether the job keeps its place in the queue after it has missed its latest start.
     #[must_use]
-    pub const fn goes_first(&self) -> bool {
+    pub const fn keeps_place(&self) -> bool {
         self.may_have_started || self.is_guaranteed
     }
 
--- a/crates/bramley-pool/src/mechanism.rs
+++ b/crates/bramley-pool/src/mechanism.rs
@@ -103,9 +103,9 @@
 }
 
 impl FromIterator<Mechanism> for DisabledMechanisms {
-    fn from_iter<I: IntoIterator<Item = Mechanism>>(mechanisms: I) -> Self {
+    fn from_iter<I: IntoIterator<Item = Mechanism>>(iter: I) -> Self {
         let mut set = Self::default();
-        for mechanism in mechanisms {
+        for mechanism in iter {
             set = set.with(mechanism);
         }
         set
--- a/crates/bramley-pool/src/pool/admission.rs
+++ b/crates/bramley-pool/src/pool/admission.rs
@@ -15,7 +15,7 @@
 use super::Pool;
 use super::placement::expected_end;
 use super::reservation::INLINE_RUNS;
-use super::summary::{SummaryKey, TaskSlot};
+use super::summary::{SummaryKey, TaskSlot, urgency_level};
 use crate::job::{JobName, JobRecord, QueueClass};
 use crate::message::JobOutcome;
 use crate::refusal::Refusal;
@@ -53,7 +53,7 @@
 struct QueueForecast {
     /// Start of the last task of the evaluated job.
     last_start: UnixTime,
-    /// Number of other jobs that would miss their objective.
+    /// Number of other jobs, not less urgent ones, that would miss their objective.
     missed: u32,
 }
 
@@ -160,7 +160,10 @@
             }
             if queued.submission.work.job == *name {
                 result.last_start = last_start;
-            } else if !queued.may_have_started && last_start > queued.start_limit() {
+            } else if !queued.may_have_started
+                && urgency_level(queued) <= urgency_level(job)
+                && last_start > queued.start_limit()
+            {
                 result.missed += 1;
             }
         }
@@ -304,14 +307,14 @@
         self.is_contended = waiting_tasks * CONTENTION_DIVISOR > self.summary.usable_workers;
     }
 
-    /// Returns the sort key of a waiting job, lowest first. Jobs that may have started come first,
-    /// then jobs by the latest start that serves their class; under contention, jobs that have
-    /// missed it come last.
+    /// Returns the sort key of a waiting job, lowest first. Guaranteed jobs come first, then jobs by
+    /// the latest start that serves their class; under contention, jobs that have missed it and have
+    /// not started come last.
     pub(super) fn order_key(&self, job: &JobRecord, now: UnixTime) -> (u8, UnixTime) {
         let limit = job.start_limit();
-        let rank = if job.goes_first() {
+        let rank = if job.is_guaranteed {
             0
-        } else if limit >= now || !self.is_contended {
+        } else if job.may_have_started || limit >= now || !self.is_contended {
             1
         } else {
             2
--- a/crates/bramley-pool/src/pool/queue.rs
+++ b/crates/bramley-pool/src/pool/queue.rs
@@ -11,8 +11,8 @@
 /// Position of a job in the queue; the lowest goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct QueueKey {
-    /// Whether the job goes behind those that may have started or are guaranteed.
-    has_not_started: bool,
+    /// Whether the job goes behind those that are guaranteed.
+    is_not_guaranteed: bool,
     /// Latest start that serves the job's class, delayed by its priority.
     due: UnixTime,
     /// Sequence number, which keeps jobs that are due at the same time in order of arrival.
@@ -25,6 +25,9 @@
     name: JobName,
     /// Latest start that serves the job's class.
     limit: UnixTime,
+    /// Whether any task may have started or the job is guaranteed, so that it never goes behind jobs
+    /// that can meet their limit.
+    keeps_place: bool,
 }
 
 /// Place of a job in the queue and what it counts for.
@@ -81,7 +84,7 @@
         let earlier = self.places.get(name).copied();
         let number = earlier.map_or(self.last_number + 1, |place| place.key.number);
         let key = QueueKey {
-            has_not_started: !job.goes_first(),
+            is_not_guaranteed: !job.is_guaranteed,
             due,
             number,
         };
@@ -97,9 +100,6 @@
                 if let Some(known) = self.places.get_mut(name) {
                     *known = place;
                 }
-                if earlier.key == key {
-                    return;
-                }
                 self.order.remove(&earlier.key);
             }
             None => {
@@ -109,6 +109,7 @@
         let queued = QueuedJob {
             name: name.clone(),
             limit: job.start_limit(),
+            keeps_place: job.keeps_place(),
         };
         self.order.insert(key, queued);
     }
@@ -120,18 +121,12 @@
         is_contended: bool,
         now: UnixTime,
     ) -> impl Iterator<Item = &JobName> {
-        let has_missed = move |key: &QueueKey, job: &QueuedJob| {
-            is_contended && key.has_not_started && job.limit < now
-        };
-        let ahead = self
-            .order
-            .iter()
-            .filter(move |(key, job)| !has_missed(key, job));
-        let behind = self
-            .order
-            .iter()
-            .filter(move |(key, job)| has_missed(key, job));
-        ahead.chain(behind).map(|(_, job)| &job.name)
+        let has_missed =
+            move |job: &QueuedJob| is_contended && !job.keeps_place && job.limit < now;
+        let jobs = || self.order.values();
+        let ahead = jobs().filter(move |job| !has_missed(job));
+        let behind = jobs().filter(move |job| has_missed(job));
+        ahead.chain(behind).map(|job| &job.name)
     }
 }
 
--- a/crates/bramley-pool/src/pool/summary.rs
+++ b/crates/bramley-pool/src/pool/summary.rs
@@ -47,6 +47,9 @@
 /// is about to be suspended or has too few observations.
 const PACE_BOUNDS: (u32, u32) = (500, 4_000);
 
+/// Number of priorities that are distinguished; all less urgent ones count as the last.
+const URGENCY_LEVELS: usize = 4;
+
 /// Sort key of a waiting job as returned by [`Pool::order_key`].
 pub(super) type OrderKey = (u8, UnixTime);
 
@@ -104,6 +107,8 @@
     expected: Duration,
     /// Latest start that serves the job's class.
     limit: UnixTime,
+    /// Level of the job's priority, the most urgent one first.
+    urgency: usize,
 }
 
 /// State at one point of the queue.
@@ -113,9 +118,9 @@
     next_key: Option<OrderKey>,
     /// Earliest slots after the jobs before the point, sorted.
     slots: Vec<TaskSlot>,
-    /// Least delay by which a job between this point and the next would miss its class; `None` if
-    /// there is no such job.
-    slack: Option<Duration>,
+    /// Least delay by which a job between this point and the next would miss its class, by
+    /// urgency; `None` if there is no such job.
+    slacks: [Option<Duration>; URGENCY_LEVELS],
 }
 
 /// Summary for one key.
@@ -254,6 +259,7 @@
             tasks: job.waiting,
             expected: job.expected,
             limit: job.start_limit(),
+            urgency: urgency_level(job),
         }
     }
 
@@ -282,11 +288,11 @@
             for _ in 0..demand.tasks {
                 last_start = last_start.max(take_slot(&mut slots, demand.expected, now));
             }
-            if !queued.goes_first()
+            if !queued.keeps_place()
                 && last_start <= demand.limit
                 && let Some(point) = points.last_mut()
             {
-                point.narrow_slack(demand.limit.since(last_start));
+                point.narrow_slack(demand.urgency, demand.limit.since(last_start));
             }
         }
         points.push(QueuePoint::new(None, &slots));
@@ -305,12 +311,13 @@
         Self {
             next_key,
             slots: earliest,
-            slack: None,
+            slacks: [None; URGENCY_LEVELS],
         }
     }
 
-    fn narrow_slack(&mut self, slack: Duration) {
-        self.slack = Some(self.slack.map_or(slack, |known| known.min(slack)));
+    fn narrow_slack(&mut self, urgency: usize, slack: Duration) {
+        let known = &mut self.slacks[urgency];
+        *known = Some(known.map_or(slack, |known| known.min(slack)));
     }
 
     /// Takes the earliest slots for tasks and returns the start of the last one.
@@ -351,6 +358,11 @@
     }
 }
 
+/// Returns the level of a job's priority, the most urgent one first.
+pub(super) fn urgency_level(job: &JobRecord) -> usize {
+    (job.submission.policy.priority as usize).min(URGENCY_LEVELS - 1)
+}
+
 /// Returns the index of the first point with no job behind it that goes before `key`.
 fn point_for(points: &[QueuePoint], key: OrderKey) -> usize {
     let found = points.partition_point(|point| point.next_key.is_some_and(|next| next <= key));
@@ -374,8 +386,12 @@
     };
     let start = point.last_start(demand.tasks, demand.expected, now);
     let delay = delay_of(demand, slots);
+    // Less urgent jobs may be delayed.
     let mut behind = points[index..].iter();
-    let delays_others = behind.any(|point| point.slack.is_some_and(|slack| slack < delay));
+    let delays_others = behind.any(|point| {
+        let mut slacks = point.slacks[..=demand.urgency].iter().flatten();
+        slacks.any(|slack| *slack < delay)
+    });
     if delays_others && start <= demand.limit {
         StartEstimate::DelaysOtherJobs(start)
     } else {
@@ -391,12 +407,14 @@
         let start = point.take_slots(demand.tasks, demand.expected, now);
         own_start.get_or_insert(start);
         // A job that is delayed beyond its slack has no more say in what is admitted.
-        point.slack = point.slack.and_then(|slack| slack.checked_sub(delay));
+        for slack in &mut point.slacks {
+            *slack = slack.and_then(|slack| slack.checked_sub(delay));
+        }
     }
     if let (Some(start), Some(point)) = (own_start, points.get_mut(index))
         && start <= demand.limit
     {
-        point.narrow_slack(demand.limit.since(start));
+        point.narrow_slack(demand.urgency, demand.limit.since(start));
     }
 }
 
