--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -111,9 +111,10 @@
         self.metrics
             .record_load(load, is_leader, state.callers.len());
         self.metrics.record_slow_workers(state.pool.slow_workers());
-        let kept_apart = state.pool.counts().placements_kept_apart;
+        let counts = state.pool.counts();
         self.metrics
-            .record_interference(&state.pool.route_pairs(), kept_apart);
+            .record_interference(&state.pool.route_pairs(), counts.placements_kept_apart);
+        self.metrics.record_stealing(counts);
         let list_age = state.pool.list_age(now);
         self.metrics
             .record_ages(now.since(state.routes_applied_at), list_age);
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -9,7 +9,7 @@
 use bramley_core::units::UnixTime;
 use bramley_pool::decision::Decision;
 use bramley_pool::message::{PoolLoad, RouteAdmission};
-use bramley_pool::pool::RoutePair;
+use bramley_pool::pool::{PoolCounts, RoutePair};
 use bramley_pool::relay::RefusalSource;
 use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerRequest};
 use prometheus_client::encoding::text::encode;
@@ -73,6 +73,7 @@
     log_lines_dropped: Gauge,
     route_slowdown: Family<Labels<2>, Gauge<f64, AtomicU64>>,
     placements_kept_apart: Gauge,
+    stolen_tasks: Family<Labels<1>, Gauge>,
     /// Log buffer whose dropped lines are counted; set once at startup.
     log: OnceCell<LogBuffer>,
 }
@@ -119,6 +120,7 @@
             log_lines_dropped: Gauge::default(),
             route_slowdown: Family::default(),
             placements_kept_apart: Gauge::default(),
+            stolen_tasks: Family::default(),
             log: OnceCell::new(),
         };
         metrics.register();
@@ -264,6 +266,11 @@
             "Placements for which another worker was chosen to keep interfering routes apart",
             self.placements_kept_apart.clone(),
         );
+        registry.register(
+            "stolen_tasks",
+            "Waiting tasks released to, or taken over from, pools of other failure domains",
+            self.stolen_tasks.clone(),
+        );
     }
 
     /// Records a response to a caller.
@@ -414,6 +421,18 @@
         self.placements_kept_apart.set(kept_apart);
     }
 
+    /// Records the number of tasks that the local pool has released and taken over so far.
+    pub(crate) fn record_stealing(&self, counts: PoolCounts) {
+        for (direction, tasks) in [
+            ("released", counts.tasks_released),
+            ("taken", counts.tasks_taken),
+        ] {
+            let labels = [("direction", Cow::from(direction))];
+            let tasks = i64::try_from(tasks).unwrap_or(i64::MAX);
+            self.stolen_tasks.get_or_create(&labels).set(tasks);
+        }
+    }
+
     pub(crate) fn record_ages(&self, configuration: Duration, list: Duration) {
         let seconds = |age: Duration| i64::try_from(age.as_secs()).unwrap_or(i64::MAX);
         self.configuration_age_seconds.set(seconds(configuration));
--- a/crates/bramley-explain/src/lib.rs
+++ b/crates/bramley-explain/src/lib.rs
@@ -6,12 +6,15 @@
 //!
 //! - [`finding`] derives the causes of a failure from a timeline.
 //! - [`line`] parses log lines.
+//! - [`losses`] counts refused, late and failed jobs by cause.
 //! - [`timeline`] collects the log lines that belong to a request.
 
 pub mod finding;
 pub mod line;
+pub mod losses;
 pub mod timeline;
 
 pub use finding::{Finding, find_causes};
 pub use line::LogLine;
+pub use losses::{LossCause, LossTable};
 pub use timeline::Timeline;
--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -254,7 +254,10 @@
     ) -> Self {
         let make_host = |domain: &str| VirtualHost {
             domain: DomainName::from(domain),
-            relay: Relay::new(RelaySettings::default(), DomainName::from(domain)),
+            relay: Relay::new(
+                RelaySettings::without(settings.disabled),
+                DomainName::from(domain),
+            ),
             pool: Pool::new(settings.clone()),
             alive: true,
         };
--- a/crates/bramley-pool/src/relay/parts.rs
+++ b/crates/bramley-pool/src/relay/parts.rs
@@ -163,7 +163,10 @@
                 earlier_workers,
                 ..job.part_submission(tasks)
             };
-            self.log_part(&name, "job_part_resumed", domain);
+            self.log_part(
+                &name,
+                format!("event=job_part_resumed job={name} pool={domain}"),
+            );
             self.submit_part(&name, domain.clone(), submission);
         }
     }
@@ -184,7 +187,10 @@
                 tasks.append(&mut part.tasks);
             }
             job.drop_empty_parts();
-            self.log_part(&name, "job_part_moved", &domain);
+            self.log_part(
+                &name,
+                format!("event=job_part_moved job={name} pool={domain}"),
+            );
             self.assign_tasks(&name, tasks, domain, PartOrigin::Resumed);
         }
     }
@@ -209,8 +215,7 @@
             .collect()
     }
 
-    fn log_part(&mut self, name: &JobName, event: &str, domain: &DomainName) {
-        let text = format!("event={event} job={name} pool={domain}");
+    fn log_part(&mut self, name: &JobName, text: String) {
         let decision = Decision::Text {
             job: Some(name.as_str().into()),
             text,
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::mechanism::DisabledMechanisms;
+use crate::mechanism::{DisabledMechanisms, Mechanism};
 
 /// Settings of a pool.
 #[derive(Clone, Debug)]
@@ -161,6 +161,22 @@
     }
 }
 
+impl RelaySettings {
+    /// Returns the defaults with some mechanisms switched off.
+    #[must_use]
+    pub fn without(disabled: DisabledMechanisms) -> Self {
+        let defaults = Self::default();
+        let max_late_offers = match disabled.allows(Mechanism::LateOffers) {
+            true => defaults.max_late_offers,
+            false => 0,
+        };
+        Self {
+            max_late_offers,
+            ..defaults
+        }
+    }
+}
+
 /// Settings of the leader election of a failure domain.
 #[derive(Clone, Debug)]
 pub struct ClaimSettings {
--- a/crates/bramleyctl/src/cli.rs
+++ b/crates/bramleyctl/src/cli.rs
@@ -30,6 +30,8 @@
     Explain(ExplainArguments),
     /// Lists the latest configuration changes.
     History(HistoryArguments),
+    /// Counts lost jobs by cause from logs.
+    Losses(LossesArguments),
     /// Generates a configuration from questionnaire answers.
     Questionnaire(QuestionnaireArguments),
     /// Shows the stored configuration.
@@ -81,6 +83,15 @@
     pub logs: Vec<String>,
 }
 
+/// counts refused, late and failed jobs by cause from the logs of all hosts
+#[derive(Clone, Debug, FromArgs)]
+#[argh(subcommand, name = "losses")]
+pub struct LossesArguments {
+    /// log files, each named after its host
+    #[argh(positional)]
+    pub logs: Vec<String>,
+}
+
 /// checks a configuration file
 #[derive(Clone, Debug, FromArgs)]
 #[argh(subcommand, name = "check")]
--- a/crates/bramleyctl/src/commands/explain.rs
+++ b/crates/bramleyctl/src/commands/explain.rs
@@ -1,12 +1,12 @@
-//! Explains the outcome of a request from logs.
+//! Explains the outcome of a request, or counts lost jobs by cause, from logs.
 
 use std::io::Write;
 use std::path::Path;
 use std::sync::Arc;
 
-use bramley_explain::{Timeline, find_causes};
+use bramley_explain::{LogLine, LossTable, Timeline, find_causes};
 
-use crate::cli::ExplainArguments;
+use crate::cli::{ExplainArguments, LossesArguments};
 use crate::error::CommandError;
 
 /// Writes the causes found in the logs, followed by the log lines that they were derived from.
@@ -37,6 +37,27 @@
     Ok(())
 }
 
+/// Writes the number of refused, late and failed jobs by cause and route.
+///
+/// # Errors
+///
+/// Returns a [`CommandError`] if a log can't be read or none was given.
+pub fn run_losses(
+    arguments: &LossesArguments,
+    output: &mut impl Write,
+) -> Result<(), CommandError> {
+    if arguments.logs.is_empty() {
+        return Err(CommandError::NoLogs);
+    }
+    let mut lines = Vec::new();
+    for file in &arguments.logs {
+        let (host, text) = read_log(file)?;
+        lines.extend(text.lines().filter_map(|line| LogLine::parse(&host, line)));
+    }
+    write!(output, "{}", LossTable::collect(lines))?;
+    Ok(())
+}
+
 /// Reads a log. The file name without its extension is the name of the host.
 fn read_log(file: &str) -> Result<(Arc<str>, String), CommandError> {
     let bytes = std::fs::read(file).map_err(|reason| CommandError::File {
--- a/crates/bramleyctl/src/commands/mod.rs
+++ b/crates/bramleyctl/src/commands/mod.rs
@@ -1,7 +1,7 @@
 //! Implementation of the commands.
 //!
 //! - [`apply`] writes a configuration to the store and waits for the hosts.
-//! - [`explain`] explains the outcome of a request from logs.
+//! - [`explain`] explains the outcome of a request, or counts lost jobs, from logs.
 //! - [`inspect`] shows, compares and lists configurations.
 //! - [`questionnaire`] generates a configuration from questionnaire answers.
 
@@ -48,6 +48,7 @@
             Ok(())
         }
         OperatorAction::Diff(arguments) => inspect::run_diff(arguments, output).await,
+        OperatorAction::Losses(arguments) => explain::run_losses(&arguments, output),
         OperatorAction::Drain(arguments) => {
             let text = if drain_host(arguments.host).await? {
                 "the planned stop has begun"
--- a/crates/bramleyctl/src/error.rs
+++ b/crates/bramleyctl/src/error.rs
@@ -41,6 +41,8 @@
     },
     /// no log line contains the ID {0}; under load, routine lines of only some jobs are logged
     IdNotInLogs(String),
+    /// no log was given; expected the log files of all hosts
+    NoLogs,
     /// the store contains no configuration
     NoConfiguration,
     /// the stored configuration is not valid for hosts of this version: {0}
@@ -104,6 +106,7 @@
             | Self::InvalidStored(_)
             | Self::GenerationNotInHistory(_)
             | Self::IdNotInLogs(_)
+            | Self::NoLogs
             | Self::HostUnreachable { .. } => 1,
             Self::Input(_) | Self::Prompt(_) | Self::TooLarge { .. } => 2,
             Self::MissingBase { .. } | Self::Conflict { .. } => 3,
