Relays say that they split jobs; run_spread and pool_rotation no longer share a name

During an update, a relay of an earlier version would ignore released tasks and its callers would wait until their deadline: a hello without the new field keeps the jobs of that relay whole (stealing.rs). Two modules named spread meant different things: the spread of run times and the rotation over pools while a domain is evacuated.

--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -25,6 +25,9 @@
         state.next_relay_id += 1;
         let domain = DomainName::from(hello.relay_domain.as_str());
         state.pool.relay_connected(relay, domain);
+        if !hello.splits_jobs {
+            state.pool.keep_jobs_whole(relay);
+        }
         state.has_successor |= hello.relay_domain == self.settings.host.domain.as_str();
         log::info!(
             "event=relay_connected host={} incarnation={} relay={}",
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -66,6 +66,7 @@
         failure_domain: String::from(domain.as_str()),
         cpu_milli: engine.settings().host.cpu_milli,
         relay_domain: String::from(engine.settings().host.domain.as_str()),
+        splits_jobs: true,
     };
     send(&outgoing, relay_frame::Body::Hello(hello));
     // A change of the claim aborts this task. The connection has to end with it, or the earlier pool
--- a/crates/bramley-pool/src/lib.rs
+++ b/crates/bramley-pool/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`mechanism`]: mechanisms that can be switched off.
 //! - [`message`]: messages between relays and pools.
 //! - [`pool`]: placement of tasks on workers and tracking of their runs.
+//! - `pool_rotation`: distribution of jobs over pools while a failure domain is evacuated.
 //! - [`refusal`]: reasons for refusing a job and the responses they map to.
 //! - [`relay`]: routing of callers' jobs to pools and failover between pools.
 //! - [`resources`]: CPU, memory and accelerator amounts.
@@ -21,7 +22,6 @@
 //! - [`route_gate`]: admission state that pools publish, and the shares passed by it.
 //! - [`run`]: life cycle of a run.
 //! - [`settings`]: limits, intervals and timeouts.
-//! - `spread`: distribution of jobs over pools.
 //! - [`shedding`]: refusal of new requests while a host is short of processor time.
 //! - [`worker`]: workers, their clocks, requests and reports.
 
@@ -34,6 +34,7 @@
 pub mod mechanism;
 pub mod message;
 pub mod pool;
+mod pool_rotation;
 pub mod refusal;
 pub mod relay;
 pub mod resources;
@@ -42,5 +43,4 @@
 pub mod run;
 pub mod settings;
 pub mod shedding;
-mod spread;
 pub mod worker;
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -16,9 +16,9 @@
 //! - `refusal_log`: bounded logging of refused jobs.
 //! - `reports`: answers and reports of workers.
 //! - `route_load`: offered and admitted jobs of each route, and what is published of it.
+//! - `run_spread`: spread of each route's run times.
 //! - `scoring`: choice of the best worker for a task.
 //! - `speed`: speed of each worker.
-//! - `spread`: spread of each route's run times.
 //! - `shares`: shares of the capacity by route, failure domain and size.
 //! - `slowdown`: estimate of the slowdown of a route's runs by each route beside them.
 //! - `starts`: start requests and their answers.
@@ -42,11 +42,11 @@
 mod refusal_log;
 mod reports;
 mod route_load;
+mod run_spread;
 mod scoring;
 mod shares;
 mod slowdown;
 mod speed;
-mod spread;
 mod starts;
 mod stealing;
 mod summary;
@@ -77,9 +77,9 @@
 use queue::WaitQueue;
 use refusal_log::RefusalLog;
 use route_load::RouteLoads;
+use run_spread::RouteSpread;
 use shares::CapacityShares;
 pub use speed::SpeedEstimate;
-use spread::RouteSpread;
 use stealing::StealState;
 use summary::AdmissionSummary;
 use utilization::SlotUtilization;
--- a/crates/bramley-pool/src/pool/stealing.rs
+++ b/crates/bramley-pool/src/pool/stealing.rs
@@ -14,7 +14,7 @@
 
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use super::{Pool, PoolAction};
 use crate::crash::Suspicion;
@@ -76,17 +76,23 @@
     request: RequestState,
     /// Time from which the waiting tasks of this pool may be published again.
     publish_at: UnixTime,
+    /// Relays that cannot submit a part of a job to another pool.
+    whole_job_relays: FxHashSet<RelayId>,
 }
 
 impl StealState {
     /// Forgets what is known of other pools; for the start and the end of a term as leader.
     pub(super) fn clear(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            whole_job_relays: std::mem::take(&mut self.whole_job_relays),
+            ..Self::default()
+        };
     }
 
     /// Forgets the pool of a process whose relay has disconnected.
     pub(super) fn relay_lost(&mut self, relay: RelayId) {
         self.others.remove(&relay);
+        self.whole_job_relays.remove(&relay);
     }
 
     /// Records that a part of a job has arrived.
@@ -117,6 +123,20 @@
 }
 
 impl Pool {
+    /// Records that a relay, of an earlier version, ignores released tasks. Its jobs stay whole.
+    pub fn keep_jobs_whole(&mut self, relay: RelayId) {
+        self.stealing.whole_job_relays.insert(relay);
+    }
+
+    /// Returns whether tasks of a job may run in any failure domain.
+    fn is_job_stealable(&self, job: &JobRecord) -> bool {
+        let work = &job.submission.work;
+        let relays = &self.stealing.whole_job_relays;
+        job.relay.is_some_and(|relay| !relays.contains(&relay))
+            && work.required_label.is_empty()
+            && work.preferred_rack.is_empty()
+    }
+
     /// Tells other pools about the tasks that wait here for lack of resources.
     pub(super) fn publish_waiting(&mut self, now: UnixTime) {
         if !self.allows(Mechanism::Stealing)
@@ -138,7 +158,7 @@
         let mut waiting = WaitingTasks::default();
         let order = self.queue.in_order(self.is_contended, now);
         for name in order.take(self.settings.scan_limit) {
-            let Some(job) = self.jobs.get(name).filter(|job| job.is_stealable()) else {
+            let Some(job) = self.jobs.get(name).filter(|job| self.is_job_stealable(job)) else {
                 continue;
             };
             let positions = 0..job.tasks.len();
@@ -191,7 +211,7 @@
         let mut left = MAX_RELEASED;
         let order = self.queue.in_order(self.is_contended, now);
         for name in order.take(self.settings.scan_limit) {
-            let Some(job) = self.jobs.get(name).filter(|job| job.is_stealable()) else {
+            let Some(job) = self.jobs.get(name).filter(|job| self.is_job_stealable(job)) else {
                 continue;
             };
             let mut tasks = Vec::new();
@@ -384,11 +404,3 @@
         })
         .min_by_key(|slot| slot.free.cpu_milli)
 }
-
-impl JobRecord {
-    /// Returns whether tasks of the job may run in any failure domain.
-    fn is_stealable(&self) -> bool {
-        let work = &self.submission.work;
-        self.relay.is_some() && work.required_label.is_empty() && work.preferred_rack.is_empty()
-    }
-}
--- a/crates/bramley-pool/src/spread.rs
+++ b/crates/bramley-pool/src/pool_rotation.rs
@@ -7,12 +7,12 @@
 /// Distributes jobs over pools by a smooth weighted round robin. It needs no random numbers, and
 /// between two load reports it does not send all jobs to the pool that reported the most free CPU.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct PoolSpread {
+pub(crate) struct PoolRotation {
     /// Jobs that each pool is due less those that it got, in parts of a job.
     credits: BTreeMap<DomainName, f64>,
 }
 
-impl PoolSpread {
+impl PoolRotation {
     /// Returns the pool for the next job, given the free CPU of the eligible pools in thousandths
     /// of a core. If none has any, all count the same.
     pub(crate) fn choose(&mut self, pools: &[(DomainName, u64)]) -> Option<DomainName> {
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -22,10 +22,10 @@
 use crate::message::{
     JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
 };
+use crate::pool_rotation::PoolRotation;
 use crate::refusal::Refusal;
 use crate::route_gate::RouteGate;
 use crate::settings::RelaySettings;
-use crate::spread::PoolSpread;
 
 pub use self::overload::{RefusalSource, RouteOffer, RouteRefusal};
 use self::parts::JobPart;
@@ -117,7 +117,7 @@
     jobs: FxHashMap<JobName, RelayJob>,
     pools: FxHashMap<DomainName, PoolView>,
     /// Distribution of jobs while the local failure domain is evacuated.
-    spread: PoolSpread,
+    rotation: PoolRotation,
     /// Crashes of workers under the tasks of recent jobs, as pools have reported them.
     crashes: CrashMemory,
     /// Admission state as published by pools.
@@ -142,7 +142,7 @@
             local_domain,
             jobs: FxHashMap::default(),
             pools: FxHashMap::default(),
-            spread: PoolSpread::default(),
+            rotation: PoolRotation::default(),
             crashes: CrashMemory::default(),
             gate: RouteGate::default(),
             started_jobs: FxHashMap::default(),
@@ -576,7 +576,7 @@
         {
             pools.retain(|(_, free_cpu_milli)| *free_cpu_milli >= cpu_milli);
         }
-        self.spread.choose(&pools)
+        self.rotation.choose(&pools)
     }
 
     /// Returns the pool to which a refused job is submitted next: first pools that may serve it in
--- a/crates/bramley-pool/tests/stealing.rs
+++ b/crates/bramley-pool/tests/stealing.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bramley_fleet::{TestJob, World};
-use bramley_pool::message::{FreeSlot, StealRequest};
+use bramley_pool::message::{FreeSlot, RelayId, StealRequest};
 use bramley_pool::pool::PoolAction;
 use bramley_pool::relay::JobAnswer;
 use bramley_pool::resources::TaskResources;
@@ -147,6 +147,18 @@
     assert!(starts.all(|count| count <= 2), "{:#?}", world.log);
 }
 
+/// During an update, relays of an earlier version ignore released tasks. Guards against their jobs
+/// being left without an answer.
+#[test]
+fn jobs_of_earlier_relays_stay_whole() {
+    let mut world = started_world();
+    world.hosts[0].pool.keep_jobs_whole(RelayId(1));
+    world.submit(1, &wide_job(100));
+    world.run_for(Duration::from_secs(1));
+    assert_eq!(world.answer("wide"), Some(JobAnswer::Completed));
+    assert_eq!(runs_by_domain(&world), [16, 0], "{:#?}", world.log);
+}
+
 /// Requests whose workers fit nothing, have another service or no resources at all. Guards against a
 /// pool that gives up tasks to a process that cannot run them.
 #[test]
