--- a/crates/bramley-load/src/fleet/day.rs
+++ b/crates/bramley-load/src/fleet/day.rs
@@ -21,26 +21,6 @@
     "route-0", "route-1", "route-2", "route-3", "route-4", "route-5", "route-6", "route-7",
 ];
 
-/// Names of the failure domains.
-const DOMAIN_NAMES: [&str; 16] = [
-    "domain-1",
-    "domain-2",
-    "domain-3",
-    "domain-4",
-    "domain-5",
-    "domain-6",
-    "domain-7",
-    "domain-8",
-    "domain-9",
-    "domain-10",
-    "domain-11",
-    "domain-12",
-    "domain-13",
-    "domain-14",
-    "domain-15",
-    "domain-16",
-];
-
 /// Relative standard deviation of sizes, numbers and mean run times of jobs.
 const JOB_SPREAD: f64 = 0.4;
 
@@ -107,8 +87,11 @@
 
 impl<'a> FleetDay<'a> {
     fn new(scenario: &'a FleetScenario, settings: &PoolSettings, seed: u64) -> Self {
-        let domains = &DOMAIN_NAMES[..scenario.domains.min(DOMAIN_NAMES.len())];
-        let mut world = World::with_domains(domains, scenario.hosts, scenario.workers, settings);
+        let domains: Vec<String> = (1..=scenario.domains)
+            .map(|number| format!("domain-{number}"))
+            .collect();
+        let domains: Vec<&str> = domains.iter().map(String::as_str).collect();
+        let mut world = World::with_domains(&domains, scenario.hosts, scenario.workers, settings);
         let cores = &scenario.worker_cores;
         for (worker, index) in world.workers.iter_mut().zip(0..) {
             worker.capacity_milli = cores[index % cores.len()] * 1_000;
--- a/crates/bramley-load/src/fleet/outcome.rs
+++ b/crates/bramley-load/src/fleet/outcome.rs
@@ -74,8 +74,18 @@
         total
     }
 
+    /// Returns the sum over days of the same scenario.
+    #[must_use]
+    pub fn sum_of(days: &[Self]) -> Self {
+        let mut sum = Self::default();
+        for day in days {
+            sum.add(day);
+        }
+        sum
+    }
+
     /// Adds the counts of another day of the same scenario.
-    pub fn add(&mut self, other: &Self) {
+    fn add(&mut self, other: &Self) {
         if self.routes.is_empty() {
             self.routes.clone_from(&other.routes);
         } else {
--- a/crates/bramley-load/src/main.rs
+++ b/crates/bramley-load/src/main.rs
@@ -7,7 +7,7 @@
 use argh::FromArgs;
 use bramley_load::compare::compare_reports;
 use bramley_load::fleet::comparison::compare_days;
-use bramley_load::fleet::day::play_day;
+use bramley_load::fleet::experiment::FleetExperiment;
 use bramley_load::fleet::outcome::DayOutcome;
 use bramley_load::fleet::scenario::FleetScenario;
 use bramley_load::offer::offer_load;
@@ -19,7 +19,6 @@
 use bramley_load::simulation::dispatcher::{POLICIES, PolicyDescriptor, find_policy};
 use bramley_load::simulation::run_scenario;
 use bramley_pool::mechanism::{DisabledMechanisms, Mechanism};
-use bramley_pool::settings::PoolSettings;
 
 /// Generates load for bramleydock and measures it.
 #[derive(Debug, FromArgs)]
@@ -286,13 +285,18 @@
             variants.push((mechanism.to_string(), disabled));
         }
     }
-    let base = play_seeds(&scenario, DisabledMechanisms::default(), options);
-    println!("{}, {} seeds", scenario.name, options.seeds);
-    println!("{}", sum_of(&base).to_table());
+    let experiment = FleetExperiment {
+        scenario,
+        seeds: options.seeds,
+        parallel_days: options.jobs,
+    };
+    let base = experiment.play(DisabledMechanisms::default());
+    println!("{}, {} seeds", experiment.scenario.name, options.seeds);
+    println!("{}", DayOutcome::sum_of(&base).to_table());
     let mut results = vec![(String::from("all mechanisms"), base.clone())];
     for (name, disabled) in variants {
-        let days = play_seeds(&scenario, disabled, options);
-        println!("without {name}\n{}", sum_of(&days).to_table());
+        let days = experiment.play(disabled);
+        println!("without {name}\n{}", DayOutcome::sum_of(&days).to_table());
         println!("difference without {name}, with its 95 % interval");
         println!("{}", compare_days(&base, &days));
         results.push((format!("without {name}"), days));
@@ -314,44 +318,6 @@
     })
 }
 
-/// Plays the days of all seeds, several at the same time.
-fn play_seeds(
-    scenario: &FleetScenario,
-    disabled: DisabledMechanisms,
-    options: &FleetOptions,
-) -> Vec<DayOutcome> {
-    let settings = PoolSettings {
-        disabled,
-        ..PoolSettings::default()
-    };
-    let seeds: Vec<u64> = (1..=options.seeds).collect();
-    let mut days = Vec::new();
-    for batch in seeds.chunks(options.jobs.max(1)) {
-        std::thread::scope(|scope| {
-            let players: Vec<_> = batch
-                .iter()
-                .map(|seed| scope.spawn(|| play_day(scenario, &settings, *seed)))
-                .collect();
-            for player in players {
-                match player.join() {
-                    Ok(day) => days.push(day),
-                    Err(panic) => std::panic::resume_unwind(panic),
-                }
-            }
-        });
-        eprintln!("{} of {} days played", days.len(), seeds.len());
-    }
-    days
-}
-
-fn sum_of(days: &[DayOutcome]) -> DayOutcome {
-    let mut sum = DayOutcome::default();
-    for day in days {
-        sum.add(day);
-    }
-    sum
-}
-
 fn read_report(path: &Path) -> Result<RunReport, String> {
     let text =
         std::fs::read_to_string(path).map_err(|error| format!("{}: {error}", path.display()))?;
--- a/crates/bramley-load/tests/fleet.rs
+++ b/crates/bramley-load/tests/fleet.rs
@@ -32,14 +32,6 @@
         .collect()
 }
 
-fn sum_of(days: &[DayOutcome]) -> DayOutcome {
-    let mut sum = DayOutcome::default();
-    for day in days {
-        sum.add(day);
-    }
-    sum
-}
-
 fn route(day: &DayOutcome, name: &str) -> JobCounts {
     let found = day.routes.iter().find(|(route, _)| route == name);
     found.expect("the scenario has the route").1
@@ -52,11 +44,15 @@
 fn wide_urgent_jobs_are_in_time_in_small_pools() {
     let scenario = small_pools(130);
     let shared = play(&scenario, DisabledMechanisms::default());
-    let in_time = route(&sum_of(&shared), "urgent_wide").in_time_share();
-    assert!(in_time >= 0.88, "{}", sum_of(&shared).to_table());
+    let in_time = route(&DayOutcome::sum_of(&shared), "urgent_wide").in_time_share();
+    assert!(
+        in_time >= 0.88,
+        "{}",
+        DayOutcome::sum_of(&shared).to_table()
+    );
     let apart = DisabledMechanisms::default().with(Mechanism::Stealing);
-    let apart = sum_of(&play(&scenario, apart));
-    assert!(apart.tasks_taken == 0 && sum_of(&shared).tasks_taken > 0);
+    let apart = DayOutcome::sum_of(&play(&scenario, apart));
+    assert!(apart.tasks_taken == 0 && DayOutcome::sum_of(&shared).tasks_taken > 0);
     let in_time_apart = route(&apart, "urgent_wide").in_time_share();
     assert!(in_time > in_time_apart, "{in_time} {in_time_apart}");
 }
@@ -65,7 +61,7 @@
 /// places at once and have the least slack, and against the others getting nothing.
 #[test]
 fn at_twice_the_load_urgent_jobs_are_served_no_worse_than_others() {
-    let days = sum_of(&play(&small_pools(200), DisabledMechanisms::default()));
+    let days = DayOutcome::sum_of(&play(&small_pools(200), DisabledMechanisms::default()));
     let share = |name: &str| route(&days, name).in_time_share();
     assert!(share("urgent_wide") >= share("long"), "{}", days.to_table());
     for (name, counts) in &days.routes {
