--- a/crates/bramley-pool/src/pool/shares.rs
+++ b/crates/bramley-pool/src/pool/shares.rs
@@ -391,8 +391,8 @@
         is_short_size || self.shares.is_short_domain(job)
     }
 
-    /// Returns the least urgent level of jobs that a new job may not make late: its own, or all while
-    /// a route gets less than it is entitled to.
+    /// Returns the least urgent level of jobs that a new job may not make late: its own, or all levels
+    /// while a route gets less than it is entitled to or relays refuse a part of the jobs.
     pub(super) fn protected_level(&self, job: &JobRecord) -> usize {
         if self.shares.routes.short_groups > 0 || self.route_loads.is_excessive() {
             URGENCY_LEVELS - 1
