--- a/review/stand-ins/src/leader_chain.rs
+++ b/review/stand-ins/src/leader_chain.rs
@@ -114,7 +114,9 @@
         let claim = deployment.store.value(&format!("pools/{}", ZONES[0]));
         let holder = claim.as_ref().and_then(|claim| claim["address"].as_str());
         if let Some(holder) = holder.filter(|holder| *holder != earlier) {
-            deployment.record.line(format!("the claim on {} names {holder}", ZONES[0]));
+            deployment
+                .record
+                .line(format!("the claim on {} names {holder}", ZONES[0]));
             earlier = String::from(holder);
             seen_at = now;
         }
--- a/review/stand-ins/src/other_kind.rs
+++ b/review/stand-ins/src/other_kind.rs
@@ -17,8 +17,9 @@
 
 const WORKERS: usize = 8;
 
-/// Times for which workers are down; site files name crashes of 4.5 s.
-const DOWN_MS: [u64; 8] = [300, 500, 800, 1_200, 1_600, 2_100, 2_600, 3_200];
+/// Times for which workers are down; site files name crashes of 4.5 s. The leader tries to reach a
+/// silent worker ever more rarely, and does so soon after these times.
+const DOWN_MS: [u64; 8] = [370, 590, 910, 1_310, 1_710, 2_190, 2_770, 3_330];
 
 /// Time between two crashes, of one of eight workers each; site files name shares of 0.14.
 const GAP: Duration = Duration::from_millis(3_800);
@@ -109,7 +110,7 @@
     })
 }
 
-/// Sends jobs of one task that require the labels `a` and `b` by turns.
+/// Sends jobs of two tasks that require the labels `a` and `b` by turns.
 async fn send_jobs(balancer: Balancer, record: Record, answered: Arc<AtomicU64>) {
     for number in 0_u64.. {
         let label = if number % 2 == 0 { "a" } else { "b" };
--- a/review/stand-ins/src/record.rs
+++ b/review/stand-ins/src/record.rs
@@ -76,8 +76,8 @@
     /// Records the start of a run and returns its index.
     pub fn begin(&self, run: RunRecord) -> usize {
         let text = format!(
-            "worker {} (born {}, labels {:?}) starts {} run {} token {} spec {:?}",
-            run.worker, run.born_ms, run.labels, run.task, run.number, run.token, run.spec
+            "{} starts {} run {} (token {}, spec {:?}, labels {:?})",
+            run.worker, run.task, run.number, run.token, run.spec, run.labels
         );
         let mut state = self.state();
         state.lines.push((run.started_ms, text));
@@ -90,10 +90,7 @@
         let mut state = self.state();
         let run = &mut state.runs[index];
         run.ended = Some((at_ms, how));
-        let text = format!(
-            "worker {} ends {} run {}: {how}",
-            run.worker, run.task, run.number
-        );
+        let text = format!("{} ends {} run {}: {how}", run.worker, run.task, run.number);
         state.lines.push((at_ms, text));
     }
 
