End orphaned runs before their callers resend, over any series of leaders

Cause, by the logs of the processes: each new leader kept orphaned runs for 400 ms of its own term, and renewed the lease of their worker for the adopted runs beside them. Both bounds began anew with each leader; nothing counted from the loss that callers see. The fourth leader stopped the runs 1,567 ms after the kill, callers resend after 1,300 ms. From 67 ms on, no relay was left that could have adopted them.

Ruled out: late stops (22 ms), starts after the kill, a second start by the same domain, clocks.

Change: leaders publish since when callers may be lost and which relays hold jobs, and relays pass this on to the next leader. It stops orphaned runs as soon as all these relays have resubmitted; else 150 ms before the callers' pause is over, counted from the loss. A run whose caller may be gone limits the lease of its worker to that time, which holds if the stop fails or the leader dies.

--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -73,9 +73,9 @@
                 self.state.borrow_mut().local_relay_inbox.push(message);
             }
             PoolAction::Send(relay, message) => {
-                if let Some(outgoing) = self.state.borrow().relays.get(&relay) {
+                if let Some(link) = self.state.borrow().relays.get(&relay) {
                     queue_frame(
-                        outgoing,
+                        &link.outgoing,
                         OutgoingFrame::Single(encode_pool_message(message)),
                     );
                 }
@@ -84,8 +84,8 @@
                 let mut state = self.state.borrow_mut();
                 if !state.relays.is_empty() {
                     let frame = OutgoingFrame::shared(&encode_pool_message(message.clone()));
-                    for outgoing in state.relays.values() {
-                        queue_frame(outgoing, frame.clone());
+                    for link in state.relays.values() {
+                        queue_frame(&link.outgoing, frame.clone());
                     }
                 }
                 state.local_relay_inbox.push(message);
--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -202,6 +202,12 @@
                 self.update_state(|state| {
                     state.claim.claim_written(grant, now);
                     state.pool.become_leader(grant.token, now);
+                    if let Some(members) = state.relay.members(&domain) {
+                        state.pool.await_relays(members.iter().copied());
+                    }
+                    if let Some(lost_at) = state.relay.callers_lost_at(&domain) {
+                        state.pool.observe_caller_loss(lost_at, now);
+                    }
                 });
                 let view = ClaimView {
                     revision: grant.token,
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -59,6 +59,13 @@
     answer: oneshot::Sender<JobAnswer>,
 }
 
+/// Connection of another process's relay to the local pool.
+#[derive(Debug)]
+struct RelayLink {
+    outgoing: mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>,
+    last_heard_at: UnixTime,
+}
+
 /// Connection of the local relay to a pool.
 #[derive(Debug)]
 struct PoolLink {
@@ -79,7 +86,7 @@
     callers: FxHashMap<JobName, WaitingCaller>,
     next_caller_number: u64,
     /// Connections of other processes' relays to the local pool.
-    relays: FxHashMap<RelayId, mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>>,
+    relays: FxHashMap<RelayId, RelayLink>,
     next_relay_id: u64,
     pools: BTreeMap<DomainName, PoolLink>,
     routes: Arc<RouteTable>,
@@ -100,6 +107,15 @@
 }
 
 impl EngineState {
+    /// Returns the earliest time at which callers of active runs may have lost their host: as the
+    /// pool knows, or since a connected relay has been silent for longer than `limit`.
+    fn callers_lost_at(&self, limit: Duration, now: UnixTime) -> Option<UnixTime> {
+        let heard_at = self.relays.values().map(|link| link.last_heard_at).min();
+        let silent_since = heard_at.filter(|heard_at| now.since(*heard_at) > limit);
+        let lost_at = self.pool.callers_lost_at(now);
+        lost_at.into_iter().chain(silent_since).min()
+    }
+
     /// Returns whether another host should take over leadership of the failure domain.
     fn gives_way(&self, now: UnixTime) -> bool {
         self.stopping_since.is_some() || self.claim.has_lost_store(now)
@@ -117,6 +133,8 @@
     state: RefCell<EngineState>,
     /// Time since boot at which the process was last known to run.
     last_active_at: Cell<Duration>,
+    /// The same time on the process's clock.
+    last_active_clock: Cell<UnixTime>,
     explanation_limit: Cell<ExplanationLimit>,
     leadership_changed: Notify,
 }
@@ -136,6 +154,7 @@
         );
         let mut pool = Pool::new(settings.pool.clone());
         pool.relay_connected(LOCAL_RELAY, settings.host.domain.clone());
+        pool.relay_introduced(LOCAL_RELAY, incarnation);
         let state = EngineState {
             pool,
             relay: Relay::new(settings.relay.clone(), settings.host.domain.clone()),
@@ -165,6 +184,7 @@
             metrics: DockMetrics::default(),
             state: RefCell::new(state),
             last_active_at: Cell::new(time_since_boot()),
+            last_active_clock: Cell::new(clock.now()),
             explanation_limit: Cell::default(),
             leadership_changed: Notify::new(),
         })
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -7,9 +7,11 @@
 use bramley_wire::pool::{PoolBeat, PoolFrame, RelayFrame, RelayHello};
 use tokio::sync::mpsc;
 
-use super::Engine;
 use super::actions::queue_frame;
-use crate::links::convert::{decode_admissions, decode_load, encode_heartbeat};
+use super::{Engine, RelayLink};
+use crate::links::convert::{
+    PoolHeartbeat, decode_admissions, decode_age, decode_load, encode_age, encode_heartbeat,
+};
 use crate::links::{DisconnectReason, OutgoingFrame};
 use crate::platform::Platform;
 
@@ -24,7 +26,12 @@
         let relay = RelayId(state.next_relay_id);
         state.next_relay_id += 1;
         let domain = DomainName::from(hello.relay_domain.as_str());
+        let now = self.now();
         state.pool.relay_connected(relay, domain);
+        state.pool.relay_introduced(relay, hello.incarnation);
+        if let Some(lost_at) = decode_age(hello.caller_loss_age_ms, now) {
+            state.pool.observe_caller_loss(lost_at, now);
+        }
         if !hello.splits_jobs {
             state.pool.keep_jobs_whole(relay);
         }
@@ -35,24 +42,48 @@
             hello.incarnation,
             relay.0,
         );
-        let now = self.now();
-        let load = state.pool.load(now);
         let admissions = state.pool.route_admissions(now);
-        let is_leader = state.pool.token().is_some();
-        let gives_way = state.gives_way(now);
-        let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
+        let heartbeat = encode_heartbeat(&PoolHeartbeat {
+            load: state.pool.load(now),
+            admissions: &admissions,
+            is_leader: state.pool.token().is_some(),
+            gives_way: state.gives_way(now),
+            callers_lost_at: state.callers_lost_at(self.settings.link.silence_limit(), now),
+            // Follow with the next heartbeat, because the relays of all hosts connect at once.
+            members: None,
+            sent_at: now,
+        });
         queue_frame(&outgoing, OutgoingFrame::Single(heartbeat));
-        state.relays.insert(relay, outgoing);
+        let link = RelayLink {
+            outgoing,
+            last_heard_at: now,
+        };
+        state.relays.insert(relay, link);
         relay
     }
 
+    pub(crate) fn relay_frame_received(&self, relay: RelayId) {
+        let now = self.now();
+        if let Some(link) = self.state.borrow_mut().relays.get_mut(&relay) {
+            link.last_heard_at = now;
+        }
+    }
+
+    /// Returns what the local relay reports to a new leader of a failure domain: the time in
+    /// milliseconds since callers may have lost their host.
+    pub(crate) fn caller_loss_age_ms(&self, domain: &DomainName) -> Option<u32> {
+        let now = self.now();
+        encode_age(self.state.borrow().relay.callers_lost_at(domain), now)
+    }
+
     pub(crate) fn relay_disconnected(self: &Rc<Self>, relay: RelayId) {
         let now = self.now();
         self.update_state(|state| {
-            state.relays.remove(&relay);
+            let link = state.relays.remove(&relay);
+            let last_heard_at = link.map_or(now, |link| link.last_heard_at);
             // The relay submits unfinished jobs again, here or elsewhere.
             state.inbox.retain(|(sender, _)| *sender != relay);
-            state.pool.relay_lost(relay, now);
+            state.pool.relay_lost(relay, last_heard_at, now);
         });
         self.process_actions();
     }
@@ -89,6 +120,12 @@
         let mut state = self.state.borrow_mut();
         state.relay.update_pool_load(domain, decode_load(beat));
         state.relay.update_route_admissions(domain, admissions, now);
+        let callers_lost_at = decode_age(beat.caller_loss_age_ms, now);
+        state.relay.update_caller_loss(domain, callers_lost_at, now);
+        if let Some(members) = &beat.members {
+            let incarnations = members.incarnations.clone();
+            state.relay.update_members(domain, incarnations);
+        }
         if let Some(link) = state.pools.get_mut(domain) {
             link.gives_way = beat.gives_way;
         }
@@ -105,10 +142,15 @@
     }
 
     pub(crate) fn pool_connect_failed(&self, domain: &DomainName, is_refused: bool) {
-        if let Some(link) = self.state.borrow_mut().pools.get_mut(domain)
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        if let Some(link) = state.pools.get_mut(domain)
             && link.refuses_connections != is_refused
         {
             link.refuses_connections = is_refused;
+            if is_refused {
+                state.relay.leader_ended(domain, link.claim.incarnation);
+            }
             let address = &link.claim.address;
             log::info!(
                 "event=pool_unreachable pool={domain} address={address} refuses={is_refused}"
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -10,7 +10,7 @@
 use super::actions::queue_frame;
 use crate::clock::time_since_boot;
 use crate::links::OutgoingFrame;
-use crate::links::convert::encode_heartbeat;
+use crate::links::convert::{PoolHeartbeat, encode_heartbeat};
 use crate::platform::Platform;
 
 /// Interval of periodic work; run leases and stops need this resolution.
@@ -61,24 +61,36 @@
     pub(super) fn detect_pause(&self) {
         let since_boot = time_since_boot();
         let pause = since_boot.saturating_sub(self.last_active_at.replace(since_boot));
+        let now = self.now();
+        let counted = now.since(self.last_active_clock.replace(now));
         if pause > MIN_PAUSE {
-            self.process_resumed(pause);
+            self.process_resumed(pause, pause.saturating_sub(counted));
         }
     }
 
-    /// Handles a pause of the process. After a long one, connected relays are dropped and have to
-    /// reconnect, because the process may have missed that their connections ended.
-    pub(super) fn process_resumed(&self, pause: Duration) {
-        log::warn!("event=process_resumed pause_ms={}", pause.as_millis());
+    /// Handles a pause of the process, of which its clock has not counted `skipped`. After a long
+    /// one, connected relays are dropped and have to reconnect, because the process may have missed
+    /// that their connections ended.
+    pub(super) fn process_resumed(&self, pause: Duration, skipped: Duration) {
+        log::warn!(
+            "event=process_resumed pause_ms={} skipped_ms={}",
+            pause.as_millis(),
+            skipped.as_millis(),
+        );
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         state.pool.process_resumed(now);
         state.relay.process_resumed(now);
+        state.pool.clock_skipped(skipped);
+        state.relay.clock_skipped(skipped);
+        for link in state.relays.values_mut() {
+            link.last_heard_at = link.last_heard_at.before(skipped);
+        }
         if pause > self.settings.link.idle_timeout {
             state.inbox.clear();
-            for (relay, _) in state.relays.drain() {
-                state.pool.relay_lost(relay, now);
+            for (relay, link) in state.relays.drain() {
+                state.pool.relay_lost(relay, link.last_heard_at, now);
             }
         }
     }
@@ -93,17 +105,33 @@
         let is_leader = state.pool.token().is_some();
         let gives_way = state.gives_way(now);
         let admissions = state.pool.route_admissions(now);
+        let callers_lost_at = state.callers_lost_at(self.settings.link.silence_limit(), now);
+        let members = state.pool.take_changed_members(now);
         if !state.relays.is_empty() {
-            let heartbeat = encode_heartbeat(load, &admissions, is_leader, gives_way, now);
+            let heartbeat = encode_heartbeat(&PoolHeartbeat {
+                load,
+                admissions: &admissions,
+                is_leader,
+                gives_way,
+                callers_lost_at,
+                members: members.as_deref(),
+                sent_at: now,
+            });
             let heartbeat = OutgoingFrame::shared(&heartbeat);
-            for outgoing in state.relays.values() {
-                queue_frame(outgoing, heartbeat.clone());
+            for link in state.relays.values() {
+                queue_frame(&link.outgoing, heartbeat.clone());
             }
         }
         self.metrics.record_admissions(&admissions);
         let local_domain = self.settings.host.domain.clone();
         if is_leader {
             state.relay.update_pool_load(&local_domain, load);
+            state
+                .relay
+                .update_caller_loss(&local_domain, callers_lost_at, now);
+            if let Some(members) = members {
+                state.relay.update_members(&local_domain, members);
+            }
             state
                 .relay
                 .update_route_admissions(&local_domain, admissions, now);
--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -13,8 +13,9 @@
 use bramley_pool::refusal::Refusal;
 use bramley_pool::resources::TaskResources;
 use bramley_wire::pool::{
-    self as wire, CancelJob, JobCrash, JobEnded, PlacedTask, PoolBeat, PoolFrame, RelayFrame,
-    StealTasks, SubmitJob, TaskDone, TasksPlaced, TasksReleased, pool_frame, relay_frame,
+    self as wire, CancelJob, JobCrash, JobEnded, JobsResumed, PlacedTask, PoolBeat, PoolFrame,
+    PoolMembers, RelayFrame, StealTasks, SubmitJob, TaskDone, TasksPlaced, TasksReleased,
+    pool_frame, relay_frame,
 };
 
 /// Outcome code of a completed job.
@@ -40,6 +41,7 @@
         RelayMessage::Cancel(job) => relay_frame::Body::Cancel(CancelJob {
             job: String::from(job.as_str()),
         }),
+        RelayMessage::Resumed => relay_frame::Body::Resumed(JobsResumed {}),
         RelayMessage::Waiting(waiting) => relay_frame::Body::Waiting(wire::WaitingTasks {
             tasks: waiting.tasks,
             min_cpu_milli: waiting.min_cpu_milli,
@@ -217,31 +219,63 @@
 /// Code of a route whose late jobs are refused.
 const NO_LATE_WAIT: u32 = u32::MAX;
 
-/// Encodes a pool's heartbeat at the time `now`.
+/// State of a pool that its heartbeats tell.
+#[derive(Clone, Copy, Debug)]
+pub struct PoolHeartbeat<'a> {
+    /// Load of the pool.
+    pub load: PoolLoad,
+    /// Admission states of routes.
+    pub admissions: &'a [RouteAdmission],
+    /// Whether the pool is the leader.
+    pub is_leader: bool,
+    /// Whether another host should take over.
+    pub gives_way: bool,
+    /// Earliest time at which callers of active runs may have lost their host.
+    pub callers_lost_at: Option<UnixTime>,
+    /// Relays that may have jobs at the pool, if they have changed.
+    pub members: Option<&'a [u64]>,
+    /// Time at which the heartbeat is sent.
+    pub sent_at: UnixTime,
+}
+
+/// Encodes a pool's heartbeat.
 #[must_use]
-pub fn encode_heartbeat(
-    load: PoolLoad,
-    admissions: &[RouteAdmission],
-    commands: bool,
-    gives_way: bool,
-    now: UnixTime,
-) -> PoolFrame {
+pub fn encode_heartbeat(heartbeat: &PoolHeartbeat<'_>) -> PoolFrame {
+    let load = heartbeat.load;
+    let now = heartbeat.sent_at;
     PoolFrame {
         body: Some(pool_frame::Body::Beat(PoolBeat {
-            commands,
-            gives_way,
+            commands: heartbeat.is_leader,
+            gives_way: heartbeat.gives_way,
             free_cpu_milli: load.free_cpu_milli,
             listed_workers: load.listed_workers,
             waiting_tasks: load.waiting_tasks,
             evacuated: load.evacuated,
-            admissions: admissions
+            admissions: heartbeat
+                .admissions
                 .iter()
                 .map(|admission| encode_admission(admission, now))
                 .collect(),
+            caller_loss_age_ms: encode_age(heartbeat.callers_lost_at, now),
+            members: heartbeat.members.map(|incarnations| PoolMembers {
+                incarnations: incarnations.to_vec(),
+            }),
         })),
     }
 }
 
+/// Encodes a time as its age in milliseconds, rounded up so that the decoded time is not later.
+#[must_use]
+pub fn encode_age(time: Option<UnixTime>, now: UnixTime) -> Option<u32> {
+    time.map(|time| millis(now.since(time)).saturating_add(1))
+}
+
+/// Decodes a time from its age in milliseconds.
+#[must_use]
+pub fn decode_age(age_ms: Option<u32>, now: UnixTime) -> Option<UnixTime> {
+    age_ms.map(|age_ms| now.before(Duration::from_millis(u64::from(age_ms))))
+}
+
 fn encode_admission(admission: &RouteAdmission, now: UnixTime) -> wire::RouteAdmission {
     wire::RouteAdmission {
         route: String::from(admission.route.as_str()),
--- a/crates/bramley-dock/src/links/inbound.rs
+++ b/crates/bramley-dock/src/links/inbound.rs
@@ -74,6 +74,7 @@
             Ok(frame) => frame,
             Err(reason) => return reason,
         };
+        engine.relay_frame_received(relay);
         let message = match frame.body {
             Some(relay_frame::Body::Submit(submit)) => {
                 RelayMessage::Submit(Box::new(decode_submission(submit, engine.now())))
@@ -81,6 +82,7 @@
             Some(relay_frame::Body::Cancel(cancel)) => {
                 RelayMessage::Cancel(JobName::new(cancel.job))
             }
+            Some(relay_frame::Body::Resumed(_)) => RelayMessage::Resumed,
             Some(relay_frame::Body::Waiting(waiting)) => {
                 RelayMessage::Waiting(decode_waiting(waiting))
             }
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -67,6 +67,7 @@
         cpu_milli: engine.settings().host.cpu_milli,
         relay_domain: String::from(engine.settings().host.domain.as_str()),
         splits_jobs: true,
+        caller_loss_age_ms: engine.caller_loss_age_ms(domain),
     };
     send(&outgoing, relay_frame::Body::Hello(hello));
     // A change of the claim aborts this task. The connection has to end with it, or the earlier pool
--- a/crates/bramley-dock/src/settings.rs
+++ b/crates/bramley-dock/src/settings.rs
@@ -57,6 +57,15 @@
     pub reconnect_delay: Duration,
 }
 
+impl LinkSettings {
+    /// Returns the silence after which callers of a connected relay may have lost their host: two
+    /// missing heartbeats.
+    #[must_use]
+    pub const fn silence_limit(&self) -> Duration {
+        self.heartbeat_interval.saturating_mul(2)
+    }
+}
+
 impl Default for LinkSettings {
     fn default() -> Self {
         Self {
--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -5,8 +5,8 @@
 use bramley_core::names::WorkerName;
 use bramley_core::units::UnixTime;
 use bramley_dock::links::convert::{
-    decode_admissions, decode_load, decode_pool_message, decode_submission, encode_heartbeat,
-    encode_pool_message, encode_relay_message,
+    PoolHeartbeat, decode_admissions, decode_age, decode_load, decode_pool_message,
+    decode_submission, encode_heartbeat, encode_pool_message, encode_relay_message,
 };
 use bramley_pool::crash::{CrashEvidence, TaskCrash};
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
@@ -169,11 +169,25 @@
         admission("in-time", 1_000, Some(Duration::from_millis(70)), now),
         admission("refused", 0, None, now),
     ];
-    let frame = encode_heartbeat(load, &admissions, true, false, now);
+    let callers_lost_at = UnixTime::from_micros(4_700_500);
+    let frame = encode_heartbeat(&PoolHeartbeat {
+        load,
+        admissions: &admissions,
+        is_leader: true,
+        gives_way: false,
+        callers_lost_at: Some(callers_lost_at),
+        members: Some(&[7, u64::MAX]),
+        sent_at: now,
+    });
     let Some(pool_frame::Body::Beat(beat)) = frame.body else {
         panic!("the frame does not hold a heartbeat");
     };
     assert_eq!(decode_load(&beat), load);
     assert_eq!(decode_admissions(&beat, now), admissions);
     assert!(beat.commands && !beat.gives_way);
+    let lost_at = decode_age(beat.caller_loss_age_ms, now).expect("an age");
+    let early = callers_lost_at.since(lost_at);
+    assert!(lost_at <= callers_lost_at && early <= Duration::from_millis(2));
+    let members = beat.members.expect("the members");
+    assert_eq!(members.incarnations, [7, u64::MAX]);
 }
--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -37,6 +37,9 @@
 /// Interval between ticks.
 const TICK: Duration = Duration::from_millis(25);
 
+/// Ticks between two heartbeats of a pool.
+const TICKS_PER_HEARTBEAT: u64 = 8;
+
 /// Delay of requests that are carried out late; the platform specifies at least 2 s.
 const LATE_DELAY: Duration = Duration::from_secs(3);
 
@@ -63,6 +66,8 @@
     LateRequest(WorkerCall, u64),
     Submit(usize, TestJob),
     BecomeLeader(usize),
+    /// A killed host's process starts again.
+    RestartHost(usize),
     /// A worker crashes under a task, if it still runs it.
     WorkerCrashes(usize, String),
     WorkerRestarts(usize),
@@ -108,6 +113,8 @@
     pub pool: Pool,
     /// Whether the process runs.
     pub alive: bool,
+    /// Incarnation of the process.
+    pub incarnation: u64,
 }
 
 impl VirtualHost {
@@ -182,11 +189,15 @@
     pub partitions: BTreeSet<(usize, usize)>,
     /// Fault: released tasks are assigned to the pool that has released them as well.
     pub assigns_released_twice: bool,
+    /// Settings of the pools.
+    settings: PoolSettings,
     /// Connections that can be reset; `None` if messages always arrive.
     pub links: Option<Links>,
     /// Calls that were answered or have timed out, by calling host and [`call_key`].
     answered: BTreeSet<(usize, u64)>,
     events: BinaryHeap<Scheduled>,
+    /// Number of ticks so far.
+    ticks: u64,
     /// Sequence number of the last scheduled event.
     sequence: u64,
     token: u64,
@@ -260,6 +271,7 @@
             ),
             pool: Pool::new(settings.clone()),
             alive: true,
+            incarnation: 0,
         };
         let make_worker = |(index, domain): (usize, &str)| {
             let mut worker = VirtualWorker::new(index);
@@ -286,12 +298,17 @@
             crash: CrashKind::default(),
             partitions: BTreeSet::new(),
             assigns_released_twice: false,
+            settings: settings.clone(),
             links: None,
             answered: BTreeSet::new(),
             events: BinaryHeap::new(),
+            ticks: 0,
             sequence: 0,
             token: 0,
         };
+        for (host, number) in world.hosts.iter_mut().zip(0..) {
+            host.incarnation = number;
+        }
         world.schedule(TICK, Event::Tick);
         world
     }
@@ -329,14 +346,70 @@
         self.leaders.insert(domain.clone(), host);
         self.hosts[host].pool.become_leader(token, now);
         self.schedule(LIST_DELAY, Event::List(host));
+        self.await_members(host);
+        for relay in 0..self.hosts.len() {
+            self.report_caller_loss(relay, host);
+            self.introduce_relay(relay, host, RelayId(relay as u64));
+        }
         for index in 0..self.hosts.len() {
             if self.hosts[index].alive {
                 self.hosts[index].relay.pool_connected(&domain, now);
+                self.send_caller_loss(host, index);
             }
         }
         self.run_actions();
     }
 
+    /// Lets the relay of a host report to a new leader since when callers may have lost their host.
+    pub(crate) fn report_caller_loss(&mut self, relay: usize, leader: usize) {
+        let domain = self.hosts[leader].domain.clone();
+        let host = &self.hosts[relay];
+        if let Some(lost_at) = host.relay.callers_lost_at(&domain)
+            && host.alive
+        {
+            let now = self.now;
+            self.hosts[leader].pool.observe_caller_loss(lost_at, now);
+        }
+    }
+
+    /// Tells a new leader which relays held jobs at the last one, as its host's relay knows.
+    pub(crate) fn await_members(&mut self, leader: usize) {
+        let host = &mut self.hosts[leader];
+        if let Some(members) = host.relay.members(&host.domain) {
+            host.pool.await_relays(members.iter().copied());
+        }
+    }
+
+    /// Introduces the relay of a host to the pool of a leader.
+    pub(crate) fn introduce_relay(&mut self, relay: usize, leader: usize, id: RelayId) {
+        let host = &self.hosts[relay];
+        if host.alive {
+            let incarnation = host.incarnation;
+            self.hosts[leader].pool.relay_introduced(id, incarnation);
+        }
+    }
+
+    /// Sends the relay of a host what the heartbeats of a leader tell of lost callers and members.
+    pub(crate) fn send_caller_loss(&mut self, leader: usize, relay: usize) {
+        let now = self.now;
+        let lost_at = self.hosts[leader].pool.callers_lost_at(now);
+        let members = self.hosts[leader].pool.members();
+        let domain = self.hosts[leader].domain.clone();
+        let relay = &mut self.hosts[relay].relay;
+        relay.update_caller_loss(&domain, lost_at, now);
+        relay.update_members(&domain, members);
+    }
+
+    fn send_heartbeats(&mut self) {
+        for leader in self.leaders.clone().into_values() {
+            for relay in 0..self.hosts.len() {
+                if self.hosts[leader].alive && self.is_linked(relay, leader) {
+                    self.send_caller_loss(leader, relay);
+                }
+            }
+        }
+    }
+
     /// Passes the list of workers and the evacuations to a host's pool.
     pub fn list_workers(&mut self, host: usize) {
         let now = self.now;
@@ -380,8 +453,10 @@
         self.log.push(line);
         let domain = self.hosts[host].domain.clone();
         if self.leads(host) {
+            let incarnation = self.hosts[host].incarnation;
             for relay in &mut self.hosts {
                 relay.relay.pool_lost(&domain, now);
+                relay.relay.leader_ended(&domain, incarnation);
             }
             self.leaders.remove(&domain);
         }
@@ -392,6 +467,31 @@
         self.run_actions();
     }
 
+    /// Starts the process of a killed host again after a delay, without what it knew.
+    pub fn restart_host_after(&mut self, after: Duration, host: usize) {
+        self.schedule(after, Event::RestartHost(host));
+    }
+
+    fn restart_host(&mut self, index: usize) {
+        let now = self.now;
+        let domain = self.hosts[index].domain.clone();
+        let settings = RelaySettings::without(self.settings.disabled);
+        let mut relay = Relay::new(settings, domain.clone());
+        for domain in self.leaders.keys() {
+            relay.pool_connected(domain, now);
+        }
+        self.hosts[index] = VirtualHost {
+            domain,
+            relay,
+            pool: Pool::new(self.settings.clone()),
+            alive: true,
+            incarnation: self.hosts[index].incarnation + self.hosts.len() as u64,
+        };
+        for leader in self.leaders.clone().into_values() {
+            self.introduce_relay(index, leader, RelayId(index as u64));
+        }
+    }
+
     /// Returns the host whose pool is the leader of the first failure domain.
     pub fn leader(&self) -> Option<usize> {
         self.leaders.get(FIRST_DOMAIN).copied()
@@ -572,6 +672,10 @@
                     host.relay.tick(now);
                 }
                 self.send_load();
+                self.ticks += 1;
+                if self.ticks.is_multiple_of(TICKS_PER_HEARTBEAT) {
+                    self.send_heartbeats();
+                }
                 self.schedule(TICK, Event::Tick);
             }
             Event::ToPool(from, to, message) => {
@@ -604,7 +708,7 @@
             }
             Event::RelayLost(pool, relay) => {
                 let pool = &mut self.hosts[pool].pool;
-                pool.relay_lost(RelayId(relay as u64), now);
+                pool.relay_lost(RelayId(relay as u64), now.before(DELAY), now);
             }
             Event::LateRequest(call, born_unix_ms) => {
                 let worker = &mut self.workers[worker_of(&call)];
@@ -623,6 +727,7 @@
                     self.become_leader(host);
                 }
             }
+            Event::RestartHost(host) => self.restart_host(host),
             Event::WorkerCrashes(index, task) => self.worker_crashes(index, &task),
             Event::WorkerRestarts(index) => self.worker_restarts(index),
             Event::Link(event) => self.handle_link_event(event),
--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -198,6 +198,20 @@
         }
     }
 
+    /// Returns whether heartbeats of a leader reach the relay of a host.
+    pub(crate) fn is_linked(&self, relay: usize, leader: usize) -> bool {
+        let Some(links) = &self.links else {
+            return self.hosts[relay].alive;
+        };
+        let domain = &self.hosts[leader].domain;
+        let current = links.current(relay, domain, self);
+        let is_open = current.is_some_and(|number| {
+            let link = &links.connections[number];
+            link.pool == leader && link.pool_is_open && self.now < link.lost_to_relay_from
+        });
+        is_open || (relay == leader && links.local_leaders.contains(&leader))
+    }
+
     fn links_mut(&mut self) -> &mut Links {
         self.links.as_mut().expect("links are in use")
     }
@@ -343,6 +357,9 @@
         let domain = self.hosts[host].domain.clone();
         let before = self.leaders.insert(domain.clone(), host);
         self.hosts[host].pool.become_leader(token, now);
+        self.await_members(host);
+        self.report_caller_loss(host, host);
+        self.introduce_relay(host, host, RelayId(host as u64));
         self.schedule(crate::LIST_DELAY, Event::List(host));
         for reader in 0..self.hosts.len() {
             let links = self.links_mut();
@@ -527,6 +544,9 @@
                 let link = &mut self.links_mut().connections[number];
                 if now < link.lost_to_pool_from {
                     link.pool_is_open = true;
+                    let (relay, pool) = (link.relay, link.pool);
+                    self.report_caller_loss(relay, pool);
+                    self.introduce_relay(relay, pool, relay_id(number));
                     self.schedule(DELAY, Event::Link(LinkEvent::RelayConnects(number)));
                 }
             }
@@ -539,15 +559,18 @@
                 let (pool, relay) = (link.pool, link.relay);
                 let domain = self.hosts[pool].domain.clone();
                 let load = self.hosts[pool].pool.load(now);
-                let relay = &mut self.hosts[relay].relay;
-                relay.pool_connected(&domain, now);
-                relay.update_pool_load(&domain, load);
+                let host = &mut self.hosts[relay].relay;
+                host.pool_connected(&domain, now);
+                host.update_pool_load(&domain, load);
+                self.send_caller_loss(pool, relay);
             }
             LinkEvent::PoolNotices(number) => {
                 let link = &mut self.links_mut().connections[number];
                 link.pool_is_open = false;
+                let last_message_at = now.min(link.lost_to_pool_from);
                 let pool = link.pool;
-                self.hosts[pool].pool.relay_lost(relay_id(number), now);
+                let pool = &mut self.hosts[pool].pool;
+                pool.relay_lost(relay_id(number), last_message_at, now);
             }
             LinkEvent::RelayNotices(number) => {
                 let link = &mut self.links_mut().connections[number];
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -21,6 +21,8 @@
     Submit(Box<JobSubmission>),
     /// Cancel a job whose caller no longer waits for the answer.
     Cancel(JobName),
+    /// All jobs that were in doubt after the loss of an earlier pool have been submitted.
+    Resumed,
     /// Tasks wait at the pool of the sending process. Sent by pools, over the connection of their
     /// process's relay.
     Waiting(WaitingTasks),
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -24,7 +24,8 @@
         }
         self.leader_since = now;
         self.orphaned_ends_kept_until = now.after(self.settings.adoption_window);
-        self.orphaned_runs_kept_until = now.after(self.settings.orphaned_run_timeout);
+        self.callers_lost_at = now;
+        self.membership.reset(true);
         for worker in &mut self.workers {
             if is_new {
                 worker.reset();
@@ -85,6 +86,7 @@
             return;
         }
         self.token = None;
+        self.membership.reset(false);
         self.evacuation = EvacuationState::default();
         self.log_leadership_change();
         self.jobs.clear();
@@ -269,6 +271,7 @@
         self.forget_speed();
         self.runs.clear();
         self.allocated = crate::resources::TaskResources::default();
+        self.lease_limit = UnixTime::NEVER;
         self.poll_in_flight = false;
         self.poll_sent_at = UnixTime::default();
         self.poll_overdue_at = UnixTime::default();
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -18,6 +18,7 @@
     pub fn handle_relay_message(&mut self, relay: RelayId, message: RelayMessage, now: UnixTime) {
         match message {
             RelayMessage::Submit(submission) => self.submit(relay, *submission, now),
+            RelayMessage::Resumed => self.membership.relay_resumed(relay, now),
             RelayMessage::Waiting(waiting) => self.waiting_published(relay, waiting, now),
             RelayMessage::Cancel(job) => {
                 if self
@@ -31,18 +32,26 @@
         }
     }
 
-    /// Records the loss of a relay's connection; its jobs are cancelled unless it reconnects in
-    /// time.
-    pub fn relay_lost(&mut self, relay: RelayId, now: UnixTime) {
+    /// Records the loss of the connection to a relay whose last message arrived at
+    /// `last_message_at`; its jobs are cancelled unless it reconnects in time. Its callers may have
+    /// lost their host at any time since that message.
+    pub fn relay_lost(&mut self, relay: RelayId, last_message_at: UnixTime, now: UnixTime) {
         self.shares.relay_lost(relay);
         self.stealing.relay_lost(relay);
         let abandoned_at = now.after(self.settings.relay_grace);
-        for job in self.jobs.values_mut() {
+        self.membership.relay_lost(relay, abandoned_at);
+        let mut names = Vec::new();
+        for (name, job) in &mut self.jobs {
             if job.relay == Some(relay) {
                 job.relay = None;
                 job.abandoned_at = abandoned_at;
+                names.push(name.clone());
             }
         }
+        let end_by = last_message_at.after(self.settings.caller_resend_delay);
+        for name in names {
+            self.limit_runs_of(&name, end_by);
+        }
     }
 
     fn submit(&mut self, relay: RelayId, submission: JobSubmission, now: UnixTime) {
@@ -60,6 +69,7 @@
             job.submission.resumed |= submission.resumed;
             job.submission.placements = submission.placements;
             job.submission.earlier_workers = submission.earlier_workers;
+            self.lift_run_limits_of(&name);
             self.assign_part(&name, &submission.part);
             self.remember_crashes(&name, &submission.crashes, now);
             if self.close_if_any_barred(&name, now) {
@@ -382,6 +392,7 @@
                     details.expected = job.expected;
                 }
                 details.needed = true;
+                worker.limit_run(position, UnixTime::NEVER);
                 adopted += 1;
             }
         }
@@ -521,10 +532,13 @@
     }
 
     fn stop_job_runs_at(&mut self, name: &JobName, index: WorkerIndex, now: UnixTime) {
+        let end_by = now.after(self.settings.caller_resend_delay);
         for position in 0..self.worker(index).runs.len() {
             let details = self.worker_mut(index).runs[position].details_mut();
             if details.task.job == *name {
                 details.needed = false;
+                let end_by = details.end_by.min(end_by);
+                self.worker_mut(index).limit_run(position, end_by);
                 self.stop_run(index, position, StopCause::NotNeeded, now);
             }
         }
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -57,6 +57,7 @@
             .iter()
             .filter(|worker| worker.is_usable() && worker.health.suspended_until <= now);
         self.utilization.sample(usable, now);
+        self.end_adoption(now);
         self.drop_abandoned_and_expired_jobs(now);
         self.expire_started_jobs(now);
         self.judge_interference(now);
@@ -210,7 +211,7 @@
         if self.orphaned_ends_kept_until <= now {
             self.worker_mut(index).drop_orphaned_ends();
         }
-        if self.orphaned_runs_kept_until > now {
+        if self.orphans_kept_until() > now {
             return;
         }
         for position in 0..self.worker(index).runs.len() {
@@ -313,6 +314,7 @@
         let wait = self.choose_poll_wait(index, now);
         let overdue_at = now.after(wait).after(self.resend_delay());
         let worker = self.worker_mut(index);
+        let lease = worker.allowed_lease(now, lease, clock_error);
         if worker.poll_in_flight || worker.runs.is_empty() || worker.next_poll_at > now {
             return;
         }
@@ -322,7 +324,8 @@
             .runs
             .iter()
             .any(|run| !run.is_stopping() && run.details().needed);
-        let renews = has_needed_run && worker.missed_polls == 0 && worker.clock.is_known();
+        let may_renew = has_needed_run && !lease.is_zero();
+        let renews = may_renew && worker.missed_polls == 0 && worker.clock.is_known();
         worker.poll_in_flight = true;
         worker.poll_sent_at = now;
         worker.poll_overdue_at = overdue_at;
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! - `admission`: estimates whether a job can meet its latency objective.
 //! - `answer_time`: time that workers take to answer start requests.
+//! - `caller_loss`: runs whose callers may have lost their host, and when these have to end.
 //! - `evacuation`: evacuation of the failure domain and its gradual return to use.
 //! - `faster`: jobs that wait for a faster worker.
 //! - `explanation`: what the pool would do with a submission now.
@@ -11,6 +12,7 @@
 //! - `jobs`: submission, adoption, completion and cancellation of jobs.
 //! - `losses`: runs that are lost together with their worker, and tasks that are to blame for it.
 //! - `maintenance`: timed work such as polls, lease expiry and repeated stop requests.
+//! - `membership`: relays that hold jobs at the pool, as leaders pass them on.
 //! - `placement`: order and rounds in which waiting tasks are started.
 //! - `queue`: jobs with waiting tasks in the order in which they are to be started.
 //! - `refusal_log`: bounded logging of refused jobs.
@@ -28,6 +30,7 @@
 
 mod admission;
 mod answer_time;
+mod caller_loss;
 mod evacuation;
 mod explanation;
 mod faster;
@@ -37,6 +40,7 @@
 mod jobs;
 mod losses;
 mod maintenance;
+mod membership;
 mod placement;
 mod queue;
 mod refusal_log;
@@ -74,6 +78,7 @@
 use faster::FasterSlots;
 use interference::InterferenceModel;
 pub use interference::RoutePair;
+use membership::RelayMembership;
 use queue::WaitQueue;
 use refusal_log::RefusalLog;
 use route_load::RouteLoads;
@@ -165,9 +170,11 @@
     /// that resubmits such a job gets their results. Until then, active runs are also looked up
     /// for jobs that are not known to have started.
     orphaned_ends_kept_until: UnixTime,
-    /// Time until which active runs whose jobs are unknown are not stopped, so that relays can
-    /// adopt them.
-    orphaned_runs_kept_until: UnixTime,
+    /// Earliest time at which callers of runs that an earlier leader has started may have lost
+    /// their host.
+    callers_lost_at: UnixTime,
+    /// Relays that hold jobs here.
+    membership: RelayMembership,
     /// Time until which no task is started after a process pause.
     placement_paused_until: UnixTime,
     workers: Vec<WorkerRecord>,
@@ -237,7 +244,8 @@
             token: None,
             leader_since: UnixTime::default(),
             orphaned_ends_kept_until: UnixTime::default(),
-            orphaned_runs_kept_until: UnixTime::default(),
+            callers_lost_at: UnixTime::default(),
+            membership: RelayMembership::default(),
             placement_paused_until: UnixTime::default(),
             workers: Vec::new(),
             by_name: FxHashMap::default(),
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -278,6 +278,7 @@
             needed: false,
             resent: false,
             is_confirmed: false,
+            end_by: self.orphan_end_by(now),
             pending_starts: 0,
             born_unix_ms,
             incarnation_end: None,
@@ -300,6 +301,7 @@
                 job.may_have_started = true;
                 details.expected = job.expected;
                 details.needed = true;
+                details.end_by = UnixTime::NEVER;
                 self.counts.runs_adopted += 1;
             } else {
                 duplicate = true;
@@ -310,7 +312,7 @@
         } else {
             self.remember_started(&task.job, now);
         }
-        let stop_now = duplicate || (!details.needed && self.orphaned_runs_kept_until <= now);
+        let stop_now = duplicate || (!details.needed && self.orphans_kept_until() <= now);
         let worker = self.worker_mut(index);
         let position = worker.runs.len();
         worker.add_run(LiveRun::Starting(Run::new(details)).confirmed(now));
--- a/crates/bramley-pool/src/pool/scoring.rs
+++ b/crates/bramley-pool/src/pool/scoring.rs
@@ -129,6 +129,7 @@
         let free = worker.free();
         if !worker.is_usable()
             || worker.health.suspended_until > now
+            || !self.has_start_lease(worker.lease_limit, now)
             || !work.resources.fits_in(free)
             || !serves(worker, job)
         {
--- a/crates/bramley-pool/src/pool/starts.rs
+++ b/crates/bramley-pool/src/pool/starts.rs
@@ -51,6 +51,7 @@
             needed: true,
             resent: false,
             is_confirmed: false,
+            end_by: UnixTime::NEVER,
             pending_starts: 1,
             born_unix_ms,
             incarnation_end: None,
@@ -60,6 +61,7 @@
         self.update_queued(name);
         let worker = self.worker_mut(index);
         worker.add_run(LiveRun::Starting(Run::new(details)));
+        let lease = worker.allowed_lease(now, lease, clock_error);
         let lease_end = worker.clock.extend_lease(now, lease, clock_error);
         let decision = Decision::Placed {
             task: task.clone(),
@@ -236,6 +238,7 @@
         let details = worker.runs[position].details_mut();
         details.resent = true;
         details.pending_starts += 1;
+        let lease = worker.allowed_lease(now, lease, clock_error);
         let lease_end = worker.clock.extend_lease(now, lease, clock_error);
         let decision = Decision::StartSentAgain {
             task: task.clone(),
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -103,10 +103,17 @@
 }
 
 /// Last known state of a pool.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct PoolView {
     connected: bool,
     load: PoolLoad,
+    /// Time of the last heartbeat of any pool of the failure domain.
+    heartbeat_at: Option<UnixTime>,
+    /// Earliest time at which callers of runs there may have lost their host, unless a leader has
+    /// ended these runs since.
+    callers_lost_at: Option<UnixTime>,
+    /// Processes whose relays held jobs at the last leader, as it has published them.
+    members: Option<Vec<u64>>,
 }
 
 /// Routes the open jobs of the callers of one process.
@@ -263,11 +270,9 @@
     /// Records a connection to a pool. Jobs in doubt after the loss of an earlier pool of the same
     /// failure domain are resubmitted to it.
     pub fn pool_connected(&mut self, domain: &DomainName, now: UnixTime) {
-        let view = PoolView {
-            connected: true,
-            load: PoolLoad::default(),
-        };
-        self.pools.insert(domain.clone(), view);
+        let view = self.pools.entry(domain.clone()).or_default();
+        view.connected = true;
+        view.load = PoolLoad::default();
         self.gate.forget_pool(domain);
         if now >= self.sending_paused_until {
             self.resume_jobs_of(domain);
@@ -288,6 +293,8 @@
             self.resume(&name, domain.clone());
         }
         self.resume_parts_of(domain);
+        let resumed = RelayAction::Send(domain.clone(), RelayMessage::Resumed);
+        self.actions.push(resumed);
     }
 
     /// Records the loss of the connection to a pool whose last message arrived at
@@ -297,6 +304,7 @@
         self.gate.forget_pool(domain);
         if let Some(pool) = self.pools.get_mut(domain) {
             pool.connected = false;
+            pool.callers_lost_at = pool.callers_lost_at.or(pool.heartbeat_at);
             earlier_workers = pool.load.listed_workers;
         }
         let ended_by = last_message_at.after(self.settings.lost_pool_wait);
@@ -320,6 +328,59 @@
         }
     }
 
+    /// Records the time at which callers of runs of a failure domain may have lost their host, as
+    /// its leader has published it; `None` if they are all connected.
+    pub fn update_caller_loss(
+        &mut self,
+        domain: &DomainName,
+        lost_at: Option<UnixTime>,
+        now: UnixTime,
+    ) {
+        if let Some(pool) = self.pools.get_mut(domain) {
+            pool.heartbeat_at = Some(now);
+            pool.callers_lost_at = lost_at;
+        }
+    }
+
+    /// Returns the earliest time at which callers of runs of a failure domain may have lost their
+    /// host, to be reported to its next leader: what the last one has published, or the time of its
+    /// last heartbeat. `None` if no leader was ever connected.
+    #[must_use]
+    pub fn callers_lost_at(&self, domain: &DomainName) -> Option<UnixTime> {
+        let pool = self.pools.get(domain)?;
+        pool.callers_lost_at.or(pool.heartbeat_at)
+    }
+
+    /// Records the processes whose relays hold jobs at a pool, as it has published them.
+    pub fn update_members(&mut self, domain: &DomainName, incarnations: Vec<u64>) {
+        if let Some(pool) = self.pools.get_mut(domain) {
+            pool.members = Some(incarnations);
+        }
+    }
+
+    /// Records that the process of a leader has ended, together with its relay.
+    pub fn leader_ended(&mut self, domain: &DomainName, incarnation: u64) {
+        let pool = self.pools.get_mut(domain);
+        if let Some(members) = pool.and_then(|pool| pool.members.as_mut()) {
+            members.retain(|member| *member != incarnation);
+        }
+    }
+
+    /// Returns the processes whose relays will resubmit jobs to the next leader of a failure domain;
+    /// `None` if they are not known.
+    #[must_use]
+    pub fn members(&self, domain: &DomainName) -> Option<&[u64]> {
+        self.pools.get(domain)?.members.as_deref()
+    }
+
+    /// Handles time that the process's clock did not count, because its host was suspended.
+    pub fn clock_skipped(&mut self, span: Duration) {
+        for pool in self.pools.values_mut() {
+            pool.heartbeat_at = pool.heartbeat_at.map(|at| at.before(span));
+            pool.callers_lost_at = pool.callers_lost_at.map(|at| at.before(span));
+        }
+    }
+
     /// Records the admission state of routes as published by a pool, which replaces its earlier
     /// state.
     pub fn update_route_admissions(
--- a/crates/bramley-pool/src/run.rs
+++ b/crates/bramley-pool/src/run.rs
@@ -87,6 +87,10 @@
     pub resent: bool,
     /// Whether the worker has accepted the start or has reported the run.
     pub is_confirmed: bool,
+    /// Time by which the run has to have ended, because its caller may then have resent the job to
+    /// another failure domain; [`UnixTime::NEVER`] while the caller is connected. Set by
+    /// [`crate::worker::WorkerRecord::limit_run`].
+    pub end_by: UnixTime,
     /// Number of start requests without an answer yet.
     pub pending_starts: u32,
     /// Time at which the incarnation of the worker started to which the start was sent, in
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -27,10 +27,19 @@
     pub takeover_bound: Duration,
     /// Time after a change of leader in which relays can adopt unacknowledged ends of runs.
     pub adoption_window: Duration,
-    /// Time after a change of leader until runs that no relay has adopted are stopped. Together
-    /// with `relay_grace`, a stop request and its retries it stays within the 1,300 ms after which
-    /// a client resends its job.
+    /// Longest time after a change of leader until runs that no relay has adopted are stopped. It
+    /// is cut short if their callers were lost so early that `caller_resend_delay` would pass.
     pub orphaned_run_timeout: Duration,
+    /// Shortest such time, in which the relays of hosts that are up reconnect and resubmit their
+    /// jobs.
+    pub min_adoption_time: Duration,
+    /// Shortest time after which a caller whose connection has ended resends its job, possibly to
+    /// another failure domain; the platform specifies `resend_ms`. Runs end within it.
+    pub caller_resend_delay: Duration,
+    /// Part of `caller_resend_delay` that is reserved for a stop request and its repetition.
+    pub stop_allowance: Duration,
+    /// Shortest run lease with which a task is started.
+    pub min_start_lease: Duration,
     /// Shortest time after which a start request without an answer is resent: several round trips
     /// within a failure domain.
     pub min_resend_delay: Duration,
@@ -100,6 +109,10 @@
             takeover_bound: Duration::from_millis(1_500),
             adoption_window: Duration::from_millis(800),
             orphaned_run_timeout: Duration::from_millis(400),
+            min_adoption_time: Duration::from_millis(100),
+            caller_resend_delay: Duration::from_millis(1_300),
+            stop_allowance: Duration::from_millis(150),
+            min_start_lease: Duration::from_millis(200),
             min_resend_delay: Duration::from_millis(15),
             max_resend_delay: Duration::from_millis(200),
             min_answer_timeout: Duration::from_millis(60),
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -311,7 +311,7 @@
 /// Returns the least time that can pass on a slow clock during `span`.
 fn min_elapsed(span: Duration, error_permille: u32) -> Duration {
     let kept = 1_000_u32.saturating_sub(error_permille);
-    span * kept / 1_000
+    span.saturating_mul(kept) / 1_000
 }
 
 /// Health of a worker as judged from its answers and runs.
@@ -386,6 +386,9 @@
     pub lost_runs: Vec<LostRun>,
     /// Resources allocated to `runs`.
     pub allocated: TaskResources,
+    /// Latest end of a run lease: the earliest time by which one of `runs` has to have ended. The
+    /// lease covers all of them, so it is the bound that holds if their stops fail.
+    pub lease_limit: UnixTime,
     /// Whether a long poll is in flight.
     pub poll_in_flight: bool,
     /// Time at which the latest long poll was sent.
@@ -437,6 +440,7 @@
             runs: Vec::new(),
             lost_runs: Vec::new(),
             allocated: TaskResources::default(),
+            lease_limit: UnixTime::NEVER,
             poll_in_flight: false,
             poll_sent_at: UnixTime::default(),
             poll_overdue_at: UnixTime::default(),
@@ -502,9 +506,28 @@
         })
     }
 
+    /// Sets the time by which a run has to have ended.
+    pub fn limit_run(&mut self, position: usize, end_by: UnixTime) {
+        self.runs[position].details_mut().end_by = end_by;
+        self.update_lease_limit();
+    }
+
+    fn update_lease_limit(&mut self) {
+        let ends = self.runs.iter().map(|run| run.details().end_by);
+        self.lease_limit = ends.min().unwrap_or(UnixTime::NEVER);
+    }
+
+    /// Returns the length of the longest run lease that may be granted now, at most `longest`. A
+    /// clock that runs slow by the given rate does not carry the lease beyond its limit.
+    #[must_use]
+    pub fn allowed_lease(&self, now: UnixTime, longest: Duration, error_permille: u32) -> Duration {
+        min_elapsed(self.lease_limit.since(now), error_permille).min(longest)
+    }
+
     /// Adds a run and allocates its resources.
     pub fn add_run(&mut self, run: LiveRun) {
         self.allocated = self.allocated.saturating_add(run.details().resources);
+        self.lease_limit = self.lease_limit.min(run.details().end_by);
         self.runs.push(run);
     }
 
@@ -512,6 +535,7 @@
     pub fn remove_run(&mut self, position: usize) -> LiveRun {
         let run = self.runs.swap_remove(position);
         self.allocated = self.allocated.saturating_sub(run.details().resources);
+        self.update_lease_limit();
         run
     }
 }
