Overwrite claims that cannot be read

Seen: with a value of another writer in the claim of a failure domain, no host of it ever became ready.

Cause: an unreadable claim counted as vacant, and the write of a vacant claim expects that the key does not exist, so the store refused it for good. A claim with a port out of range counted as held by a process that neither answers nor refuses.

Change: such a claim is held by nobody and is overwritten at its revision; a leader whose claim was overwritten writes it again without stepping down.

--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -39,6 +39,10 @@
             return;
         };
         let mut state = self.state.borrow_mut();
+        if !view.is_readable() {
+            // The next holder overwrites it; until then the connection to the last one stays.
+            return;
+        }
         let same = state.pools.get(&item.domain).is_some_and(|link| {
             link.claim.incarnation == view.incarnation && link.claim.address == view.address
         });
--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -24,6 +24,26 @@
     pub cpu_milli: u32,
 }
 
+impl ClaimView {
+    /// Returns the view of a claim that cannot be read: nobody holds it, and any host may overwrite
+    /// it.
+    #[must_use]
+    pub const fn unreadable(revision: u64) -> Self {
+        Self {
+            incarnation: 0,
+            address: String::new(),
+            revision,
+            cpu_milli: 0,
+        }
+    }
+
+    /// Returns whether the claim names a holder.
+    #[must_use]
+    pub const fn is_readable(&self) -> bool {
+        !self.address.is_empty()
+    }
+}
+
 /// A claim that was written successfully.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ClaimGrant {
@@ -170,7 +190,7 @@
     pub fn claim_read(&mut self, view: Option<ClaimView>, now: UnixTime) {
         self.last_store_contact = now;
         self.view_known = true;
-        if let Some(view) = &view {
+        if let Some(view) = view.as_ref().filter(|view| view.is_readable()) {
             self.last_holder_cpu = Some(view.cpu_milli);
         }
         self.view = view;
@@ -258,7 +278,11 @@
                     *is_renewing = true;
                     actions.push(ClaimAction::Renew { lease });
                 }
-                if self.stopping && self.release_at <= now {
+                let is_overwritten = self.view.as_ref().is_some_and(|view| !view.is_readable());
+                if is_overwritten && !self.stopping {
+                    // Written again in the next step; the pool goes on as leader.
+                    self.state = ClaimState::Standby;
+                } else if self.stopping && self.release_at <= now {
                     self.state = ClaimState::Standby;
                     actions.push(ClaimAction::Release { lease });
                 } else if self.is_held_by_other() {
@@ -328,7 +352,9 @@
             && contacts.holder_gives_way
             && self.cpu_milli >= view.cpu_milli;
         let is_too_small = is_much_smaller(view.cpu_milli, self.cpu_milli);
-        let is_writable = is_own || has_same_address || is_dead || is_handed_over || is_too_small;
+        let is_unheld = !view.is_readable();
+        let is_writable =
+            is_own || is_unheld || has_same_address || is_dead || is_handed_over || is_too_small;
         is_writable.then_some(view.revision)
     }
 
@@ -344,7 +370,7 @@
     fn is_held_by_other(&self) -> bool {
         self.view
             .as_ref()
-            .is_some_and(|view| view.incarnation != self.incarnation)
+            .is_some_and(|view| view.is_readable() && view.incarnation != self.incarnation)
     }
 
     /// Returns whether the process reaches no other host while the claim that it renews keeps them
--- a/crates/bramley-pool/tests/claims.rs
+++ b/crates/bramley-pool/tests/claims.rs
@@ -523,3 +523,21 @@
     domain.run_until(6_000);
     assert_eq!(domain.winners, [first, 1 - first]);
 }
+
+/// Guards against a failure domain without a leader for as long as an unreadable value of another writer
+/// stands in its claim: a write that expects no key at all never succeeds.
+#[test]
+fn an_unreadable_claim_is_overwritten_at_its_revision() {
+    let mut standby = make_claim(SMALL);
+    standby.claim_read(Some(ClaimView::unreadable(31)), at(0));
+    let write = ClaimAction::Write {
+        expected_revision: 31,
+    };
+    let written = standby.tick(CONNECTED, false, at(0));
+    assert_eq!(written, std::slice::from_ref(&write));
+    let mut leader = held_claim();
+    leader.claim_read(Some(ClaimView::unreadable(31)), at(50));
+    let mut actions = leader.tick(CONNECTED, true, at(75));
+    actions.extend(leader.tick(CONNECTED, true, at(100)));
+    assert_eq!(actions, [write], "the leader does not step down");
+}
