Take no start of a worker from the far future

Cause: entries and reports whose start (born) is earlier than the last one read are taken for those of an earlier incarnation. One entry of another writer with a number out of range under a worker's key hid the worker from the leader for the rest of its term.

The entry lists no worker until the next one.

--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -14,6 +14,10 @@
 use crate::run::{IncarnationEnd, LiveRun};
 use crate::worker::{ClockEstimate, WorkerEntry, WorkerHealth, WorkerIndex, WorkerRecord};
 
+/// Largest time by which a worker can have started in the future of this process's clock. Clocks of
+/// hosts differ by seconds.
+const MAX_BORN_LEAD: Duration = Duration::from_secs(24 * 3_600);
+
 impl Pool {
     /// Becomes leader with a fencing token that is higher than all earlier ones.
     pub fn become_leader(&mut self, token: u64, now: UnixTime) {
@@ -128,6 +132,17 @@
 
     /// Processes an entry of the platform's list.
     pub fn worker_listed(&mut self, entry: WorkerEntry, now: UnixTime) {
+        if !is_possible_start(entry.born_unix_ms, now) {
+            // Would hide all later entries of the worker, which are taken for those of an earlier
+            // incarnation.
+            let text = format!(
+                "event=worker_entry_ignored worker={} born_ms={} expected=\"a start that is past\"",
+                entry.name, entry.born_unix_ms,
+            );
+            self.log(Decision::Text { job: None, text });
+            self.worker_unlisted(&entry.name, now);
+            return;
+        }
         let Some(index) = self.by_name.get(&entry.name).copied() else {
             let index = WorkerIndex(u32::try_from(self.workers.len()).unwrap_or(u32::MAX));
             self.by_name.insert(entry.name.clone(), index);
@@ -254,6 +269,11 @@
     }
 }
 
+/// Returns whether a worker can have started at this time, in milliseconds since the Unix epoch.
+pub(super) fn is_possible_start(born_unix_ms: u64, now: UnixTime) -> bool {
+    born_unix_ms <= now.after(MAX_BORN_LEAD).as_millis()
+}
+
 impl WorkerRecord {
     /// Resets all state that belongs to one incarnation of the worker and one term of the leader.
     fn reset(&mut self) {
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -2,6 +2,7 @@
 
 use bramley_core::units::UnixTime;
 
+use super::fleet::is_possible_start;
 use super::placement::report_age;
 use super::{Pool, PoolAction};
 use crate::decision::Decision;
@@ -130,6 +131,11 @@
         now: UnixTime,
     ) {
         if let Some(born) = report.born_unix_ms {
+            if !is_possible_start(born, now) {
+                self.log_worker_change(index, "start_impossible", now);
+                self.poll_missed(index, requested_at, now);
+                return;
+            }
             let known = self.worker(index).entry.born_unix_ms;
             if born < known {
                 return;
