Count run numbers up to the end of their range

Cause: the number of a task's next run is counted from the highest one that a worker has reported. A report with the highest number of all made it overflow: a panic with checks, number 0 without.

Change: the number stays at the end of the range; the worker refuses it, and the job ends by its deadline.

Test: the_highest_run_number_ends_no_process, which panicked before.

--- a/crates/bramley-pool/src/pool/starts.rs
+++ b/crates/bramley-pool/src/pool/starts.rs
@@ -33,7 +33,7 @@
         };
         let resources = job.resources_on(worker, position);
         let task = &mut job.tasks[position];
-        task.last_number += 1;
+        task.last_number = task.last_number.saturating_add(1);
         task.state = TaskState::Placed(index);
         task.placed_number = task.last_number;
         job.waiting -= 1;
@@ -148,7 +148,7 @@
             && let Some(job) = self.jobs.get_mut(&task.job)
             && let Some(record) = job.tasks.get_mut(task.index as usize)
         {
-            record.last_number += OLD_NUMBER_STEP;
+            record.last_number = record.last_number.saturating_add(OLD_NUMBER_STEP);
         }
     }
 
--- a/crates/bramley-pool/tests/odd_entries.rs
+++ b/crates/bramley-pool/tests/odd_entries.rs
@@ -63,6 +63,20 @@
     assert_served(&mut world, "job-1");
 }
 
+/// Guards against a run number at the end of the range, from which the next one is counted.
+#[test]
+fn the_highest_run_number_ends_no_process() {
+    let mut world = world();
+    report_run(&mut world, None, u32::MAX);
+    let job = TestJob {
+        tasks: 2,
+        ..TestJob::default()
+    };
+    world.submit(0, &job);
+    world.run_for(Duration::from_millis(2_000));
+    assert_served(&mut world, "job-2");
+}
+
 /// Lets the only worker report a run of `job-1`.
 fn report_run(world: &mut World, born_unix_ms: Option<u64>, number: u32) {
     let now = world.now;
