Stop using a worker whose entry names another failure domain

Cause: an entry of another failure domain was skipped, so the leader kept the worker's last entry, and the leaders of both domains used it.

Change: such an entry counts as removed here.

--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -327,6 +327,8 @@
                         missing.retain(|name| *name != entry.name);
                         if *entry.failure_domain == *self.settings.host.domain.as_str() {
                             state.pool.worker_listed(entry, now);
+                        } else {
+                            state.pool.worker_unlisted(&entry.name, now);
                         }
                     }
                     WorkerChange::Unlisted(name) => state.pool.worker_unlisted(&name, now),
