Give a restarted worker no task before its entry is read

Cause: the start in a report was written into the entry of the earlier incarnation, and the worker counted as read.

Change: it waits for an entry with that start, and the pause before the next read of the entries is cut short. While the store is away it waits, because what it may be given is not known.

--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -102,6 +102,7 @@
                     self.send_to_pool(&domain, RelayMessage::Waiting(waiting));
                 }
             }
+            PoolAction::ReadEntries => self.entries_wanted.notify_one(),
             PoolAction::LogDecision(decision) => self.log_decision(&decision),
             PoolAction::LostLeadership => {
                 let action = self.state.borrow_mut().claim.lost_leadership();
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -137,6 +137,8 @@
     last_active_clock: Cell<UnixTime>,
     explanation_limit: Cell<ExplanationLimit>,
     leadership_changed: Notify,
+    /// Tells that the pool waits for the entry of a worker.
+    entries_wanted: Notify,
 }
 
 impl<P: Platform> Engine<P> {
@@ -187,6 +189,7 @@
             last_active_clock: Cell::new(clock.now()),
             explanation_limit: Cell::default(),
             leadership_changed: Notify::new(),
+            entries_wanted: Notify::new(),
         })
     }
 
@@ -284,6 +287,11 @@
         self.leadership_changed.notified().await;
     }
 
+    /// Waits until the pool wants the worker entries to be read.
+    pub async fn wait_for_wanted_entries(&self) {
+        self.entries_wanted.notified().await;
+    }
+
     /// Records that the store has responded.
     pub fn store_answered(&self) {
         self.state.borrow_mut().claim.store_answered(self.now());
--- a/crates/bramley-dock/src/watch.rs
+++ b/crates/bramley-dock/src/watch.rs
@@ -5,7 +5,7 @@
 
 use bramley_core::units::UnixTime;
 use rand::Rng;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::engine::Engine;
 use crate::platform::{Platform, StoreError};
@@ -235,15 +235,25 @@
                 availability.record_failure(&engine, "workers", error).await;
             }
         }
-        if timeout(delay, engine.wait_for_leadership_change())
-            .await
-            .is_ok()
-        {
-            after = None;
+        tokio::select! {
+            () = engine.wait_for_leadership_change() => after = None,
+            () = read_pause(&engine, delay) => {}
         }
     }
 }
 
+/// Waits before the next read of the worker entries, less if the pool waits for one of them.
+async fn read_pause<P: Platform>(engine: &Engine<P>, delay: Duration) {
+    if delay <= MIN_READ_DELAY {
+        return sleep(delay).await;
+    }
+    sleep(MIN_READ_DELAY).await;
+    tokio::select! {
+        () = engine.wait_for_wanted_entries() => {}
+        () = sleep(delay - MIN_READ_DELAY) => {}
+    }
+}
+
 /// Keeps the evacuations in sync while the local pool is the leader. Each term begins with a read of
 /// all of them, before which the pool starts no task; an unavailable store leaves the last state in
 /// force.
--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -185,6 +185,8 @@
     pub guarded: bool,
     /// How workers crash under such a task.
     pub crash: CrashKind,
+    /// Time that a leader takes to read an entry that it waits for.
+    pub entry_delay: Duration,
     /// Partitioned pairs of host and worker.
     pub partitions: BTreeSet<(usize, usize)>,
     /// Fault: released tasks are assigned to the pool that has released them as well.
@@ -296,6 +298,7 @@
             deadly_tasks: BTreeMap::new(),
             guarded: true,
             crash: CrashKind::default(),
+            entry_delay: LIST_DELAY,
             partitions: BTreeSet::new(),
             assigns_released_twice: false,
             settings: settings.clone(),
@@ -962,6 +965,7 @@
                     self.run_relay_action(host, RelayAction::Send(domain, message));
                 }
             }
+            PoolAction::ReadEntries => self.schedule(self.entry_delay, Event::List(host)),
             PoolAction::LogDecision(decision) => {
                 let line = format!("{} host={host} {decision}", self.now.as_millis());
                 self.log.push(line);
--- a/crates/bramley-pool/src/pool/explanation.rs
+++ b/crates/bramley-pool/src/pool/explanation.rs
@@ -57,6 +57,7 @@
                 }
                 PoolAction::Send(..)
                 | PoolAction::Broadcast(_)
+                | PoolAction::ReadEntries
                 | PoolAction::SendToPool(..)
                 | PoolAction::Publish(_)
                 | PoolAction::Call(_)
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -5,9 +5,9 @@
 use bramley_core::names::WorkerName;
 use bramley_core::units::UnixTime;
 
-use super::Pool;
 use super::evacuation::EvacuationState;
 use super::losses::other_runs;
+use super::{Pool, PoolAction};
 use crate::crash::CrashEvidence;
 use crate::decision::Decision;
 use crate::job::JobRecord;
@@ -170,7 +170,13 @@
         let worker = self.worker_mut(index);
         worker.cold_until = now.after(entry.cold_remaining);
         worker.entry = entry;
+        let was_awaited = std::mem::take(&mut worker.awaits_entry);
         self.max_free_cpu_milli = None;
+        if was_awaited {
+            self.log_worker_change(index, "entry_read", now);
+            self.freed_workers.push(index);
+            self.place_due(now);
+        }
         if starts_leaving {
             self.log_worker_change(index, "leaving", now);
         }
@@ -235,6 +241,14 @@
         self.probe(index, now);
     }
 
+    /// Waits for the entry of a worker that has told its restart. Until it is read, its kind and
+    /// capacity are not known, and it gets no task.
+    pub(super) fn await_entry(&mut self, index: WorkerIndex, now: UnixTime) {
+        self.worker_mut(index).awaits_entry = true;
+        self.log_worker_change(index, "entry_awaited", now);
+        self.actions.push(PoolAction::ReadEntries);
+    }
+
     /// Returns the evidence that a worker crashed whose successor has answered.
     fn judge_restart(&mut self, index: WorkerIndex, now: UnixTime) -> CrashEvidence {
         let limit = self.settings.crash_notice_limit;
--- a/crates/bramley-pool/src/pool/mod.rs
+++ b/crates/bramley-pool/src/pool/mod.rs
@@ -108,6 +108,8 @@
     SendToPool(DomainName, RelayMessage),
     /// Tell the pools of all other failure domains about waiting tasks.
     Publish(WaitingTasks),
+    /// Read the changes of worker entries without waiting for the usual time.
+    ReadEntries,
     /// Log a decision.
     LogDecision(Decision),
     /// Another process controls the workers with a higher fencing token; release the claim.
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -142,6 +142,7 @@
             }
             if born > known {
                 self.worker_restarted(index, born, now);
+                self.await_entry(index, now);
             }
         }
         let max_lease = self.settings.max_lease;
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -357,6 +357,9 @@
     /// Whether the worker has reported its runs since the pool became leader or the worker
     /// restarted.
     pub synced: bool,
+    /// Whether the worker has restarted and `entry` is that of the earlier incarnation, which may have
+    /// been of another kind.
+    pub awaits_entry: bool,
     /// Whether the worker has seen a higher fencing token from another process.
     pub fenced: bool,
     /// Time at which the worker last answered.
@@ -426,6 +429,7 @@
             cold_until: UnixTime::default(),
             listed: true,
             synced: false,
+            awaits_entry: false,
             fenced: false,
             heard_at: UnixTime::default(),
             refuses_connections: false,
@@ -481,7 +485,8 @@
     /// Returns whether the worker can be assigned tasks, apart from its health and free resources.
     #[must_use]
     pub const fn is_usable(&self) -> bool {
-        self.listed && self.synced && !self.fenced && !self.entry.leaving && self.missed_polls == 0
+        let is_known = self.listed && self.synced && !self.awaits_entry;
+        is_known && !self.fenced && !self.entry.leaving && self.missed_polls == 0
     }
 
     /// Marks processed ends as acknowledged, unless some may still be adopted by their jobs.
--- a/crates/bramley-pool/tests/shrinking_capacity.rs
+++ b/crates/bramley-pool/tests/shrinking_capacity.rs
@@ -151,3 +151,24 @@
         }
     }
 }
+
+/// Guards against starts that follow the entry of a worker's earlier incarnation: one that has told its
+/// restart may be of another kind, and gets no task before its new entry is read.
+#[test]
+fn a_restarted_worker_gets_no_task_before_its_entry_is_read() {
+    let mut world = World::new(1, 1);
+    world.become_leader(0);
+    world.run_for(Duration::from_millis(50));
+    world.entry_delay = Duration::from_millis(1_000);
+    world.submit(0, &job(String::from("job-1"), 10_000, 3_000));
+    world.run_for(Duration::from_millis(50));
+    let now = world.now;
+    world.workers[0].restart(now);
+    world.run_for(Duration::from_millis(700));
+    let worker = &world.hosts[0].pool.workers()[0];
+    assert!(worker.synced && !worker.is_usable(), "{:#?}", world.log);
+    assert_eq!(world.runs(), 1, "{:#?}", world.log);
+    world.run_for(Duration::from_millis(6_000));
+    assert_eq!(world.answer("job-1"), Some(JobAnswer::Completed));
+    assert_eq!(world.runs(), 2);
+}
