--- a/crates/bramley-pool/tests/odd_entries.rs
+++ b/crates/bramley-pool/tests/odd_entries.rs
@@ -86,7 +86,7 @@
         worker: bramley_pool::worker::WorkerIndex(0),
         epoch: worker.epoch,
         name: worker.entry.name.clone(),
-        address: worker.entry.address.clone(),
+        address: std::sync::Arc::clone(&worker.entry.address),
         token: pool.token().expect("the pool is the leader"),
         request: WorkerRequest::Poll {
             lease_end: None,
