Soak: another writer on the store

Writes odd keys, values, claims and entries under the keys of real workers, and makes pages short, from a generator of its own, so that the faults of earlier seeds stay.

--- a/crates/bramley-soak/src/faults.rs
+++ b/crates/bramley-soak/src/faults.rs
@@ -12,6 +12,7 @@
 
 use crate::deployment::{Deployment, build_configuration};
 use crate::evacuations::EvacuationInjector;
+use crate::odd_writer::OddWriter;
 use crate::proxy::ProxyMode;
 
 /// Fault kinds that are planned operations or store faults. The last one is drawn only with
@@ -66,6 +67,8 @@
     /// Injected and reverted faults with their times, printed when a check fails.
     pub log: Vec<String>,
     started_at: Instant,
+    /// Other writer on the store.
+    odd_writer: OddWriter,
     /// Evacuations of failure domains.
     pub evacuations: EvacuationInjector,
     /// Messages for hosts that did not exit in time after SIGTERM.
@@ -83,6 +86,7 @@
             configuration_version: 1,
             log: Vec::new(),
             started_at: Instant::now(),
+            odd_writer: OddWriter::new(seed),
             evacuations: EvacuationInjector::new(seed, domains),
             stop_timeouts: Vec::new(),
         }
@@ -106,6 +110,9 @@
             if let Some(line) = line {
                 self.record(line);
             }
+            if let Some(line) = self.odd_writer.step(deployment) {
+                self.record(line);
+            }
             let pause = self.rng.random_range(100..1_500);
             sleep(Duration::from_millis(pause)).await;
         }
--- a/crates/bramley-soak/src/lib.rs
+++ b/crates/bramley-soak/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`deployment`] starts the host processes and terminates only the ones it started.
 //! - [`evacuations`] evacuates failure domains and checks that no task starts there after the bound.
 //! - [`faults`] injects a random sequence of faults that is determined by a seed.
+//! - [`odd_writer`] writes odd items to the store, as another program might.
 //! - [`proxy`] forwards connections and can delay, stall or reset them.
 
 pub mod callers;
@@ -18,4 +19,5 @@
 pub mod deployment;
 pub mod evacuations;
 pub mod faults;
+pub mod odd_writer;
 pub mod proxy;
