Lift limits of runs only where there are any

Cause: a submission of a job that is open here, as for each part that is taken over from another pool, counted the workers of its tasks as freed, also without a limit to lift. Places were looked for once more, which no fault asks for.

--- a/crates/bramley-pool/src/pool/caller_loss.rs
+++ b/crates/bramley-pool/src/pool/caller_loss.rs
@@ -140,15 +140,24 @@
         }
     }
 
-    /// Lifts the limits of the runs of a job whose caller is connected again.
+    /// Lifts the limits of the runs of a job whose caller is connected again. Workers whose lease was
+    /// limited by them can be assigned tasks again.
     pub(super) fn lift_run_limits_of(&mut self, name: &JobName) {
-        self.limit_runs_of(name, UnixTime::NEVER);
-        if let Some(job) = self.jobs.get(name) {
-            let placed = job.tasks.iter().filter_map(|task| match task.state {
-                TaskState::Placed(index) => Some(index),
-                TaskState::Waiting | TaskState::Done | TaskState::Elsewhere => None,
-            });
-            self.freed_workers.extend(placed);
+        let Some(job) = self.jobs.get(name) else {
+            return;
+        };
+        for task in &job.tasks {
+            let TaskState::Placed(index) = task.state else {
+                continue;
+            };
+            let worker = &mut self.workers[index.0 as usize];
+            for position in 0..worker.runs.len() {
+                let details = worker.runs[position].details();
+                if details.task.job == *name && details.end_by < UnixTime::NEVER {
+                    worker.limit_run(position, UnixTime::NEVER);
+                    self.freed_workers.push(index);
+                }
+            }
         }
     }
 
