--- a/crates/bramley-pool/tests/leader_series.rs
+++ b/crates/bramley-pool/tests/leader_series.rs
@@ -172,3 +172,32 @@
         down: Duration::from_millis(rng.random_range(400..3_500)),
     }
 }
+
+/// Guards against a run without a caller whose stop is not carried out while polls of its worker are
+/// answered: the lease, extended for other runs there, must not outlast the callers' pause.
+#[test]
+fn a_run_whose_stop_fails_ends_before_its_caller_resends() {
+    let mut world = World::new(1, 1);
+    world.become_leader(0);
+    world.run_for(Duration::from_millis(500));
+    for name in ["left", "kept"] {
+        let job = TestJob {
+            name: String::from(name),
+            cpu_milli: 1_000,
+            run: Duration::from_millis(3_600),
+            ..TestJob::default()
+        };
+        world.submit(0, &job);
+    }
+    world.run_for(Duration::from_millis(200));
+    world.late_requests = vec![Duration::from_secs(3); 60];
+    let left_at = world.now;
+    world.disconnect_caller(0, "left");
+    world.run_for(RESEND);
+    let history = world.workers[0].history(world.now);
+    let (_, _, end) = history
+        .iter()
+        .find(|(task, ..)| task == "left.0.0.0")
+        .expect("it ran");
+    assert!(end.since(left_at) < RESEND, "{:#?}", world.log);
+}
