Log why jobs are in doubt, where they come from, and starts by pools that they have left

A loss recorded because the local pool had stepped down or was fenced, or because the claim had changed, wrote no line; job_handed_over named neither the pool that had the job nor the reason; a start reported by a pool that the job had left was ignored silently.

Change: pool_lost for every loss with its reason, jobs_in_doubt, from= and reason= in job_handed_over, start_at_former_pool, and the metrics jobs_handed_over and starts_at_former_pools. No decision changes.

--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -8,6 +8,7 @@
 use bramley_pool::decision::{Decision, LogPriority};
 use bramley_pool::message::RelayMessage;
 use bramley_pool::pool::PoolAction;
+use bramley_pool::pool_connection::LossCause;
 use bramley_pool::relay::RelayAction;
 use bramley_pool::worker::{CallAnswer, WorkerCall};
 use bramley_wire::pool::PoolFrame;
@@ -109,11 +110,7 @@
                 if let Some(action) = action {
                     self.execute_claim_action(action);
                 }
-                let now = self.now();
-                self.state
-                    .borrow_mut()
-                    .relay
-                    .pool_lost(&self.settings.host.domain, now);
+                self.lose_local_pool(LossCause::Fenced);
                 self.leadership_changed.notify_waiters();
                 self.send_heartbeats_now();
             }
--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -5,8 +5,10 @@
 
 use bramley_core::names::DomainName;
 use bramley_pool::claim::{ClaimAction, ClaimView, ContactView};
+use bramley_pool::pool_connection::{LossCause, PoolLoss};
 use tokio::task::{AbortHandle, spawn_local};
 
+use super::peers::log_pool_lost;
 use super::{Engine, PoolLink};
 use crate::links::outbound;
 use crate::platform::{ClaimItem, Platform, StoreError};
@@ -77,12 +79,18 @@
             }
             // The local pool needs no connection, so it counts as heard from at this moment.
             let was_local = previous.claim.incarnation == self.incarnation;
+            let now = self.now();
             let heard_at = if was_local {
-                self.now()
+                now
             } else {
                 previous.last_heard_at
             };
-            state.relay.pool_lost(&item.domain, heard_at);
+            let loss = PoolLoss {
+                cause: LossCause::ClaimChanged,
+                last_message_at: heard_at,
+            };
+            log_pool_lost(&item.domain, &previous.claim.address, loss, now);
+            state.relay.pool_lost(&item.domain, loss);
         }
         if is_local && state.pool.token().is_some() {
             let now = self.now();
@@ -171,15 +179,25 @@
 
     pub(super) fn step_down(self: &Rc<Self>) {
         let now = self.now();
-        self.update_state(|state| {
-            state.pool.step_down(now);
-            state.relay.pool_lost(&self.settings.host.domain, now);
-        });
+        self.update_state(|state| state.pool.step_down(now));
+        self.lose_local_pool(LossCause::SteppedDown);
         self.leadership_changed.notify_waiters();
         self.send_heartbeats_now();
         self.process_actions();
     }
 
+    /// Records that the pool of this process does not serve the local relay any more.
+    pub(super) fn lose_local_pool(&self, cause: LossCause) {
+        let now = self.now();
+        let domain = &self.settings.host.domain;
+        let loss = PoolLoss {
+            cause,
+            last_message_at: now,
+        };
+        log_pool_lost(domain, "local", loss, now);
+        self.state.borrow_mut().relay.pool_lost(domain, loss);
+    }
+
     pub(super) async fn write_claim(self: Rc<Self>, expected_revision: u64) {
         let domain = self.settings.host.domain.clone();
         let address = SocketAddr::new(self.settings.host.ip, self.settings.host.peer_port);
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 
 use bramley_core::names::DomainName;
+use bramley_core::units::UnixTime;
 use bramley_pool::message::{PoolMessage, RelayId};
+use bramley_pool::pool_connection::{LossCause, PoolLoss};
 use bramley_wire::pool::{PoolBeat, PoolFrame, RelayFrame, RelayHello};
 use tokio::sync::mpsc;
 
@@ -175,7 +177,20 @@
                 reason.as_str(),
                 self.now().since(link.last_heard_at).as_millis(),
             );
-            state.relay.pool_lost(domain, link.last_heard_at);
+            let loss = PoolLoss {
+                cause: LossCause::ConnectionEnded,
+                last_message_at: link.last_heard_at,
+            };
+            state.relay.pool_lost(domain, loss);
         }
     }
 }
+
+/// Logs a loss for another reason than the end of the connection. `address` is that of the pool.
+pub(super) fn log_pool_lost(domain: &DomainName, address: &str, loss: PoolLoss, now: UnixTime) {
+    log::warn!(
+        "event=pool_lost pool={domain} address={address} reason={} heard_ms_ago={}",
+        loss.cause.as_str(),
+        now.since(loss.last_message_at).as_millis(),
+    );
+}
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -52,6 +52,8 @@
     runs_lost: Family<Labels<1>, Counter>,
     tasks_given_up: Counter,
     jobs_returned: Counter,
+    jobs_handed_over: Family<Labels<1>, Counter>,
+    starts_at_former_pools: Counter,
     refusals: Family<Labels<1>, Counter>,
     refusals_by_state: Counter,
     early_refusals: Counter,
@@ -99,6 +101,8 @@
             runs_lost: Family::default(),
             tasks_given_up: Counter::default(),
             jobs_returned: Counter::default(),
+            jobs_handed_over: Family::default(),
+            starts_at_former_pools: Counter::default(),
             refusals: Family::default(),
             refusals_by_state: Counter::default(),
             early_refusals: Counter::default(),
@@ -173,6 +177,16 @@
             "Begun jobs returned to their relays because of an evacuation",
             self.jobs_returned.clone(),
         );
+        registry.register(
+            "jobs_handed_over",
+            "Jobs that the local relay submitted again although another pool may have started them, by reason",
+            self.jobs_handed_over.clone(),
+        );
+        registry.register(
+            "starts_at_former_pools",
+            "Messages of pools that had started tasks of a job which is at another pool",
+            self.starts_at_former_pools.clone(),
+        );
         registry.register(
             "evacuated",
             "Whether the failure domain of the local pool, which is the leader, is evacuated",
@@ -364,6 +378,13 @@
             Decision::JobReturned { .. } => {
                 self.jobs_returned.inc();
             }
+            Decision::JobHandedOver { reason, .. } => {
+                let labels = [("reason", Cow::from(reason.as_str()))];
+                self.jobs_handed_over.get_or_create(&labels).inc();
+            }
+            Decision::ForeignStart { .. } => {
+                self.starts_at_former_pools.inc();
+            }
             Decision::RefusedByState { .. } => {
                 self.refusals_by_state.inc();
             }
--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -20,6 +20,7 @@
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
 use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
 use bramley_pool::pool::{Pool, PoolAction};
+use bramley_pool::pool_connection::{LossCause, PoolLoss};
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction};
 use bramley_pool::resources::TaskResources;
 use bramley_pool::settings::{PoolSettings, RelaySettings};
@@ -340,7 +341,11 @@
             && before != host
         {
             for relay in &mut self.hosts {
-                relay.relay.pool_lost(&domain, now);
+                let loss = PoolLoss {
+                    cause: LossCause::ClaimChanged,
+                    last_message_at: now,
+                };
+                relay.relay.pool_lost(&domain, loss);
             }
             for relay in 0..self.hosts.len() {
                 self.schedule(DELAY, Event::RelayLost(before, relay));
@@ -458,7 +463,11 @@
         if self.leads(host) {
             let incarnation = self.hosts[host].incarnation;
             for relay in &mut self.hosts {
-                relay.relay.pool_lost(&domain, now);
+                let loss = PoolLoss {
+                    cause: LossCause::ConnectionEnded,
+                    last_message_at: now,
+                };
+                relay.relay.pool_lost(&domain, loss);
                 relay.relay.leader_ended(&domain, incarnation);
             }
             self.leaders.remove(&domain);
--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -8,6 +8,7 @@
 use bramley_core::units::UnixTime;
 use bramley_pool::job::JobName;
 use bramley_pool::message::{JobOutcome, PoolMessage, RelayId, RelayMessage};
+use bramley_pool::pool_connection::{LossCause, PoolLoss};
 use bramley_pool::relay::JobAnswer;
 use bramley_pool::worker::{CallAnswer, WorkerCall};
 use rand::{Rng, SeedableRng};
@@ -388,7 +389,11 @@
         if is_own && leader != reader && self.links_mut().local_leaders.remove(&reader) {
             let host = &mut self.hosts[reader];
             host.pool.step_down(now);
-            host.relay.pool_lost(domain, now);
+            let loss = PoolLoss {
+                cause: LossCause::SteppedDown,
+                last_message_at: now,
+            };
+            host.relay.pool_lost(domain, loss);
         }
         let links = self.links.as_ref();
         if let Some(number) = links.and_then(|links| links.current(reader, domain, self)) {
@@ -398,7 +403,11 @@
             let link = &mut self.links_mut().connections[number];
             link.relay_is_open = false;
             let last_heard_at = link.last_heard_at.max(now.before(HEARTBEAT_INTERVAL));
-            self.hosts[reader].relay.pool_lost(domain, last_heard_at);
+            let loss = PoolLoss {
+                cause: LossCause::ClaimChanged,
+                last_message_at: last_heard_at,
+            };
+            self.hosts[reader].relay.pool_lost(domain, loss);
             self.schedule(DELAY, Event::Link(LinkEvent::PoolNotices(number)));
         }
         if leader == reader {
@@ -417,7 +426,11 @@
         };
         if links.local_leaders.remove(&host) {
             let domain = self.hosts[host].domain.clone();
-            self.hosts[host].relay.pool_lost(&domain, now);
+            let loss = PoolLoss {
+                cause: LossCause::Fenced,
+                last_message_at: now,
+            };
+            self.hosts[host].relay.pool_lost(&domain, loss);
         }
     }
 
@@ -583,7 +596,11 @@
                 let (pool, relay) = (link.pool, link.relay);
                 let domain = self.hosts[pool].domain.clone();
                 let host = &mut self.hosts[relay];
-                host.relay.pool_lost(&domain, last_heard_at);
+                let loss = PoolLoss {
+                    cause: LossCause::ConnectionEnded,
+                    last_message_at: last_heard_at,
+                };
+                host.relay.pool_lost(&domain, loss);
                 let links = self.links_mut();
                 let delay = if links.rng.random_bool(PARTITION_PROBABILITY) {
                     Duration::from_millis(links.rng.random_range(0..MAX_PARTITION_MS))
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -10,6 +10,7 @@
 use crate::job::{JobName, QueueClass, RouteName, TaskName};
 use crate::message::JobOutcome;
 use crate::pool::RoutePair;
+use crate::pool_connection::LossCause;
 use crate::refusal::Refusal;
 use crate::relay::RouteRefusal;
 use crate::run::StopCause;
@@ -52,6 +53,29 @@
     }
 }
 
+/// Reason for which a relay submits a job again that another pool may have started.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HandoverReason {
+    /// The failure domain of the lost pool is connected again.
+    Reconnected,
+    /// The pool of an evacuated failure domain has returned the job.
+    Returned,
+    /// All runs that the lost pool may have started have certainly ended.
+    RunsEnded,
+}
+
+impl HandoverReason {
+    /// Returns the label for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Reconnected => "reconnected",
+            Self::Returned => "returned",
+            Self::RunsEnded => "runs_ended",
+        }
+    }
+}
+
 /// A scheduling decision to be logged.
 #[derive(Clone, Debug)]
 pub enum Decision {
@@ -296,6 +320,41 @@
         /// Active runs that were adopted.
         adopted: u32,
     },
+    /// A relay submits a job again that another pool may have started.
+    JobHandedOver {
+        /// Name of the job.
+        job: JobName,
+        /// Failure domain of the pool that gets the job.
+        pool: DomainName,
+        /// Failure domain of the pool that had it; `None` if all of it was in parts elsewhere.
+        from: Option<DomainName>,
+        /// Reason for the submission.
+        reason: HandoverReason,
+        /// Tasks already completed.
+        done: usize,
+        /// Whether a pool has reported that a task was placed.
+        started: bool,
+    },
+    /// The connection of a relay to a pool was lost while it held jobs there.
+    JobsInDoubt {
+        /// Failure domain of the pool.
+        pool: DomainName,
+        /// Reason for the loss.
+        cause: LossCause,
+        /// Number of jobs.
+        jobs: usize,
+        /// Number of parts of jobs.
+        parts: usize,
+    },
+    /// A pool has started tasks of a job that its relay had submitted to another pool by then.
+    ForeignStart {
+        /// Name of the job.
+        job: JobName,
+        /// Failure domain of the pool that has started tasks.
+        pool: DomainName,
+        /// Failure domain of the pool that holds the job; `None` if all of it is in parts elsewhere.
+        held_by: Option<DomainName>,
+    },
     /// The known state of a worker has changed.
     WorkerChanged {
         /// Name of the worker.
@@ -346,6 +405,8 @@
             | Self::JobCancelled { job, .. }
             | Self::JobReturned { job, .. }
             | Self::TasksReleased { job, .. }
+            | Self::JobHandedOver { job, .. }
+            | Self::ForeignStart { job, .. }
             | Self::JobResumed { job, .. } => Some(job.as_str()),
             Self::Placed { task, .. }
             | Self::StartRefused { task, .. }
@@ -357,6 +418,7 @@
             | Self::RunEnded { task, .. } => Some(task.job.as_str()),
             Self::Text { job, .. } => job.as_deref(),
             Self::RefusalsCounted { .. }
+            | Self::JobsInDoubt { .. }
             | Self::WorkerChanged { .. }
             | Self::LeadershipChanged { .. }
             | Self::InterferenceChanged { .. } => None,
@@ -405,6 +467,9 @@
             | Self::RefusedByState { .. }
             | Self::RefusedUnserved { .. }
             | Self::JobResumed { .. }
+            | Self::JobHandedOver { .. }
+            | Self::JobsInDoubt { .. }
+            | Self::ForeignStart { .. }
             | Self::RunLost { .. }
             | Self::CrashRecorded { .. }
             | Self::TaskGivenUp { .. }
@@ -692,7 +757,41 @@
                 pair.upper,
                 pair.observations,
             ),
+            Self::JobHandedOver {
+                job,
+                pool,
+                from,
+                reason,
+                done,
+                started,
+            } => write!(
+                f,
+                "event=job_handed_over job={job} pool={pool} from={} reason={} done={done} \
+                 started={started}",
+                name_or_parts(from.as_ref()),
+                reason.as_str(),
+            ),
+            Self::JobsInDoubt {
+                pool,
+                cause,
+                jobs,
+                parts,
+            } => write!(
+                f,
+                "event=jobs_in_doubt pool={pool} reason={} jobs={jobs} parts={parts}",
+                cause.as_str(),
+            ),
+            Self::ForeignStart { job, pool, held_by } => write!(
+                f,
+                "event=start_at_former_pool job={job} pool={pool} held_by={}",
+                name_or_parts(held_by.as_ref()),
+            ),
             Self::Text { text, .. } => f.write_str(text),
         }
     }
 }
+
+/// Returns the name of the failure domain that holds a job, or `parts` if others hold all of it.
+fn name_or_parts(domain: Option<&DomainName>) -> &str {
+    domain.map_or("parts", DomainName::as_str)
+}
--- a/crates/bramley-pool/src/lib.rs
+++ b/crates/bramley-pool/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`mechanism`]: mechanisms that can be switched off.
 //! - [`message`]: messages between relays and pools.
 //! - [`pool`]: placement of tasks on workers and tracking of their runs.
+//! - [`pool_connection`]: connections of a relay to pools, and their losses.
 //! - `pool_rotation`: distribution of jobs over pools while a failure domain is evacuated.
 //! - [`refusal`]: reasons for refusing a job and the responses they map to.
 //! - [`relay`]: routing of callers' jobs to pools and failover between pools.
@@ -34,6 +35,7 @@
 pub mod mechanism;
 pub mod message;
 pub mod pool;
+pub mod pool_connection;
 mod pool_rotation;
 pub mod refusal;
 pub mod relay;
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -16,12 +16,13 @@
 use rustc_hash::FxHashMap;
 
 use crate::crash::CrashMemory;
-use crate::decision::Decision;
+use crate::decision::{Decision, HandoverReason};
 use crate::explanation::PoolState;
 use crate::job::{JobName, JobSubmission, RouteName};
 use crate::message::{
     JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
 };
+use crate::pool_connection::PoolLoss;
 use crate::pool_rotation::PoolRotation;
 use crate::refusal::Refusal;
 use crate::route_gate::RouteGate;
@@ -290,16 +291,15 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in names {
-            self.resume(&name, domain.clone());
+            self.resume(&name, domain.clone(), HandoverReason::Reconnected);
         }
         self.resume_parts_of(domain);
         let resumed = RelayAction::Send(domain.clone(), RelayMessage::Resumed);
         self.actions.push(resumed);
     }
 
-    /// Records the loss of the connection to a pool whose last message arrived at
-    /// `last_message_at`.
-    pub fn pool_lost(&mut self, domain: &DomainName, last_message_at: UnixTime) {
+    /// Records the loss of the connection to a pool. Its jobs are in doubt from now on.
+    pub fn pool_lost(&mut self, domain: &DomainName, loss: PoolLoss) {
         let mut earlier_workers = 0;
         self.gate.forget_pool(domain);
         if let Some(pool) = self.pools.get_mut(domain) {
@@ -307,8 +307,9 @@
             pool.callers_lost_at = pool.callers_lost_at.or(pool.heartbeat_at);
             earlier_workers = pool.load.listed_workers;
         }
-        let ended_by = last_message_at.after(self.settings.lost_pool_wait);
-        self.parts_lost(domain, ended_by, earlier_workers);
+        let ended_by = loss.last_message_at.after(self.settings.lost_pool_wait);
+        let parts = self.parts_lost(domain, ended_by, earlier_workers);
+        let mut jobs = 0;
         for job in self.jobs.values_mut() {
             if matches!(&job.state, JobState::AtPool(at) if at == domain) {
                 let known = &mut job.submission.earlier_workers;
@@ -317,8 +318,18 @@
                     domain: domain.clone(),
                     ended_by,
                 };
+                jobs += 1;
             }
         }
+        if jobs + parts > 0 {
+            let decision = Decision::JobsInDoubt {
+                pool: domain.clone(),
+                cause: loss.cause,
+                jobs,
+                parts,
+            };
+            self.actions.push(RelayAction::LogDecision(decision));
+        }
     }
 
     /// Records the load reported by a pool.
@@ -421,6 +432,8 @@
                     job.started |= !placements.is_empty();
                     job.acknowledged_by(domain);
                     job.record_placements(placements);
+                } else if !placements.is_empty() {
+                    self.log_foreign_start(&job, domain);
                 }
             }
             PoolMessage::TaskDone { job, index } => {
@@ -493,13 +506,26 @@
             .collect();
         for name in due {
             match self.first_pool(&name) {
-                Some(domain) => self.resume(&name, domain),
+                Some(domain) => self.resume(&name, domain, HandoverReason::RunsEnded),
                 None => self.refuse_unserved(&name, Refusal::Unknown),
             }
         }
         self.reassign_ended_parts(now);
     }
 
+    /// Logs that a pool has started tasks of a job that is at another pool by now.
+    fn log_foreign_start(&mut self, name: &JobName, domain: &DomainName) {
+        let Some(job) = self.jobs.get(name) else {
+            return;
+        };
+        let decision = Decision::ForeignStart {
+            job: name.clone(),
+            pool: domain.clone(),
+            held_by: job.domain().cloned(),
+        };
+        self.actions.push(RelayAction::LogDecision(decision));
+    }
+
     fn job_at(&mut self, name: &JobName, domain: &DomainName) -> Option<&mut RelayJob> {
         let job = self.jobs.get_mut(name)?;
         job.is_at(domain).then_some(job)
@@ -515,7 +541,7 @@
             job.submission.acknowledged = true;
         }
         match self.first_pool(name) {
-            Some(domain) => self.resume(name, domain),
+            Some(domain) => self.resume(name, domain, HandoverReason::Returned),
             None => self.refuse_unserved(name, Refusal::Unknown),
         }
     }
@@ -571,19 +597,18 @@
     }
 
     /// Resubmits a job that another pool may have started.
-    fn resume(&mut self, name: &JobName, domain: DomainName) {
+    fn resume(&mut self, name: &JobName, domain: DomainName, reason: HandoverReason) {
         let Some(job) = self.jobs.get_mut(name) else {
             return;
         };
         job.submission.resumed = true;
-        let text = format!(
-            "event=job_handed_over job={name} pool={domain} done={} started={}",
-            job.submission.done.len(),
-            job.started,
-        );
-        let decision = Decision::Text {
-            job: Some(name.as_str().into()),
-            text,
+        let decision = Decision::JobHandedOver {
+            job: name.clone(),
+            pool: domain.clone(),
+            from: job.domain().cloned(),
+            reason,
+            done: job.submission.done.len(),
+            started: job.started,
         };
         self.actions.push(RelayAction::LogDecision(decision));
         self.submit_to(name, domain);
@@ -796,6 +821,14 @@
 }
 
 impl RelayJob {
+    /// Returns the failure domain at whose pool the job, or what belongs to no part, is or was last.
+    const fn domain(&self) -> Option<&DomainName> {
+        match &self.state {
+            JobState::AtPool(domain) | JobState::InDoubt { domain, .. } => Some(domain),
+            JobState::Held | JobState::Elsewhere => None,
+        }
+    }
+
     fn record_placements(&mut self, placements: Vec<TaskPlacement>) {
         let known = &mut self.submission.placements;
         known.retain(|old| placements.iter().all(|new| new.index != old.index));
--- a/crates/bramley-pool/src/relay/parts.rs
+++ b/crates/bramley-pool/src/relay/parts.rs
@@ -127,19 +127,22 @@
         self.actions.push(RelayAction::Send(domain, message));
     }
 
-    /// Marks the parts at a lost pool as in doubt.
+    /// Marks the parts at a lost pool as in doubt and returns their number.
     pub(super) fn parts_lost(
         &mut self,
         domain: &DomainName,
         ended_by: UnixTime,
         earlier_workers: u32,
-    ) {
+    ) -> usize {
+        let mut count = 0;
         let jobs = self.jobs.values_mut();
         let parts = jobs.flat_map(|job| job.parts.iter_mut());
         for part in parts.filter(|part| part.domain == *domain && part.ended_by.is_none()) {
             part.ended_by = Some(ended_by);
             part.earlier_workers = earlier_workers.max(part.earlier_workers);
+            count += 1;
         }
+        count
     }
 
     /// Submits the parts in doubt at a failure domain to its current pool, which knows their runs or
--- a/crates/bramley-pool/tests/late_service.rs
+++ b/crates/bramley-pool/tests/late_service.rs
@@ -9,6 +9,7 @@
 use bramley_pool::crash::CrashHistory;
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
 use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage};
+use bramley_pool::pool_connection::{LossCause, PoolLoss};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction};
 use bramley_pool::resources::TaskResources;
@@ -71,6 +72,12 @@
     );
 }
 
+/// Loss of a pool whose last message has just arrived.
+const CUT_OFF: PoolLoss = PoolLoss {
+    cause: LossCause::ConnectionEnded,
+    last_message_at: NOW,
+};
+
 /// A relay of `home` that is connected to the pools of three domains with free capacity.
 fn connected_relay() -> Relay {
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
@@ -203,7 +210,7 @@
     let mut relay = connected_relay();
     assert!(relay.is_well_connected(4));
     for domain in ["home", "west"] {
-        relay.pool_lost(&DomainName::from(domain), NOW);
+        relay.pool_lost(&DomainName::from(domain), CUT_OFF);
     }
     assert!(!relay.is_well_connected(4));
     // With two domains, one foreign pool is all there is.
@@ -215,9 +222,9 @@
 fn a_relay_that_reaches_its_local_pool_takes_callers() {
     let mut relay = connected_relay();
     for domain in ["east", "west"] {
-        relay.pool_lost(&DomainName::from(domain), NOW);
+        relay.pool_lost(&DomainName::from(domain), CUT_OFF);
     }
     assert!(relay.is_well_connected(4));
-    relay.pool_lost(&DomainName::from("home"), NOW);
+    relay.pool_lost(&DomainName::from("home"), CUT_OFF);
     assert!(!relay.is_well_connected(4));
 }
