--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -64,6 +64,8 @@
     RelayNotices(usize),
     /// A host reads from the store that its failure domain or another has a new leader.
     ClaimRead(usize, DomainName),
+    /// The pool of a host whose relay has turned to another leader gives up its own leadership.
+    StepsDown(usize),
     /// The relay of a host connects to the pool of a failure domain.
     Reconnect(usize, DomainName),
     /// A job arrives at a host on the caller's connection with this number.
@@ -114,6 +116,9 @@
     callers: BTreeMap<(usize, String), u64>,
     /// Hosts that take themselves for leaders.
     local_leaders: BTreeSet<usize>,
+    /// Time for which a host that has read the claim of its successor still leads, because the
+    /// store has not answered its own write of the claim yet.
+    pub claim_write_delay: Option<Duration>,
     next_caller: u64,
     /// Times at which callers' connections end on the side of the client.
     ends_of_callers: BTreeMap<u64, UnixTime>,
@@ -181,6 +186,7 @@
             busy: BTreeMap::new(),
             callers: BTreeMap::new(),
             local_leaders: self.leaders.values().copied().collect(),
+            claim_write_delay: None,
             next_caller: 0,
             ends_of_callers: BTreeMap::new(),
             answered_callers: BTreeSet::new(),
@@ -387,13 +393,15 @@
         };
         let is_own = self.hosts[reader].domain == *domain;
         if is_own && leader != reader && self.links_mut().local_leaders.remove(&reader) {
-            let host = &mut self.hosts[reader];
-            host.pool.step_down(now);
             let loss = PoolLoss {
-                cause: LossCause::SteppedDown,
+                cause: LossCause::ClaimChanged,
                 last_message_at: now,
             };
-            host.relay.pool_lost(domain, loss);
+            self.hosts[reader].relay.pool_lost(domain, loss);
+            match self.links_mut().claim_write_delay {
+                Some(delay) => self.schedule(delay, Event::Link(LinkEvent::StepsDown(reader))),
+                None => self.step_down(reader),
+            }
         }
         let links = self.links.as_ref();
         if let Some(number) = links.and_then(|links| links.current(reader, domain, self)) {
@@ -418,6 +426,18 @@
         }
     }
 
+    /// Lets the pool of a host give up its leadership, as the driver does.
+    fn step_down(&mut self, host: usize) {
+        let now = self.now;
+        let host = &mut self.hosts[host];
+        host.pool.step_down(now);
+        let loss = PoolLoss {
+            cause: LossCause::SteppedDown,
+            last_message_at: now,
+        };
+        host.relay.pool_lost(&host.domain, loss);
+    }
+
     /// Handles that the pool of a host was fenced.
     pub fn leadership_lost(&mut self, host: usize) {
         let now = self.now;
@@ -611,6 +631,7 @@
                 self.schedule(RECONNECT_DELAY + delay, event);
             }
             LinkEvent::ClaimRead(reader, domain) => self.claim_read(reader, &domain),
+            LinkEvent::StepsDown(host) => self.step_down(host),
             LinkEvent::Reconnect(relay, domain) => self.open_link(relay, &domain),
             LinkEvent::CallerArrives(host, caller, job) => {
                 let key = (host, job.name.clone());
@@ -661,9 +682,10 @@
             }
             LinkEvent::CallerArrives(host, caller, _)
             | LinkEvent::CallerLeaves(host, caller, _) => (*host, Socket::Caller(*caller)),
-            LinkEvent::ClaimRead(..) | LinkEvent::ClientResends(..) | LinkEvent::Reconnect(..) => {
-                return None;
-            }
+            LinkEvent::ClaimRead(..)
+            | LinkEvent::ClientResends(..)
+            | LinkEvent::Reconnect(..)
+            | LinkEvent::StepsDown(_) => return None,
         };
         Some((host, socket))
     }
