Apply what a pool reports to the connection over which it was reported

Cause: a relay knew a pool by its failure domain alone. A process that leads a domain and reads its successor's claim while its own write of the claim is in flight turns its relay to the successor first and gives up its own leadership up to a second later. Giving up recorded a loss of "the pool of the domain", which by then was the successor: its jobs counted as in doubt, were submitted to another domain 2,500 ms later, and went on at the successor, whose connection was sound and whom nobody told. The same call stood where a worker fences the local pool; messages and heartbeats of the former local pool were applied to the successor, too.

Ruled out: a refusal by the former leader, as a pool that steps down sends no message.

Change: a connection is a value that the relay gives out when it is made, and everything that a pool reports, also its loss, comes with it. What concerns a connection that is not the current one is not applied and logged (former_pool_ignored), but for ends of tasks and losses of workers, which stay true. The driver keeps the connection with the claim's link, so that the local pool's end concerns only a link that is its own. Other tests are changed in how they name a connection, in no assertion. The emulated fleet delivers messages of a former leader to the relay of its own process, as the driver does.

--- a/crates/bramley-dock/src/engine/actions.rs
+++ b/crates/bramley-dock/src/engine/actions.rs
@@ -33,9 +33,8 @@
                 for message in std::mem::take(&mut state.local_pool_inbox) {
                     state.pool.handle_relay_message(LOCAL_RELAY, message, now);
                 }
-                let local_domain = self.settings.host.domain.clone();
-                for message in std::mem::take(&mut state.local_relay_inbox) {
-                    state.relay.handle_pool_message(&local_domain, message, now);
+                for (connection, message) in std::mem::take(&mut state.local_relay_inbox) {
+                    state.relay.handle_pool_message(&connection, message, now);
                 }
                 (state.pool.take_actions(), state.relay.take_actions())
             };
@@ -71,7 +70,7 @@
                 });
             }
             PoolAction::Send(LOCAL_RELAY, message) => {
-                self.state.borrow_mut().local_relay_inbox.push(message);
+                self.state.borrow_mut().send_to_local_relay(message);
             }
             PoolAction::Send(relay, message) => {
                 if let Some(link) = self.state.borrow().relays.get(&relay) {
@@ -89,7 +88,7 @@
                         queue_frame(&link.outgoing, frame.clone());
                     }
                 }
-                state.local_relay_inbox.push(message);
+                state.send_to_local_relay(message);
             }
             PoolAction::SendToPool(domain, message) => self.send_to_pool(&domain, message),
             PoolAction::Publish(waiting) => {
--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -9,7 +9,7 @@
 use tokio::task::{AbortHandle, spawn_local};
 
 use super::peers::log_pool_lost;
-use super::{Engine, PoolLink};
+use super::{Engine, EngineState, PoolLink};
 use crate::links::outbound;
 use crate::platform::{ClaimItem, Platform, StoreError};
 
@@ -67,6 +67,7 @@
         let link = PoolLink {
             claim: view,
             connector,
+            connection: None,
             outgoing: None,
             last_heard_at: self.now(),
             gives_way: false,
@@ -89,13 +90,12 @@
                 cause: LossCause::ClaimChanged,
                 last_message_at: heard_at,
             };
-            log_pool_lost(&item.domain, &previous.claim.address, loss, now);
-            state.relay.pool_lost(&item.domain, loss);
-        }
-        if is_local && state.pool.token().is_some() {
-            let now = self.now();
-            state.relay.pool_connected(&item.domain, now);
+            if let Some(connection) = &previous.connection {
+                log_pool_lost(&item.domain, &previous.claim.address, loss, now);
+                state.relay.pool_lost(connection, loss);
+            }
         }
+        self.connect_local_pool(&mut state);
     }
 
     pub(super) fn spawn_connector(
@@ -186,16 +186,24 @@
         self.process_actions();
     }
 
-    /// Records that the pool of this process does not serve the local relay any more.
+    /// Records that the pool of this process does not serve the local relay any more. If the relay has
+    /// turned to another leader of the failure domain by then, its connection stays.
     pub(super) fn lose_local_pool(&self, cause: LossCause) {
         let now = self.now();
         let domain = &self.settings.host.domain;
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let link = state.pools.get_mut(domain);
+        let link = link.filter(|link| link.claim.incarnation == self.incarnation);
+        let Some(connection) = link.and_then(|link| link.connection.take()) else {
+            return;
+        };
         let loss = PoolLoss {
             cause,
             last_message_at: now,
         };
         log_pool_lost(domain, "local", loss, now);
-        self.state.borrow_mut().relay.pool_lost(domain, loss);
+        state.relay.pool_lost(&connection, loss);
     }
 
     pub(super) async fn write_claim(self: Rc<Self>, expected_revision: u64) {
@@ -241,7 +249,7 @@
                     view: Some(view),
                 };
                 self.claims_changed(vec![item], false);
-                self.connect_local_pool();
+                self.connect_local_pool(&mut self.state.borrow_mut());
                 self.send_heartbeats_now();
                 self.process_actions();
             }
@@ -265,11 +273,18 @@
         self.metrics.record_store_call(kind, result);
     }
 
-    pub(super) fn connect_local_pool(&self) {
-        let mut state = self.state.borrow_mut();
-        let local_domain = &self.settings.host.domain;
-        if !state.relay.is_connected(local_domain) {
-            state.relay.pool_connected(local_domain, self.now());
+    /// Connects the local relay to the local pool if that is the leader by the latest claim.
+    fn connect_local_pool(&self, state: &mut EngineState) {
+        let domain = &self.settings.host.domain;
+        let is_leader = state.pool.token().is_some();
+        let Some(link) = state.pools.get_mut(domain) else {
+            return;
+        };
+        let is_local = link.claim.incarnation == self.incarnation;
+        if is_local && is_leader && link.connection.is_none() {
+            let connection = state.relay.pool_connected(domain, self.now());
+            link.connection = Some(connection.clone());
+            state.local_connection = Some(connection);
         }
     }
 
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -31,6 +31,7 @@
 use bramley_pool::job::JobName;
 use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
 use bramley_pool::pool::Pool;
+use bramley_pool::pool_connection::PoolConnection;
 use bramley_pool::relay::{JobAnswer, Relay};
 use bramley_pool::shedding::{HostShedder, SheddingSettings};
 use bramley_wire::pool::{PoolFrame, RelayFrame};
@@ -71,6 +72,8 @@
 struct PoolLink {
     claim: ClaimView,
     connector: Option<AbortHandle>,
+    /// Connection of the local relay to the pool, which needs no socket if the pool is the local one.
+    connection: Option<PoolConnection>,
     outgoing: Option<mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>>,
     last_heard_at: UnixTime,
     /// Whether the pool asks for its leadership to be taken over, as its last heartbeat stated.
@@ -103,7 +106,10 @@
     inbox: VecDeque<(RelayId, RelayMessage)>,
     /// Messages between the local relay and the local pool, which need no connection.
     local_pool_inbox: Vec<RelayMessage>,
-    local_relay_inbox: Vec<PoolMessage>,
+    /// Each with the latest connection to the local pool when it was sent.
+    local_relay_inbox: Vec<(PoolConnection, PoolMessage)>,
+    /// Latest connection of the local relay to the local pool, which may have ended.
+    local_connection: Option<PoolConnection>,
 }
 
 impl EngineState {
@@ -116,6 +122,20 @@
         lost_at.into_iter().chain(silent_since).min()
     }
 
+    /// Queues a message of the local pool for the local relay.
+    fn send_to_local_relay(&mut self, message: PoolMessage) {
+        match &self.local_connection {
+            Some(connection) => {
+                let message = (connection.clone(), message);
+                self.local_relay_inbox.push(message);
+            }
+            None => log::debug!(
+                "event=message_ignored relay={} reason=never_connected",
+                LOCAL_RELAY.0,
+            ),
+        }
+    }
+
     /// Returns whether another host should take over leadership of the failure domain.
     fn gives_way(&self, now: UnixTime) -> bool {
         self.stopping_since.is_some() || self.claim.has_lost_store(now)
@@ -177,6 +197,7 @@
             inbox: VecDeque::new(),
             local_pool_inbox: Vec::new(),
             local_relay_inbox: Vec::new(),
+            local_connection: None,
         };
         Rc::new(Self {
             settings,
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -5,7 +5,7 @@
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
 use bramley_pool::message::{PoolMessage, RelayId};
-use bramley_pool::pool_connection::{LossCause, PoolLoss};
+use bramley_pool::pool_connection::{LossCause, PoolConnection, PoolLoss};
 use bramley_wire::pool::{PoolBeat, PoolFrame, RelayFrame, RelayHello};
 use tokio::sync::mpsc;
 
@@ -98,47 +98,58 @@
         }
     }
 
+    /// Registers a connection of the local relay, over which the pool has told that it is the leader.
     pub(crate) fn pool_connected(
         self: &Rc<Self>,
         domain: &DomainName,
         outgoing: mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>,
-    ) {
+    ) -> Option<PoolConnection> {
         self.detect_pause();
         let now = self.now();
-        self.update_state(|state| {
-            if let Some(link) = state.pools.get_mut(domain) {
-                link.outgoing = Some(outgoing);
-                let address = &link.claim.address;
-                log::info!("event=pool_connected pool={domain} address={address}");
-            }
-            state.relay.pool_connected(domain, now);
-        });
+        let connection = {
+            let mut state = self.state.borrow_mut();
+            let state = &mut *state;
+            let link = state.pools.get_mut(domain)?;
+            let address = &link.claim.address;
+            log::info!("event=pool_connected pool={domain} address={address}");
+            link.outgoing = Some(outgoing);
+            let connection = state.relay.pool_connected(domain, now);
+            link.connection = Some(connection.clone());
+            connection
+        };
         self.process_actions();
+        Some(connection)
     }
 
-    pub(crate) fn heartbeat_received(&self, domain: &DomainName, beat: &PoolBeat) {
+    pub(crate) fn heartbeat_received(&self, connection: &PoolConnection, beat: &PoolBeat) {
         let now = self.now();
         let admissions = decode_admissions(beat, now);
         let mut state = self.state.borrow_mut();
-        state.relay.update_pool_load(domain, decode_load(beat));
-        state.relay.update_route_admissions(domain, admissions, now);
+        let relay = &mut state.relay;
+        relay.update_pool_load(connection, decode_load(beat));
+        relay.update_route_admissions(connection, admissions, now);
         let callers_lost_at = decode_age(beat.caller_loss_age_ms, now);
-        state.relay.update_caller_loss(domain, callers_lost_at, now);
+        relay.update_caller_loss(connection, callers_lost_at, now);
         if let Some(members) = &beat.members {
-            let incarnations = members.incarnations.clone();
-            state.relay.update_members(domain, incarnations);
+            relay.update_members(connection, members.incarnations.clone());
         }
-        if let Some(link) = state.pools.get_mut(domain) {
+        if let Some(link) = state.pools.get_mut(connection.domain()) {
             link.gives_way = beat.gives_way;
         }
     }
 
-    pub(crate) fn handle_pool_message(self: &Rc<Self>, domain: &DomainName, message: PoolMessage) {
+    pub(crate) fn handle_pool_message(
+        self: &Rc<Self>,
+        connection: &PoolConnection,
+        message: PoolMessage,
+    ) {
         self.detect_pause();
         let now = self.now();
         self.update_state(|state| match message {
-            PoolMessage::Steal(request) => state.pool.handle_steal(domain, &request, now),
-            message => state.relay.handle_pool_message(domain, message, now),
+            PoolMessage::Steal(request) => {
+                state.pool.handle_steal(connection.domain(), &request, now);
+            }
+            message => state.relay.handle_pool_message(connection, message, now),
         });
         self.process_actions();
     }
@@ -170,7 +181,8 @@
         let Some(link) = state.pools.get_mut(domain) else {
             return;
         };
-        if link.outgoing.take().is_some() {
+        link.outgoing = None;
+        if let Some(connection) = link.connection.take() {
             log::warn!(
                 "event=pool_lost pool={domain} address={} reason={} heard_ms_ago={}",
                 link.claim.address,
@@ -181,7 +193,7 @@
                 cause: LossCause::ConnectionEnded,
                 last_message_at: link.last_heard_at,
             };
-            state.relay.pool_lost(domain, loss);
+            state.relay.pool_lost(&connection, loss);
         }
     }
 }
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -123,18 +123,16 @@
             }
         }
         self.metrics.record_admissions(&admissions);
-        let local_domain = self.settings.host.domain.clone();
-        if is_leader {
-            state.relay.update_pool_load(&local_domain, load);
-            state
-                .relay
-                .update_caller_loss(&local_domain, callers_lost_at, now);
+        if let Some(connection) = state.local_connection.clone()
+            && is_leader
+        {
+            let relay = &mut state.relay;
+            relay.update_pool_load(&connection, load);
+            relay.update_caller_loss(&connection, callers_lost_at, now);
             if let Some(members) = members {
-                state.relay.update_members(&local_domain, members);
+                relay.update_members(&connection, members);
             }
-            state
-                .relay
-                .update_route_admissions(&local_domain, admissions, now);
+            relay.update_route_admissions(&connection, admissions, now);
         }
         self.metrics
             .record_load(load, is_leader, state.callers.len());
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use bramley_core::names::DomainName;
+use bramley_pool::pool_connection::PoolConnection;
 use bramley_wire::pool::{PoolFrame, RelayBeat, RelayFrame, RelayHello, pool_frame, relay_frame};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -92,7 +93,7 @@
     outgoing: mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>,
 ) -> DisconnectReason {
     let idle_timeout = engine.settings().link.idle_timeout;
-    let mut is_connected = false;
+    let mut connection: Option<PoolConnection> = None;
     loop {
         let frame = match read_frame::<PoolFrame>(reader, idle_timeout).await {
             Ok(frame) => frame,
@@ -106,13 +107,17 @@
             if !beat.commands {
                 return DisconnectReason::Closed;
             }
-            if !is_connected {
-                is_connected = true;
-                engine.pool_connected(domain, outgoing.clone());
+            if connection.is_none() {
+                connection = engine.pool_connected(domain, outgoing.clone());
+            }
+            if let Some(connection) = &connection {
+                engine.heartbeat_received(connection, beat);
             }
-            engine.heartbeat_received(domain, beat);
         } else if let Some(message) = decode_pool_message(body) {
-            engine.handle_pool_message(domain, message);
+            match &connection {
+                Some(connection) => engine.handle_pool_message(connection, message),
+                None => log::debug!("event=frame_dropped pool={domain} reason=no_heartbeat"),
+            }
         }
     }
 }
--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -20,7 +20,7 @@
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
 use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
 use bramley_pool::pool::{Pool, PoolAction};
-use bramley_pool::pool_connection::{LossCause, PoolLoss};
+use bramley_pool::pool_connection::{LossCause, PoolConnection, PoolLoss};
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction};
 use bramley_pool::resources::TaskResources;
 use bramley_pool::settings::{PoolSettings, RelaySettings};
@@ -50,8 +50,8 @@
     Tick,
     /// A message of the first host's relay arrives at the second host's pool.
     ToPool(usize, usize, RelayMessage),
-    /// A message of the first host's pool arrives at the second host's relay.
-    ToRelay(usize, usize, PoolMessage),
+    /// A message of the first host's pool arrives at the second host's relay over a connection.
+    ToRelay(usize, usize, PoolConnection, PoolMessage),
     CallArrives(usize, WorkerCall),
     /// The worker checks whether it answers a poll, which it does at the given time at the latest.
     PollEnds(usize, WorkerCall, UnixTime),
@@ -119,11 +119,13 @@
 }
 
 impl VirtualHost {
-    /// Handles a message of the pool of a failure domain.
-    fn receive(&mut self, domain: &DomainName, message: PoolMessage, now: UnixTime) {
+    /// Handles a message of a pool.
+    fn receive(&mut self, connection: &PoolConnection, message: PoolMessage, now: UnixTime) {
         match message {
-            PoolMessage::Steal(request) => self.pool.handle_steal(domain, &request, now),
-            message => self.relay.handle_pool_message(domain, message, now),
+            PoolMessage::Steal(request) => {
+                self.pool.handle_steal(connection.domain(), &request, now);
+            }
+            message => self.relay.handle_pool_message(connection, message, now),
         }
     }
 }
@@ -345,7 +347,9 @@
                     cause: LossCause::ClaimChanged,
                     last_message_at: now,
                 };
-                relay.relay.pool_lost(&domain, loss);
+                if let Some(connection) = relay.relay.connection(&domain) {
+                    relay.relay.pool_lost(&connection, loss);
+                }
             }
             for relay in 0..self.hosts.len() {
                 self.schedule(DELAY, Event::RelayLost(before, relay));
@@ -361,7 +365,11 @@
         }
         for index in 0..self.hosts.len() {
             if self.hosts[index].alive {
-                self.hosts[index].relay.pool_connected(&domain, now);
+                let relay = &mut self.hosts[index].relay;
+                // The connections to a leader that has only written its claim again stay.
+                if !relay.is_connected(&domain) {
+                    relay.pool_connected(&domain, now);
+                }
                 self.send_caller_loss(host, index);
             }
         }
@@ -404,8 +412,10 @@
         let members = self.hosts[leader].pool.members();
         let domain = self.hosts[leader].domain.clone();
         let relay = &mut self.hosts[relay].relay;
-        relay.update_caller_loss(&domain, lost_at, now);
-        relay.update_members(&domain, members);
+        if let Some(connection) = relay.connection(&domain) {
+            relay.update_caller_loss(&connection, lost_at, now);
+            relay.update_members(&connection, members);
+        }
     }
 
     fn send_heartbeats(&mut self) {
@@ -467,7 +477,9 @@
                     cause: LossCause::ConnectionEnded,
                     last_message_at: now,
                 };
-                relay.relay.pool_lost(&domain, loss);
+                if let Some(connection) = relay.relay.connection(&domain) {
+                    relay.relay.pool_lost(&connection, loss);
+                }
                 relay.relay.leader_ended(&domain, incarnation);
             }
             self.leaders.remove(&domain);
@@ -697,10 +709,10 @@
                         .handle_relay_message(RelayId(from as u64), message, now);
                 }
             }
-            Event::ToRelay(from, to, message) => {
-                if self.hosts[to].alive && self.leads(from) {
-                    let domain = self.hosts[from].domain.clone();
-                    self.deliver(to, &domain, message);
+            Event::ToRelay(from, to, connection, message) => {
+                // A pool and the relay of its own process need no connection.
+                if self.hosts[to].alive && (from == to || self.leads(from)) {
+                    self.deliver(to, &connection, message);
                 }
             }
             Event::CallArrives(host, call) => self.call_arrives(host, call),
@@ -761,23 +773,30 @@
         }
     }
 
-    /// Delivers a message of the pool of a failure domain to a host.
-    pub(crate) fn deliver(&mut self, host: usize, domain: &DomainName, message: PoolMessage) {
+    /// Delivers a message of a pool to a host.
+    pub(crate) fn deliver(
+        &mut self,
+        host: usize,
+        connection: &PoolConnection,
+        message: PoolMessage,
+    ) {
         let now = self.now;
         if self.assigns_released_twice
             && let PoolMessage::Released { job, tasks, .. } = &message
-            && let Some(owner) = self.leaders.get(domain).copied()
+            && let Some(owner) = self.leaders.get(connection.domain()).copied()
         {
             self.hosts[owner].pool.assign_part(job, tasks);
         }
-        self.hosts[host].receive(domain, message, now);
+        self.hosts[host].receive(connection, message, now);
     }
 
     fn send_load(&mut self) {
         for (domain, leader) in &self.leaders {
             let load = self.hosts[*leader].pool.load(self.now);
             for host in &mut self.hosts {
-                host.relay.update_pool_load(domain, load);
+                if let Some(connection) = host.relay.connection(domain) {
+                    host.relay.update_pool_load(&connection, load);
+                }
             }
         }
     }
@@ -956,11 +975,11 @@
                 self.broadcast(host, &message);
             }
             PoolAction::Send(relay, message) => {
-                self.schedule(DELAY, Event::ToRelay(host, relay.0 as usize, message));
+                self.send_without_link(host, relay.0 as usize, message);
             }
             PoolAction::Broadcast(message) => {
                 for relay in 0..self.hosts.len() {
-                    self.schedule(DELAY, Event::ToRelay(host, relay, message.clone()));
+                    self.send_without_link(host, relay, message.clone());
                 }
             }
             PoolAction::SendToPool(domain, message) => {
@@ -983,6 +1002,16 @@
         }
     }
 
+    /// Sends a message of a pool to the relay of a host, over a connection that always works.
+    fn send_without_link(&mut self, pool: usize, relay: usize, message: PoolMessage) {
+        let domain = &self.hosts[pool].domain;
+        if let Some(connection) = self.hosts[relay].relay.connection(domain)
+            && self.leads(pool)
+        {
+            self.schedule(DELAY, Event::ToRelay(pool, relay, connection, message));
+        }
+    }
+
     fn run_relay_action(&mut self, host: usize, action: RelayAction) {
         match action {
             RelayAction::Send(domain, message) if self.links.is_some() => {
--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -8,7 +8,7 @@
 use bramley_core::units::UnixTime;
 use bramley_pool::job::JobName;
 use bramley_pool::message::{JobOutcome, PoolMessage, RelayId, RelayMessage};
-use bramley_pool::pool_connection::{LossCause, PoolLoss};
+use bramley_pool::pool_connection::{LossCause, PoolConnection, PoolLoss};
 use bramley_pool::relay::JobAnswer;
 use bramley_pool::worker::{CallAnswer, WorkerCall};
 use rand::{Rng, SeedableRng};
@@ -89,6 +89,8 @@
 struct Link {
     relay: usize,
     pool: usize,
+    /// Connection as the relay knows it, once the first heartbeat has arrived.
+    connection: Option<PoolConnection>,
     relay_is_open: bool,
     pool_is_open: bool,
     last_heard_at: UnixTime,
@@ -116,6 +118,8 @@
     callers: BTreeMap<(usize, String), u64>,
     /// Hosts that take themselves for leaders.
     local_leaders: BTreeSet<usize>,
+    /// Latest connection of the relay of a host to the pool of the same host.
+    local_connections: BTreeMap<usize, PoolConnection>,
     /// Time for which a host that has read the claim of its successor still leads, because the
     /// store has not answered its own write of the claim yet.
     pub claim_write_delay: Option<Duration>,
@@ -180,12 +184,18 @@
     /// Replaces the immediate connections by ones that can be reset. Every relay connects to the
     /// pool of every leader.
     pub fn use_links(&mut self, seed: u64) {
+        let local_connections = self.leaders.values().filter_map(|leader| {
+            let host = &self.hosts[*leader];
+            Some((*leader, host.relay.connection(&host.domain)?))
+        });
+        let local_connections = local_connections.collect();
         self.links = Some(Links {
             rng: ChaCha8Rng::seed_from_u64(seed),
             connections: Vec::new(),
             busy: BTreeMap::new(),
             callers: BTreeMap::new(),
             local_leaders: self.leaders.values().copied().collect(),
+            local_connections,
             claim_write_delay: None,
             next_caller: 0,
             ends_of_callers: BTreeMap::new(),
@@ -242,6 +252,7 @@
         links.connections.push(Link {
             relay,
             pool,
+            connection: None,
             relay_is_open: true,
             pool_is_open: false,
             last_heard_at: UnixTime::default(),
@@ -397,7 +408,7 @@
                 cause: LossCause::ClaimChanged,
                 last_message_at: now,
             };
-            self.hosts[reader].relay.pool_lost(domain, loss);
+            self.lose_local_pool(reader, loss);
             match self.links_mut().claim_write_delay {
                 Some(delay) => self.schedule(delay, Event::Link(LinkEvent::StepsDown(reader))),
                 None => self.step_down(reader),
@@ -411,16 +422,21 @@
             let link = &mut self.links_mut().connections[number];
             link.relay_is_open = false;
             let last_heard_at = link.last_heard_at.max(now.before(HEARTBEAT_INTERVAL));
+            let connection = link.connection.take();
             let loss = PoolLoss {
                 cause: LossCause::ClaimChanged,
                 last_message_at: last_heard_at,
             };
-            self.hosts[reader].relay.pool_lost(domain, loss);
+            if let Some(connection) = connection {
+                self.hosts[reader].relay.pool_lost(&connection, loss);
+            }
             self.schedule(DELAY, Event::Link(LinkEvent::PoolNotices(number)));
         }
         if leader == reader {
-            self.links_mut().local_leaders.insert(reader);
-            self.hosts[reader].relay.pool_connected(domain, now);
+            let connection = self.hosts[reader].relay.pool_connected(domain, now);
+            let links = self.links_mut();
+            links.local_leaders.insert(reader);
+            links.local_connections.insert(reader, connection);
         } else {
             self.open_link(reader, domain);
         }
@@ -429,13 +445,20 @@
     /// Lets the pool of a host give up its leadership, as the driver does.
     fn step_down(&mut self, host: usize) {
         let now = self.now;
-        let host = &mut self.hosts[host];
-        host.pool.step_down(now);
+        self.hosts[host].pool.step_down(now);
         let loss = PoolLoss {
             cause: LossCause::SteppedDown,
             last_message_at: now,
         };
-        host.relay.pool_lost(&host.domain, loss);
+        self.lose_local_pool(host, loss);
+    }
+
+    /// Lets the relay of a host lose the pool of the same host. The relay may be connected to another
+    /// leader by then.
+    fn lose_local_pool(&mut self, host: usize, loss: PoolLoss) {
+        if let Some(connection) = self.links_mut().local_connections.get(&host).cloned() {
+            self.hosts[host].relay.pool_lost(&connection, loss);
+        }
     }
 
     /// Handles that the pool of a host was fenced.
@@ -445,12 +468,11 @@
             return;
         };
         if links.local_leaders.remove(&host) {
-            let domain = self.hosts[host].domain.clone();
             let loss = PoolLoss {
                 cause: LossCause::Fenced,
                 last_message_at: now,
             };
-            self.hosts[host].relay.pool_lost(&domain, loss);
+            self.lose_local_pool(host, loss);
         }
     }
 
@@ -472,7 +494,13 @@
         let first = self.hosts.len();
         let number = (relay.0 as usize).checked_sub(first);
         match number {
-            None => self.schedule(Duration::ZERO, Event::ToRelay(pool, pool, message)),
+            None => {
+                let connection = self.links_mut().local_connections.get(&pool).cloned();
+                if let Some(connection) = connection {
+                    let event = Event::ToRelay(pool, pool, connection, message);
+                    self.schedule(Duration::ZERO, event);
+                }
+            }
             Some(number) => {
                 let event = Event::Link(LinkEvent::ToRelay(number, message));
                 self.schedule(DELAY, event);
@@ -568,10 +596,11 @@
                     return;
                 }
                 link.last_heard_at = now;
-                let (pool, relay) = (link.pool, link.relay);
+                let (relay, connection) = (link.relay, link.connection.clone());
                 links.refusals += usize::from(is_refusal(&message));
-                let domain = self.hosts[pool].domain.clone();
-                self.deliver(relay, &domain, message);
+                if let Some(connection) = connection {
+                    self.deliver(relay, &connection, message);
+                }
             }
             LinkEvent::PoolAccepts(number) => {
                 let link = &mut self.links_mut().connections[number];
@@ -593,8 +622,9 @@
                 let domain = self.hosts[pool].domain.clone();
                 let load = self.hosts[pool].pool.load(now);
                 let host = &mut self.hosts[relay].relay;
-                host.pool_connected(&domain, now);
-                host.update_pool_load(&domain, load);
+                let connection = host.pool_connected(&domain, now);
+                host.update_pool_load(&connection, load);
+                self.links_mut().connections[number].connection = Some(connection);
                 self.send_caller_loss(pool, relay);
             }
             LinkEvent::PoolNotices(number) => {
@@ -614,13 +644,16 @@
                 let earliest = now.before(HEARTBEAT_INTERVAL);
                 let last_heard_at = link.last_heard_at.max(earliest);
                 let (pool, relay) = (link.pool, link.relay);
+                let connection = link.connection.take();
                 let domain = self.hosts[pool].domain.clone();
                 let host = &mut self.hosts[relay];
                 let loss = PoolLoss {
                     cause: LossCause::ConnectionEnded,
                     last_message_at: last_heard_at,
                 };
-                host.relay.pool_lost(&domain, loss);
+                if let Some(connection) = connection {
+                    host.relay.pool_lost(&connection, loss);
+                }
                 let links = self.links_mut();
                 let delay = if links.rng.random_bool(PARTITION_PROBABILITY) {
                     Duration::from_millis(links.rng.random_range(0..MAX_PARTITION_MS))
--- a/crates/bramley-pool/benches/relay_refusal.rs
+++ b/crates/bramley-pool/benches/relay_refusal.rs
@@ -23,13 +23,13 @@
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("domain-0"));
     for number in 0..4 {
         let domain = DomainName::new(format!("domain-{number}"));
-        relay.pool_connected(&domain, NOW);
+        let connection = relay.pool_connected(&domain, NOW);
         let load = PoolLoad {
             free_cpu_milli: 100_000,
             listed_workers: 117,
             ..PoolLoad::default()
         };
-        relay.update_pool_load(&domain, load);
+        relay.update_pool_load(&connection, load);
         let admissions = ROUTES.map(|route| RouteAdmission {
             route: RouteName::from(route),
             pass_permille: 0,
@@ -37,7 +37,7 @@
             late_wait: Some(Duration::from_millis(900)),
             computed_at: NOW,
         });
-        relay.update_route_admissions(&domain, admissions.to_vec(), NOW);
+        relay.update_route_admissions(&connection, admissions.to_vec(), NOW);
     }
     relay
 }
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -355,6 +355,15 @@
         /// Failure domain of the pool that holds the job; `None` if all of it is in parts elsewhere.
         held_by: Option<DomainName>,
     },
+    /// A relay does not apply what concerns a connection to a pool that has ended.
+    FormerPoolIgnored {
+        /// Failure domain of the pool.
+        pool: DomainName,
+        /// What is not applied.
+        what: &'static str,
+        /// Whether the failure domain is connected by now.
+        is_connected: bool,
+    },
     /// The known state of a worker has changed.
     WorkerChanged {
         /// Name of the worker.
@@ -419,6 +428,7 @@
             Self::Text { job, .. } => job.as_deref(),
             Self::RefusalsCounted { .. }
             | Self::JobsInDoubt { .. }
+            | Self::FormerPoolIgnored { .. }
             | Self::WorkerChanged { .. }
             | Self::LeadershipChanged { .. }
             | Self::InterferenceChanged { .. } => None,
@@ -470,6 +480,7 @@
             | Self::JobHandedOver { .. }
             | Self::JobsInDoubt { .. }
             | Self::ForeignStart { .. }
+            | Self::FormerPoolIgnored { .. }
             | Self::RunLost { .. }
             | Self::CrashRecorded { .. }
             | Self::TaskGivenUp { .. }
@@ -781,6 +792,14 @@
                 "event=jobs_in_doubt pool={pool} reason={} jobs={jobs} parts={parts}",
                 cause.as_str(),
             ),
+            Self::FormerPoolIgnored {
+                pool,
+                what,
+                is_connected,
+            } => write!(
+                f,
+                "event=former_pool_ignored pool={pool} what={what} connected={is_connected}",
+            ),
             Self::ForeignStart { job, pool, held_by } => write!(
                 f,
                 "event=start_at_former_pool job={job} pool={pool} held_by={}",
--- a/crates/bramley-pool/src/explanation.rs
+++ b/crates/bramley-pool/src/explanation.rs
@@ -192,7 +192,10 @@
                 outcome: JobOutcome::Refused(Refusal::Overloaded),
                 wait: Duration::ZERO,
             };
-            relay.handle_pool_message(&domain, message, now);
+            let Some(connection) = relay.connection(&domain) else {
+                break;
+            };
+            relay.handle_pool_message(&connection, message, now);
         }
         RelayExplanation {
             route,
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -143,6 +143,27 @@
     },
 }
 
+impl PoolMessage {
+    /// Returns whether the message states what stays true whichever pool holds the job.
+    #[must_use]
+    pub const fn is_fact(&self) -> bool {
+        matches!(self, Self::TaskDone { .. } | Self::TaskCrashed { .. })
+    }
+
+    /// Returns the label for logs.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::TaskDone { .. } => "task_done",
+            Self::Placed { .. } => "placed",
+            Self::TaskCrashed { .. } => "task_crashed",
+            Self::Ended { .. } => "ended",
+            Self::Steal(_) => "steal",
+            Self::Released { .. } => "released",
+        }
+    }
+}
+
 /// Load of a pool.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PoolLoad {
--- a/crates/bramley-pool/src/pool_connection.rs
+++ b/crates/bramley-pool/src/pool_connection.rs
@@ -1,7 +1,33 @@
 //! Connections of a relay to the pools of failure domains.
 
+use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
 
+/// One connection of a relay to the pool of a failure domain, as given out by
+/// [`Relay::pool_connected`](crate::relay::Relay::pool_connected).
+///
+/// A failure domain has several leaders one after the other, and two processes may take themselves
+/// for its leader at the same time. What a pool reports therefore comes with the connection over which
+/// it was reported, and a relay applies it to that connection alone.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PoolConnection {
+    domain: DomainName,
+    /// Number of the connection, which the relay has given to no other one.
+    number: u64,
+}
+
+impl PoolConnection {
+    pub(crate) const fn new(domain: DomainName, number: u64) -> Self {
+        Self { domain, number }
+    }
+
+    /// Returns the failure domain of the pool.
+    #[must_use]
+    pub const fn domain(&self) -> &DomainName {
+        &self.domain
+    }
+}
+
 /// Reason for which a connection to a pool was lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LossCause {
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::message::{
     JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
 };
-use crate::pool_connection::PoolLoss;
+use crate::pool_connection::{LossCause, PoolConnection, PoolLoss};
 use crate::pool_rotation::PoolRotation;
 use crate::refusal::Refusal;
 use crate::route_gate::RouteGate;
@@ -106,7 +106,8 @@
 /// Last known state of a pool.
 #[derive(Clone, Debug, Default)]
 struct PoolView {
-    connected: bool,
+    /// Current connection; `None` while there is none.
+    connection: Option<PoolConnection>,
     load: PoolLoad,
     /// Time of the last heartbeat of any pool of the failure domain.
     heartbeat_at: Option<UnixTime>,
@@ -124,6 +125,8 @@
     local_domain: DomainName,
     jobs: FxHashMap<JobName, RelayJob>,
     pools: FxHashMap<DomainName, PoolView>,
+    /// Number of the next connection to a pool.
+    next_connection: u64,
     /// Distribution of jobs while the local failure domain is evacuated.
     rotation: PoolRotation,
     /// Crashes of workers under the tasks of recent jobs, as pools have reported them.
@@ -150,6 +153,7 @@
             local_domain,
             jobs: FxHashMap::default(),
             pools: FxHashMap::default(),
+            next_connection: 1,
             rotation: PoolRotation::default(),
             crashes: CrashMemory::default(),
             gate: RouteGate::default(),
@@ -187,7 +191,11 @@
     /// overload it with the callers of its own failure domain.
     #[must_use]
     pub fn is_well_connected(&self, known_pools: usize) -> bool {
-        let connected = self.pools.values().filter(|pool| pool.connected).count();
+        let connected = self
+            .pools
+            .values()
+            .filter(|pool| pool.is_connected())
+            .count();
         let reaches_most = connected > 0 && connected * 2 >= known_pools;
         reaches_most || self.is_connected(&self.local_domain)
     }
@@ -195,14 +203,14 @@
     /// Returns whether the pool of a failure domain is connected.
     #[must_use]
     pub fn is_connected(&self, domain: &DomainName) -> bool {
-        self.pools.get(domain).is_some_and(|pool| pool.connected)
+        self.pools.get(domain).is_some_and(PoolView::is_connected)
     }
 
     /// Returns whether the failure domain of a connected pool is evacuated, as it last reported.
     #[must_use]
     pub fn is_evacuated(&self, domain: &DomainName) -> bool {
         let pool = self.pools.get(domain);
-        pool.is_some_and(|pool| pool.connected && pool.load.evacuated)
+        pool.is_some_and(|pool| pool.is_connected() && pool.load.evacuated)
     }
 
     /// Delays submissions after a process pause, so that closed connections of callers are handled
@@ -250,7 +258,7 @@
     fn submit_to_first_pool(&mut self, name: &JobName) {
         match self.first_pool(name) {
             Some(domain) => self.submit_to(name, domain),
-            None if self.pools.values().any(|pool| pool.connected) => {
+            None if self.pools.values().any(PoolView::is_connected) => {
                 self.refuse_unserved(name, Refusal::Evacuated);
             }
             None => self.refuse_unserved(name, Refusal::NoPool),
@@ -268,11 +276,22 @@
         self.cancel_elsewhere(name, &job, None);
     }
 
-    /// Records a connection to a pool. Jobs in doubt after the loss of an earlier pool of the same
-    /// failure domain are resubmitted to it.
-    pub fn pool_connected(&mut self, domain: &DomainName, now: UnixTime) {
+    /// Records a connection to a pool and returns it, to be passed on with all that the pool reports.
+    /// Jobs in doubt after the loss of an earlier connection to the same failure domain are
+    /// resubmitted.
+    pub fn pool_connected(&mut self, domain: &DomainName, now: UnixTime) -> PoolConnection {
+        if let Some(replaced) = self.connection(domain) {
+            let heard_at = self.pools.get(domain).and_then(|pool| pool.heartbeat_at);
+            let loss = PoolLoss {
+                cause: LossCause::ClaimChanged,
+                last_message_at: heard_at.unwrap_or(now),
+            };
+            self.pool_lost(&replaced, loss);
+        }
+        let connection = PoolConnection::new(domain.clone(), self.next_connection);
+        self.next_connection += 1;
         let view = self.pools.entry(domain.clone()).or_default();
-        view.connected = true;
+        view.connection = Some(connection.clone());
         view.load = PoolLoad::default();
         self.gate.forget_pool(domain);
         if now >= self.sending_paused_until {
@@ -280,6 +299,29 @@
         } else {
             self.connected_while_paused.push(domain.clone());
         }
+        connection
+    }
+
+    /// Returns the current connection to the pool of a failure domain.
+    #[must_use]
+    pub fn connection(&self, domain: &DomainName) -> Option<PoolConnection> {
+        self.pools.get(domain)?.connection.clone()
+    }
+
+    /// Returns the pool of a connection if that is the current one to its failure domain.
+    fn current_pool(&mut self, connection: &PoolConnection) -> Option<&mut PoolView> {
+        let pool = self.pools.get_mut(connection.domain())?;
+        (pool.connection.as_ref() == Some(connection)).then_some(pool)
+    }
+
+    /// Logs that something is not applied because it concerns a connection that has ended.
+    fn log_former_pool(&mut self, connection: &PoolConnection, what: &'static str) {
+        let decision = Decision::FormerPoolIgnored {
+            pool: connection.domain().clone(),
+            what,
+            is_connected: self.is_connected(connection.domain()),
+        };
+        self.actions.push(RelayAction::LogDecision(decision));
     }
 
     /// Resubmits the jobs of an earlier pool of a failure domain to its current pool.
@@ -298,15 +340,18 @@
         self.actions.push(resumed);
     }
 
-    /// Records the loss of the connection to a pool. Its jobs are in doubt from now on.
-    pub fn pool_lost(&mut self, domain: &DomainName, loss: PoolLoss) {
-        let mut earlier_workers = 0;
+    /// Records the loss of a connection to a pool. The jobs there are in doubt from now on. The loss of
+    /// a connection that is not the current one changes nothing.
+    pub fn pool_lost(&mut self, connection: &PoolConnection, loss: PoolLoss) {
+        let Some(pool) = self.current_pool(connection) else {
+            self.log_former_pool(connection, "loss");
+            return;
+        };
+        pool.connection = None;
+        pool.callers_lost_at = pool.callers_lost_at.or(pool.heartbeat_at);
+        let earlier_workers = pool.load.listed_workers;
+        let domain = connection.domain();
         self.gate.forget_pool(domain);
-        if let Some(pool) = self.pools.get_mut(domain) {
-            pool.connected = false;
-            pool.callers_lost_at = pool.callers_lost_at.or(pool.heartbeat_at);
-            earlier_workers = pool.load.listed_workers;
-        }
         let ended_by = loss.last_message_at.after(self.settings.lost_pool_wait);
         let parts = self.parts_lost(domain, ended_by, earlier_workers);
         let mut jobs = 0;
@@ -333,8 +378,8 @@
     }
 
     /// Records the load reported by a pool.
-    pub fn update_pool_load(&mut self, domain: &DomainName, load: PoolLoad) {
-        if let Some(pool) = self.pools.get_mut(domain) {
+    pub fn update_pool_load(&mut self, connection: &PoolConnection, load: PoolLoad) {
+        if let Some(pool) = self.current_pool(connection) {
             pool.load = load;
         }
     }
@@ -343,11 +388,11 @@
     /// its leader has published it; `None` if they are all connected.
     pub fn update_caller_loss(
         &mut self,
-        domain: &DomainName,
+        connection: &PoolConnection,
         lost_at: Option<UnixTime>,
         now: UnixTime,
     ) {
-        if let Some(pool) = self.pools.get_mut(domain) {
+        if let Some(pool) = self.current_pool(connection) {
             pool.heartbeat_at = Some(now);
             pool.callers_lost_at = lost_at;
         }
@@ -363,8 +408,8 @@
     }
 
     /// Records the processes whose relays hold jobs at a pool, as it has published them.
-    pub fn update_members(&mut self, domain: &DomainName, incarnations: Vec<u64>) {
-        if let Some(pool) = self.pools.get_mut(domain) {
+    pub fn update_members(&mut self, connection: &PoolConnection, incarnations: Vec<u64>) {
+        if let Some(pool) = self.current_pool(connection) {
             pool.members = Some(incarnations);
         }
     }
@@ -396,10 +441,14 @@
     /// state.
     pub fn update_route_admissions(
         &mut self,
-        domain: &DomainName,
+        connection: &PoolConnection,
         admissions: Vec<RouteAdmission>,
         now: UnixTime,
     ) {
+        if self.current_pool(connection).is_none() {
+            return;
+        }
+        let domain = connection.domain();
         let Some(contradiction) = self.gate.update(domain, admissions, now) else {
             return;
         };
@@ -419,13 +468,19 @@
         self.gate.set_known_routes(routes);
     }
 
-    /// Handles a message of a pool.
+    /// Handles a message of a pool. Over a connection that has ended, only what stays true whichever
+    /// pool holds the job is applied: ends of tasks and losses of workers.
     pub fn handle_pool_message(
         &mut self,
-        domain: &DomainName,
+        connection: &PoolConnection,
         message: PoolMessage,
         now: UnixTime,
     ) {
+        let domain = connection.domain();
+        if self.current_pool(connection).is_none() && !message.is_fact() {
+            self.log_former_pool(connection, message.kind());
+            return;
+        }
         match message {
             PoolMessage::Placed { job, placements } => {
                 if let Some(job) = self.job_at(&job, domain) {
@@ -437,7 +492,7 @@
                 }
             }
             PoolMessage::TaskDone { job, index } => {
-                if let Some(record) = self.job_at(&job, domain) {
+                if let Some(record) = self.jobs.get_mut(&job) {
                     record.task_done(index);
                     self.complete_if_done(&job);
                 }
@@ -623,7 +678,11 @@
         let decision = Decision::RefusedUnserved {
             job: name.clone(),
             refusal,
-            pools_connected: self.pools.values().filter(|pool| pool.connected).count(),
+            pools_connected: self
+                .pools
+                .values()
+                .filter(|pool| pool.is_connected())
+                .count(),
         };
         self.actions.push(RelayAction::LogDecision(decision));
         let answer = JobAnswer::Refused {
@@ -637,7 +696,7 @@
     /// free CPU. While the local failure domain is evacuated, returns the pool whose turn it is.
     fn first_pool(&mut self, name: &JobName) -> Option<DomainName> {
         let local = self.pools.get(&self.local_domain);
-        match local.filter(|pool| pool.connected) {
+        match local.filter(|pool| pool.is_connected()) {
             Some(pool) if pool.load.evacuated => self.spread_over_others(name),
             Some(_) => Some(self.local_domain.clone()),
             None => self.pool_with_most_free_cpu(|_, _| true),
@@ -793,7 +852,7 @@
             .map(|(domain, view)| PoolState {
                 domain: domain.clone(),
                 is_local: *domain == self.local_domain,
-                is_connected: view.connected,
+                is_connected: view.is_connected(),
                 load: view.load,
             })
             .collect();
@@ -816,7 +875,11 @@
 impl PoolView {
     /// Returns whether jobs that are not running there can be submitted to the pool.
     const fn accepts_jobs(&self) -> bool {
-        self.connected && !self.load.evacuated
+        self.is_connected() && !self.load.evacuated
+    }
+
+    const fn is_connected(&self) -> bool {
+        self.connection.is_some()
     }
 }
 
--- a/crates/bramley-pool/src/relay/overload.rs
+++ b/crates/bramley-pool/src/relay/overload.rs
@@ -175,10 +175,9 @@
     fn is_valid_offer(&self, offer: &RouteOffer, demand: JobDemand) -> bool {
         match offer {
             RouteOffer::Ordinary => true,
-            RouteOffer::InTime(domain) => self
-                .pools
-                .get(domain)
-                .is_some_and(|pool| pool.connected && pool.load.free_cpu_milli >= demand.cpu_milli),
+            RouteOffer::InTime(domain) => self.pools.get(domain).is_some_and(|pool| {
+                pool.is_connected() && pool.load.free_cpu_milli >= demand.cpu_milli
+            }),
             RouteOffer::Late(domain) => self.is_connected(domain),
             RouteOffer::Refused(_) => false,
         }
@@ -198,7 +197,7 @@
         let is_local_usable = self
             .pools
             .get(&local_domain)
-            .is_some_and(|pool| pool.connected && !pool.load.evacuated);
+            .is_some_and(|pool| pool.is_connected() && !pool.load.evacuated);
         if is_local_usable {
             if self.gate.passes(&local_domain, route, job, now) {
                 return RouteOffer::Ordinary;
@@ -235,7 +234,7 @@
     fn overload_anywhere(&self, route: &RouteName, now: UnixTime) -> Option<&RouteAdmission> {
         self.pools
             .iter()
-            .filter(|(_, pool)| pool.connected)
+            .filter(|(_, pool)| pool.is_connected())
             .find_map(|(domain, _)| self.gate.overload(domain, route, now))
     }
 
@@ -273,7 +272,7 @@
         let (_, domain) = self
             .pools
             .iter()
-            .filter(|(_, pool)| pool.connected && !pool.load.evacuated)
+            .filter(|(_, pool)| pool.is_connected() && !pool.load.evacuated)
             .filter_map(|(domain, _)| {
                 let state = self.gate.overload(domain, route, now)?;
                 Some((state.late_wait?, domain))
--- a/crates/bramley-pool/tests/evacuation.rs
+++ b/crates/bramley-pool/tests/evacuation.rs
@@ -334,14 +334,14 @@
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
     for (domain, free_cpu_milli) in free {
         let domain = DomainName::from(*domain);
-        relay.pool_connected(&domain, now);
+        let connection = relay.pool_connected(&domain, now);
         let load = PoolLoad {
             free_cpu_milli: *free_cpu_milli,
             listed_workers: 12,
             evacuated: domain.as_str() == "home",
             ..PoolLoad::default()
         };
-        relay.update_pool_load(&domain, load);
+        relay.update_pool_load(&connection, load);
     }
     relay
 }
@@ -426,7 +426,9 @@
             outcome: JobOutcome::Refused(refusal),
             wait: Duration::from_millis(500),
         };
-        relay.handle_pool_message(&DomainName::new(domain), message, world.now);
+        let connection = relay.connection(&DomainName::new(domain));
+        let connection = connection.expect("the pool is connected");
+        relay.handle_pool_message(&connection, message, world.now);
     }
     insta::assert_debug_snapshot!(asked, @r#"
     [
--- a/crates/bramley-pool/tests/explanation.rs
+++ b/crates/bramley-pool/tests/explanation.rs
@@ -77,12 +77,12 @@
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("domain-1"));
     for (domain, free_cpu_milli) in free_cpu_milli {
         let domain = DomainName::from(*domain);
-        relay.pool_connected(&domain, now);
+        let connection = relay.pool_connected(&domain, now);
         let load = PoolLoad {
             free_cpu_milli: *free_cpu_milli,
             ..PoolLoad::default()
         };
-        relay.update_pool_load(&domain, load);
+        relay.update_pool_load(&connection, load);
     }
     relay
 }
--- a/crates/bramley-pool/tests/late_service.rs
+++ b/crates/bramley-pool/tests/late_service.rs
@@ -9,7 +9,7 @@
 use bramley_pool::crash::CrashHistory;
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission, JobWork, RouteName, ServiceName};
 use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage};
-use bramley_pool::pool_connection::{LossCause, PoolLoss};
+use bramley_pool::pool_connection::{LossCause, PoolConnection, PoolLoss};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction};
 use bramley_pool::resources::TaskResources;
@@ -83,7 +83,7 @@
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
     for domain in ["home", "east", "west"] {
         let domain = DomainName::from(domain);
-        relay.pool_connected(&domain, NOW);
+        let connection = relay.pool_connected(&domain, NOW);
         let load = PoolLoad {
             free_cpu_milli: 100_000,
             listed_workers: 12,
@@ -91,7 +91,7 @@
             waiting_tasks: 0,
             evacuated: false,
         };
-        relay.update_pool_load(&domain, load);
+        relay.update_pool_load(&connection, load);
     }
     relay
 }
@@ -154,7 +154,14 @@
         outcome: JobOutcome::Refused(refusal),
         wait: Duration::from_millis(wait_ms),
     };
-    relay.handle_pool_message(&DomainName::from(domain), message, NOW);
+    let connection = connection_to(relay, domain);
+    relay.handle_pool_message(&connection, message, NOW);
+}
+
+/// Returns the current connection of a relay to the pool of a failure domain.
+fn connection_to(relay: &Relay, domain: &str) -> PoolConnection {
+    let connection = relay.connection(&DomainName::from(domain));
+    connection.expect("the pool is connected")
 }
 
 #[test]
@@ -210,7 +217,8 @@
     let mut relay = connected_relay();
     assert!(relay.is_well_connected(4));
     for domain in ["home", "west"] {
-        relay.pool_lost(&DomainName::from(domain), CUT_OFF);
+        let connection = connection_to(&relay, domain);
+        relay.pool_lost(&connection, CUT_OFF);
     }
     assert!(!relay.is_well_connected(4));
     // With two domains, one foreign pool is all there is.
@@ -222,9 +230,11 @@
 fn a_relay_that_reaches_its_local_pool_takes_callers() {
     let mut relay = connected_relay();
     for domain in ["east", "west"] {
-        relay.pool_lost(&DomainName::from(domain), CUT_OFF);
+        let connection = connection_to(&relay, domain);
+        relay.pool_lost(&connection, CUT_OFF);
     }
     assert!(relay.is_well_connected(4));
-    relay.pool_lost(&DomainName::from("home"), CUT_OFF);
+    let connection = connection_to(&relay, "home");
+    relay.pool_lost(&connection, CUT_OFF);
     assert!(!relay.is_well_connected(4));
 }
--- a/crates/bramley-pool/tests/published_state.rs
+++ b/crates/bramley-pool/tests/published_state.rs
@@ -10,6 +10,7 @@
 use bramley_pool::message::{
     JobOutcome, PoolLoad, PoolMessage, RelayMessage, RouteAdmission, TaskPlacement,
 };
+use bramley_pool::pool_connection::PoolConnection;
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction, RouteOffer};
 use bramley_pool::settings::RelaySettings;
@@ -56,7 +57,14 @@
             listed_workers: 12,
             ..PoolLoad::default()
         };
-        self.relay.update_pool_load(&DomainName::from(domain), load);
+        let connection = self.connection(domain);
+        self.relay.update_pool_load(&connection, load);
+    }
+
+    /// Returns the current connection to the pool of a domain.
+    fn connection(&self, domain: &str) -> PoolConnection {
+        let connection = self.relay.connection(&DomainName::from(domain));
+        connection.expect("the pool is connected")
     }
 
     fn publish(&mut self, domain: &str, pass_permille: u32, late_wait_ms: Option<u64>) {
@@ -65,9 +73,9 @@
     }
 
     fn publish_all(&mut self, domain: &str, states: Vec<RouteAdmission>) {
-        let domain = DomainName::from(domain);
+        let connection = self.connection(domain);
         self.relay
-            .update_route_admissions(&domain, states, self.now);
+            .update_route_admissions(&connection, states, self.now);
     }
 
     fn state(&self, route: &str, pass_permille: u32, late_wait_ms: Option<u64>) -> RouteAdmission {
@@ -136,8 +144,8 @@
             outcome: JobOutcome::Refused(Refusal::Overloaded),
             wait: Duration::from_millis(300),
         };
-        self.relay
-            .handle_pool_message(&DomainName::from(domain), ended, self.now);
+        let connection = self.connection(domain);
+        self.relay.handle_pool_message(&connection, ended, self.now);
         self.outcome()
     }
 }
@@ -354,9 +362,10 @@
             born_unix_ms: 1,
         }],
     };
+    let connection = bench.connection("home");
     bench
         .relay
-        .handle_pool_message(&DomainName::from("home"), placed, bench.now);
+        .handle_pool_message(&connection, placed, bench.now);
     bench.publish_everywhere(0);
     let route = RouteName::from(ROUTE);
     let deadline = bench.now.after(Duration::from_secs(2));
