Step down at once when another process holds the claim, also while an own write of it is in flight

Cause: ClaimState::Writing waited for the outcome of the write whatever the watch told.

Change: a leader that reads another holder's claim steps down in every state. Test: a_leader_steps_down_while_its_own_write_is_in_flight failed before.

--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -98,6 +98,11 @@
     },
 }
 
+/// Another process holds the claim.
+const STEP_DOWN_AS_SUCCEEDED: ClaimAction = ClaimAction::StepDown {
+    cause: "claimed_elsewhere",
+};
+
 /// State of the local process in the election.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ClaimState {
@@ -287,18 +292,19 @@
                     actions.push(ClaimAction::Release { lease });
                 } else if self.is_held_by_other() {
                     self.state = ClaimState::Standby;
-                    actions.push(ClaimAction::StepDown {
-                        cause: "claimed_elsewhere",
-                    });
+                    actions.push(STEP_DOWN_AS_SUCCEEDED);
                     actions.push(ClaimAction::Release { lease });
                 }
             }
-            ClaimState::Writing => {}
+            ClaimState::Writing => {
+                // The outcome of the write may take until its timeout to be known.
+                if is_leader && self.is_held_by_other() {
+                    actions.push(STEP_DOWN_AS_SUCCEEDED);
+                }
+            }
             ClaimState::Standby => {
                 if is_leader && self.is_held_by_other() {
-                    actions.push(ClaimAction::StepDown {
-                        cause: "claimed_elsewhere",
-                    });
+                    actions.push(STEP_DOWN_AS_SUCCEEDED);
                 }
                 if let Some(expected_revision) = self.writable_revision(contacts, is_leader, now) {
                     self.state = ClaimState::Writing;
--- a/crates/bramley-pool/tests/claims.rs
+++ b/crates/bramley-pool/tests/claims.rs
@@ -541,3 +541,33 @@
     actions.extend(leader.tick(CONNECTED, true, at(100)));
     assert_eq!(actions, [write], "the leader does not step down");
 }
+
+/// Guards against two leaders of one domain until the store has answered a write that is bound to fail:
+/// the claim was overwritten by another writer, and another host was faster in writing it anew.
+#[test]
+fn a_leader_steps_down_while_its_own_write_is_in_flight() {
+    let mut claim = held_claim();
+    claim.claim_read(Some(ClaimView::unreadable(10)), at(100));
+    let mut actions = claim.tick(CONNECTED, true, at(100));
+    actions.extend(claim.tick(CONNECTED, true, at(125)));
+    assert_eq!(
+        actions,
+        [ClaimAction::Write {
+            expected_revision: 10
+        }]
+    );
+    let successor = ClaimView {
+        revision: 11,
+        ..large_view()
+    };
+    claim.claim_read(Some(successor), at(130));
+    assert_eq!(
+        claim.tick(CONNECTED, true, at(130)),
+        [ClaimAction::StepDown {
+            cause: "claimed_elsewhere"
+        }]
+    );
+    assert!(claim.tick(CONNECTED, false, at(155)).is_empty());
+    claim.write_failed(at(400));
+    assert!(claim.tick(CONNECTED, false, at(400)).is_empty());
+}
