Order claims by their revision, so that a late response to an own write hides no later claim

A process whose claim was overwritten (a larger host takes over from a smaller one at once) could read its successor's claim from the watch first and the response to its own write afterwards: it then took itself for the leader, turned its relay from the successor to its own pool and kept both wrong until a worker fenced it, as no further event of the key follows while the successor renews its lease.

Cause: the view of a claim was replaced by whatever arrived last.

Change: Claim::claim_read and Engine::apply_claim ignore a claim of a lower revision; a write that was overwritten before its response arrived wins nothing (claim_not_won reason=overwritten). Test: a_late_response_to_a_write_does_not_hide_a_later_claim. a_claim_by_another_process_ends_command used a revision below the own token, which the store's single counter excludes; it now uses a later one.

--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -45,11 +45,20 @@
             // The next holder overwrites it; until then the connection to the last one stays.
             return;
         }
-        let same = state.pools.get(&item.domain).is_some_and(|link| {
-            link.claim.incarnation == view.incarnation && link.claim.address == view.address
-        });
-        if same {
-            return;
+        if let Some(link) = state.pools.get_mut(&item.domain) {
+            if view.revision < link.claim.revision {
+                log::info!(
+                    "event=claim_outdated pool={} revision={} present={}",
+                    item.domain,
+                    view.revision,
+                    link.claim.revision,
+                );
+                return;
+            }
+            if link.claim.incarnation == view.incarnation && link.claim.address == view.address {
+                link.claim = view;
+                return;
+            }
         }
         log::info!(
             "event=claim_held pool={} address={} incarnation={} revision={}",
@@ -229,8 +238,15 @@
                     grant.token,
                     grant.lease,
                 );
+                if !self.state.borrow_mut().claim.claim_written(grant, now) {
+                    log::info!(
+                        "event=claim_not_won pool={domain} expected_revision={expected_revision} \
+                         reason=overwritten"
+                    );
+                    let lease = grant.lease;
+                    return self.execute_claim_action(ClaimAction::Release { lease });
+                }
                 self.update_state(|state| {
-                    state.claim.claim_written(grant, now);
                     state.pool.become_leader(grant.token, now);
                     if let Some(members) = state.relay.members(&domain) {
                         state.pool.await_relays(members.iter().copied());
--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -191,10 +191,17 @@
         self.last_store_contact = self.last_store_contact.max(now);
     }
 
-    /// Records the stored claim, or its absence, after a read.
+    /// Records the stored claim, or its absence, after a read. A claim that is older than the known
+    /// one changes nothing: the response to an own write may arrive after a later write by another
+    /// process was read.
     pub fn claim_read(&mut self, view: Option<ClaimView>, now: UnixTime) {
         self.last_store_contact = now;
         self.view_known = true;
+        if let (Some(known), Some(read)) = (&self.view, &view)
+            && read.revision < known.revision
+        {
+            return;
+        }
         if let Some(view) = view.as_ref().filter(|view| view.is_readable()) {
             self.last_holder_cpu = Some(view.cpu_milli);
         }
@@ -215,14 +222,24 @@
         Some(ClaimAction::Release { lease: grant.lease })
     }
 
-    /// Records that the write succeeded.
-    pub fn claim_written(&mut self, grant: ClaimGrant, now: UnixTime) {
+    /// Records that the write succeeded. Returns whether the process holds the claim now; it does not
+    /// if another one has overwritten it since.
+    pub fn claim_written(&mut self, grant: ClaimGrant, now: UnixTime) -> bool {
         self.last_store_contact = now;
+        let is_overwritten = self
+            .view
+            .as_ref()
+            .is_some_and(|view| view.revision > grant.token);
+        if is_overwritten {
+            self.state = ClaimState::Standby;
+            return false;
+        }
         self.state = ClaimState::Holding {
             grant,
             renew_at: now.after(self.settings.renew_interval),
             is_renewing: false,
         };
+        true
     }
 
     /// Records that the write failed or that its outcome is unknown.
--- a/crates/bramley-pool/tests/claims.rs
+++ b/crates/bramley-pool/tests/claims.rs
@@ -53,8 +53,12 @@
             expected_revision: 0
         }]
     );
-    claim.claim_written(ClaimGrant { token: 9, lease: 3 }, at(5));
-    claim.claim_read(Some(view_of(OWN, "10.0.0.1:7000")), at(6));
+    assert!(claim.claim_written(ClaimGrant { token: 9, lease: 3 }, at(5)));
+    let own = ClaimView {
+        revision: 9,
+        ..view_of(OWN, "10.0.0.1:7000")
+    };
+    claim.claim_read(Some(own), at(6));
     claim
 }
 
@@ -233,7 +237,11 @@
 #[test]
 fn a_claim_by_another_process_ends_command() {
     let mut claim = held_claim();
-    claim.claim_read(Some(view_of(OTHER, "10.0.0.2:7000")), at(50));
+    let successor = ClaimView {
+        revision: 12,
+        ..view_of(OTHER, "10.0.0.2:7000")
+    };
+    claim.claim_read(Some(successor), at(50));
     let actions = claim.tick(CONNECTED, true, at(60));
     assert!(actions.contains(&ClaimAction::StepDown {
         cause: "claimed_elsewhere"
@@ -471,8 +479,7 @@
             lease: self.revision,
         };
         self.key = Some((view, grant.lease));
-        host.claim.claim_written(grant, now);
-        host.is_leader = true;
+        host.is_leader = host.claim.claim_written(grant, now);
         self.winners.push(index);
     }
 }
@@ -571,3 +578,45 @@
     claim.write_failed(at(400));
     assert!(claim.tick(CONNECTED, false, at(400)).is_empty());
 }
+
+/// Guards against a process that takes the response to its own write, which is late, for news: a larger
+/// host has overwritten the claim since, and its claim was read from the watch.
+#[test]
+fn a_late_response_to_a_write_does_not_hide_a_later_claim() {
+    let mut claim = make_claim(SMALL);
+    claim.claim_read(None, at(0));
+    assert!(claim.tick(CONNECTED, false, at(0)).is_empty());
+    assert_eq!(claim.tick(CONNECTED, false, at(200)).len(), 1);
+    let successor = ClaimView {
+        revision: 12,
+        ..large_view()
+    };
+    claim.claim_read(Some(successor.clone()), at(210));
+    let grant = ClaimGrant {
+        token: 11,
+        lease: 3,
+    };
+    assert!(!claim.claim_written(grant, at(220)));
+    let own = ClaimView {
+        revision: 11,
+        ..view_of(OWN, "10.0.0.1:7000")
+    };
+    claim.claim_read(Some(own), at(220));
+    assert_eq!(claim.grant(), None);
+    let contacts = ContactView {
+        holder_answers: true,
+        ..CONNECTED
+    };
+    assert!(claim.tick(contacts, false, at(240)).is_empty());
+    // The later claim is still the known one: it is overwritten once its holder is gone.
+    let gone = ContactView {
+        holder_refuses_connections: true,
+        ..CONNECTED
+    };
+    assert_eq!(
+        claim.tick(gone, false, at(900)),
+        [ClaimAction::Write {
+            expected_revision: 12
+        }]
+    );
+}
