Cancel a job at each connected pool that holds none of it any more

Cause: a relay that moved a job out of doubt, or whose caller left meanwhile, sent no cancel to the pool where it had been, and ignored a start that a pool reported of a job held elsewhere.

Change: both are answered with a cancel where that pool is connected; nothing is sent to a pool that still holds a part. Tests: left_pools.rs, all three failed before.

--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -488,7 +488,7 @@
                     job.acknowledged_by(domain);
                     job.record_placements(placements);
                 } else if !placements.is_empty() {
-                    self.log_foreign_start(&job, domain);
+                    self.stop_foreign_start(&job, domain);
                 }
             }
             PoolMessage::TaskDone { job, index } => {
@@ -568,8 +568,8 @@
         self.reassign_ended_parts(now);
     }
 
-    /// Logs that a pool has started tasks of a job that is at another pool by now.
-    fn log_foreign_start(&mut self, name: &JobName, domain: &DomainName) {
+    /// Cancels a job at a pool that has started tasks of it although it is at another pool by now.
+    fn stop_foreign_start(&mut self, name: &JobName, domain: &DomainName) {
         let Some(job) = self.jobs.get(name) else {
             return;
         };
@@ -579,6 +579,7 @@
             held_by: job.domain().cloned(),
         };
         self.actions.push(RelayAction::LogDecision(decision));
+        self.cancel_at(name, domain);
     }
 
     fn job_at(&mut self, name: &JobName, domain: &DomainName) -> Option<&mut RelayJob> {
@@ -657,18 +658,33 @@
             return;
         };
         job.submission.resumed = true;
+        let from = job.domain().cloned();
         let decision = Decision::JobHandedOver {
             job: name.clone(),
             pool: domain.clone(),
-            from: job.domain().cloned(),
+            from: from.clone(),
             reason,
             done: job.submission.done.len(),
             started: job.started,
         };
         self.actions.push(RelayAction::LogDecision(decision));
+        if let Some(from) = from.filter(|from| *from != domain) {
+            self.cancel_at(name, &from);
+        }
         self.submit_to(name, domain);
     }
 
+    /// Cancels a job at the pool of a failure domain that holds none of it any more, if that pool is
+    /// connected.
+    fn cancel_at(&mut self, name: &JobName, domain: &DomainName) {
+        let is_held_there = self.jobs.get(name).is_some_and(|job| job.is_at(domain));
+        if self.is_connected(domain) && !is_held_there {
+            let message = RelayMessage::Cancel(name.clone());
+            self.actions
+                .push(RelayAction::Send(domain.clone(), message));
+        }
+    }
+
     fn refuse_unserved(&mut self, name: &JobName, refusal: Refusal) {
         if let Some(job) = self.jobs.remove(name)
             && job.is_split
--- a/crates/bramley-pool/src/relay/parts.rs
+++ b/crates/bramley-pool/src/relay/parts.rs
@@ -186,10 +186,16 @@
                 continue;
             };
             let mut tasks = Vec::new();
+            let mut left = Vec::new();
             for part in job.parts.iter_mut().filter(|part| is_due(part)) {
                 tasks.append(&mut part.tasks);
+                left.push(part.domain.clone());
             }
             job.drop_empty_parts();
+            left.retain(|former| *former != domain);
+            for former in left {
+                self.cancel_at(&name, &former);
+            }
             self.log_part(
                 &name,
                 format!("event=job_part_moved job={name} pool={domain}"),
@@ -309,17 +315,10 @@
         job: &RelayJob,
         ended_at: Option<&DomainName>,
     ) {
-        let parts = job.parts.iter().filter(|part| part.ended_by.is_none());
-        let parts = parts.map(|part| &part.domain);
-        let rest = match &job.state {
-            JobState::AtPool(domain) => Some(domain),
-            JobState::Held | JobState::InDoubt { .. } | JobState::Elsewhere => None,
-        };
-        for domain in parts.chain(rest) {
+        let parts = job.parts.iter().map(|part| &part.domain);
+        for domain in parts.chain(job.domain()) {
             if Some(domain) != ended_at {
-                let message = RelayMessage::Cancel(name.clone());
-                let action = RelayAction::Send(domain.clone(), message);
-                self.actions.push(action);
+                self.cancel_at(name, domain);
             }
         }
     }
--- /dev/null
+++ b/crates/bramley-pool/tests/left_pools.rs
@@ -0,0 +1,97 @@
+//! Pools that a job has left and that may not know it.
+
+use std::time::Duration;
+
+use bramley_core::names::DomainName;
+use bramley_fleet::{TestJob, World};
+use bramley_pool::job::JobName;
+use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
+use bramley_pool::refusal::Refusal;
+use bramley_pool::relay::{Relay, RelayAction};
+use bramley_pool::settings::RelaySettings;
+
+/// Time after which the runs of a job that a pool has given up have certainly ended.
+const RUNS_ENDED_AFTER: Duration = Duration::from_millis(2_501);
+
+/// A relay whose job was started by the pool of `east`, which then gave it up.
+fn relay_with_job_in_doubt(world: &World) -> Relay {
+    let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
+    for (domain, free_cpu_milli) in [("east", 90_000), ("west", 50_000)] {
+        let connection = relay.pool_connected(&DomainName::from(domain), world.now);
+        let load = PoolLoad {
+            free_cpu_milli,
+            ..PoolLoad::default()
+        };
+        relay.update_pool_load(&connection, load);
+    }
+    relay.accept(world.submission(&TestJob::default()), world.now);
+    report_start(&mut relay, "east", world);
+    let given_up = PoolMessage::Ended {
+        job: JobName::from("job-1"),
+        outcome: JobOutcome::Refused(Refusal::NoPool),
+        wait: Duration::ZERO,
+    };
+    let east = relay.connection(&DomainName::from("east"));
+    let east = east.expect("the pool is connected");
+    relay.handle_pool_message(&east, given_up, world.now);
+    relay.update_pool_load(&east, PoolLoad::default());
+    relay
+}
+
+fn report_start(relay: &mut Relay, domain: &str, world: &World) {
+    let placed = PoolMessage::Placed {
+        job: JobName::from("job-1"),
+        placements: vec![TaskPlacement {
+            index: 0,
+            worker: "worker-1".into(),
+            born_unix_ms: 1,
+        }],
+    };
+    let connection = relay.connection(&DomainName::from(domain));
+    let connection = connection.expect("the pool is connected");
+    relay.handle_pool_message(&connection, placed, world.now);
+}
+
+/// Returns the messages that a relay sends, as domain and kind.
+fn sent(relay: &mut Relay) -> Vec<String> {
+    let actions = relay.take_actions().into_iter();
+    let sent = actions.filter_map(|action| match action {
+        RelayAction::Send(domain, RelayMessage::Submit(_)) => Some(format!("{domain} submit")),
+        RelayAction::Send(domain, RelayMessage::Cancel(_)) => Some(format!("{domain} cancel")),
+        _ => None,
+    });
+    sent.collect()
+}
+
+/// Guards against a job that two pools run because the first one is not told that the job has left.
+#[test]
+fn a_job_that_moves_is_cancelled_at_the_pool_that_it_leaves() {
+    let world = World::new(1, 0);
+    let mut relay = relay_with_job_in_doubt(&world);
+    assert_eq!(sent(&mut relay), ["east submit"]);
+    relay.tick(world.now.after(RUNS_ENDED_AFTER));
+    assert_eq!(sent(&mut relay), ["east cancel", "west submit"]);
+}
+
+/// Guards against runs that go on at a pool that does not know that the job has left.
+#[test]
+fn a_pool_that_starts_a_job_held_elsewhere_is_told_to_cancel_it() {
+    let world = World::new(1, 0);
+    let mut relay = relay_with_job_in_doubt(&world);
+    relay.tick(world.now.after(RUNS_ENDED_AFTER));
+    drop(sent(&mut relay));
+    report_start(&mut relay, "west", &world);
+    assert_eq!(sent(&mut relay), Vec::<String>::new());
+    report_start(&mut relay, "east", &world);
+    assert_eq!(sent(&mut relay), ["east cancel"]);
+}
+
+/// Guards against runs that go on for a caller who leaves while its job is in doubt.
+#[test]
+fn a_job_in_doubt_whose_caller_leaves_is_cancelled_where_it_was() {
+    let world = World::new(1, 0);
+    let mut relay = relay_with_job_in_doubt(&world);
+    drop(sent(&mut relay));
+    relay.caller_disconnected(&JobName::from("job-1"));
+    assert_eq!(sent(&mut relay), ["east cancel"]);
+}
