Drop the earlier connection of a relay when its process connects again

A pool that reads a submission from a connection that the relay has replaced gives the job back to that connection, and cancels it 300 ms after its end, under the caller who waits on the current one.

Cause: connections of one process were told apart by their numbers alone, and the pool kept the earlier one until it noticed its end.

Change: a hello ends the earlier connection of the same incarnation (relay_replaced); what is unread on it is ignored.

--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -63,6 +63,8 @@
 /// Connection of another process's relay to the local pool.
 #[derive(Debug)]
 struct RelayLink {
+    /// Incarnation of the process.
+    incarnation: u64,
     outgoing: mpsc::UnboundedSender<OutgoingFrame<PoolFrame>>,
     last_heard_at: UnixTime,
 }
@@ -136,6 +138,31 @@
         }
     }
 
+    /// Handles the end of a connection of another process's relay, which submits its unfinished jobs
+    /// again, here or elsewhere.
+    fn drop_relay(&mut self, relay: RelayId, now: UnixTime) {
+        let Some(link) = self.relays.remove(&relay) else {
+            return;
+        };
+        self.inbox.retain(|(sender, _)| *sender != relay);
+        self.pool.relay_lost(relay, link.last_heard_at, now);
+    }
+
+    /// Drops the earlier connection of a process whose relay connects again. What was sent over it and
+    /// is not read yet must not be handled after the messages of the new one.
+    fn drop_relay_of(&mut self, incarnation: u64, now: UnixTime) {
+        let links = self.relays.iter();
+        let earlier = links.filter(|(_, link)| link.incarnation == incarnation);
+        let earlier: Vec<RelayId> = earlier.map(|(relay, _)| *relay).collect();
+        for relay in earlier {
+            log::info!(
+                "event=relay_replaced relay={} incarnation={incarnation}",
+                relay.0
+            );
+            self.drop_relay(relay, now);
+        }
+    }
+
     /// Returns whether another host should take over leadership of the failure domain.
     fn gives_way(&self, now: UnixTime) -> bool {
         self.stopping_since.is_some() || self.claim.has_lost_store(now)
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -29,6 +29,7 @@
         state.next_relay_id += 1;
         let domain = DomainName::from(hello.relay_domain.as_str());
         let now = self.now();
+        state.drop_relay_of(hello.incarnation, now);
         state.pool.relay_connected(relay, domain);
         state.pool.relay_introduced(relay, hello.incarnation);
         if let Some(lost_at) = decode_age(hello.caller_loss_age_ms, now) {
@@ -57,6 +58,7 @@
         });
         queue_frame(&outgoing, OutgoingFrame::Single(heartbeat));
         let link = RelayLink {
+            incarnation: hello.incarnation,
             outgoing,
             last_heard_at: now,
         };
@@ -80,13 +82,7 @@
 
     pub(crate) fn relay_disconnected(self: &Rc<Self>, relay: RelayId) {
         let now = self.now();
-        self.update_state(|state| {
-            let link = state.relays.remove(&relay);
-            let last_heard_at = link.map_or(now, |link| link.last_heard_at);
-            // The relay submits unfinished jobs again, here or elsewhere.
-            state.inbox.retain(|(sender, _)| *sender != relay);
-            state.pool.relay_lost(relay, last_heard_at, now);
-        });
+        self.update_state(|state| state.drop_relay(relay, now));
         self.process_actions();
     }
 
