Count only reports of the present term as a worker's first

A process that wins its claim anew without having noticed that another one led in between could take the answer to a poll of its earlier term for the first report of the new one, and start a task beside a run of the other leader.

Cause: become_leader marked the workers as unread, and any report marked them as read again; its own probe was held back if one had been sent within 60 ms.

Change: a report that an earlier token has requested applies ends and runs, but leaves the worker unread; each term probes at once. Test: a_report_requested_in_an_earlier_term_does_not_count_as_the_first_of_this_one failed before.

--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -38,6 +38,7 @@
             // Even if this pool has not noticed a loss of leadership, another process may have led
             // since its last call.
             worker.synced = false;
+            worker.next_probe_at = UnixTime::default();
             worker.clock.invalidate();
         }
         self.token = Some(token);
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -112,7 +112,8 @@
     fn poll_answered(&mut self, call: &WorkerCall, answer: CallAnswer, now: UnixTime) {
         match answer {
             CallAnswer::Report(report) => {
-                self.read_report(call.worker, &report, call.sent_at, now);
+                let is_of_this_term = self.token == Some(call.token);
+                self.read_report(call.worker, &report, call.sent_at, is_of_this_term, now);
                 self.poll_if_needed(call.worker, now);
             }
             CallAnswer::Accepted(_)
@@ -123,11 +124,14 @@
         }
     }
 
+    /// Applies a report. One that an earlier term has requested does not tell what another leader may
+    /// have started before this term, so the worker's runs stay unread.
     fn read_report(
         &mut self,
         index: WorkerIndex,
         report: &WorkerReport,
         requested_at: UnixTime,
+        is_of_this_term: bool,
         now: UnixTime,
     ) {
         if let Some(born) = report.born_unix_ms {
@@ -159,7 +163,7 @@
         worker.missed_polls = 0;
         worker.retrying_probe = false;
         worker.record_answer(now);
-        worker.synced = true;
+        worker.synced |= is_of_this_term;
         let has_survived = report.born_unix_ms == Some(worker.entry.born_unix_ms)
             && worker
                 .lost_runs
@@ -173,7 +177,7 @@
             self.read_active(index, report, now);
         }
         self.drop_missing_runs(index, report, requested_at, now);
-        if !was_synced {
+        if !was_synced && is_of_this_term {
             self.freed_workers.push(index);
             self.log_worker_change(index, "synced", now);
         }
--- a/crates/bramley-pool/tests/former_leader.rs
+++ b/crates/bramley-pool/tests/former_leader.rs
@@ -1,10 +1,15 @@
-//! Hosts that turn to the successor of their own pool before that pool gives up its leadership.
+//! Hosts that turn to the successor of their own pool before that pool gives up its leadership, and
+//! events of an earlier term that arrive in a later one.
 
 use std::time::Duration;
 
+use bramley_core::units::UnixTime;
+use bramley_fleet::workers::VirtualWorker;
 use bramley_fleet::{TestJob, World};
+use bramley_pool::pool::{Pool, PoolAction};
 use bramley_pool::relay::JobAnswer;
 use bramley_pool::settings::PoolSettings;
+use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerClock, WorkerReport};
 
 /// Hosts of each failure domain.
 const HOSTS: usize = 3;
@@ -65,3 +70,43 @@
     }
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Guards against a task that is started beside a run of another leader that has led in between: the
+/// answer to a poll of the earlier term, which was on its way, was taken for the first report of the
+/// new one.
+#[test]
+fn a_report_requested_in_an_earlier_term_does_not_count_as_the_first_of_this_one() {
+    let now = UnixTime::from_millis(1_000_000);
+    let mut pool = Pool::new(PoolSettings::default());
+    pool.become_leader(5, now);
+    let worker = VirtualWorker::new(0);
+    pool.worker_listed(worker.entry(), now);
+    let earlier_calls = take_calls(&mut pool);
+    assert_eq!(earlier_calls.len(), 1);
+    // The process has not noticed that another one led with token 6.
+    pool.become_leader(7, now);
+    let calls = take_calls(&mut pool);
+    assert_eq!(calls.len(), 1);
+    let report = || {
+        CallAnswer::Report(WorkerReport {
+            clock: WorkerClock(5_000),
+            ..WorkerReport::default()
+        })
+    };
+    pool.handle_worker_answer(&earlier_calls[0], report(), now);
+    assert!(
+        !pool.workers()[0].synced,
+        "the report is older than the term"
+    );
+    pool.handle_worker_answer(&calls[0], report(), now);
+    assert!(pool.workers()[0].synced);
+}
+
+fn take_calls(pool: &mut Pool) -> Vec<WorkerCall> {
+    let actions = pool.take_actions().into_iter();
+    let calls = actions.filter_map(|action| match action {
+        PoolAction::Call(call) => Some(call),
+        _ => None,
+    });
+    calls.collect()
+}
