Answer a job that a former pool reports as completed

The end of a job's last task comes with the end of the job alone. If it came over a connection that had ended, or of a job that had moved on, it was ignored; where the former leader had acknowledged that end to the worker, the job ran again.

Change: a completed job is a fact like the end of a task. The caller is answered, and the pool that holds the job by now is told to cancel it. Test: a_job_that_the_former_leader_has_completed_is_answered_and_cancelled_at_the_next failed before.

--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -147,7 +147,11 @@
     /// Returns whether the message states what stays true whichever pool holds the job.
     #[must_use]
     pub const fn is_fact(&self) -> bool {
-        matches!(self, Self::TaskDone { .. } | Self::TaskCrashed { .. })
+        match self {
+            Self::TaskDone { .. } | Self::TaskCrashed { .. } => true,
+            Self::Ended { outcome, .. } => matches!(outcome, JobOutcome::Completed),
+            Self::Placed { .. } | Self::Steal(_) | Self::Released { .. } => false,
+        }
     }
 
     /// Returns the label for logs.
--- a/crates/bramley-pool/tests/left_pools.rs
+++ b/crates/bramley-pool/tests/left_pools.rs
@@ -6,6 +6,7 @@
 use bramley_fleet::{TestJob, World};
 use bramley_pool::job::JobName;
 use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
+use bramley_pool::pool_connection::{LossCause, PoolLoss};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::{Relay, RelayAction};
 use bramley_pool::settings::RelaySettings;
@@ -95,3 +96,30 @@
     relay.caller_disconnected(&JobName::from("job-1"));
     assert_eq!(sent(&mut relay), ["east cancel"]);
 }
+
+/// Guards against a completed job that is run again: its pool's last message arrives after the relay has
+/// turned to the next leader of the failure domain.
+#[test]
+fn a_job_that_the_former_leader_has_completed_is_answered_and_cancelled_at_the_next() {
+    let world = World::new(1, 0);
+    let east = DomainName::from("east");
+    let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
+    let former = relay.pool_connected(&east, world.now);
+    relay.accept(world.submission(&TestJob::default()), world.now);
+    report_start(&mut relay, "east", &world);
+    let loss = PoolLoss {
+        cause: LossCause::ClaimChanged,
+        last_message_at: world.now,
+    };
+    relay.pool_lost(&former, loss);
+    relay.pool_connected(&east, world.now);
+    assert_eq!(sent(&mut relay), ["east submit", "east submit"]);
+    let completed = PoolMessage::Ended {
+        job: JobName::from("job-1"),
+        outcome: JobOutcome::Completed,
+        wait: Duration::ZERO,
+    };
+    relay.handle_pool_message(&former, completed, world.now);
+    assert_eq!(relay.open_jobs(), 0);
+    assert_eq!(sent(&mut relay), ["east cancel"]);
+}
