Move no job in the first moments after a process pause

A host that wakes up read a pool's refusal, return or release before the end of its caller's connection, and submitted the job to another domain, while the caller had sent it again elsewhere during the pause.

Cause: the wait after a pause held back new jobs, resubmissions and connections, but not what messages of pools lead to; a resumed pool released waiting tasks on a request from before the pause.

--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -154,6 +154,21 @@
         }
     }
 
+    /// Returns whether the relay may submit the job, or tasks of it, to another pool in response.
+    #[must_use]
+    pub const fn may_move_job(&self) -> bool {
+        match self {
+            Self::Released { .. } => true,
+            Self::Ended { outcome, .. } => {
+                matches!(outcome, JobOutcome::Refused(_) | JobOutcome::Returned)
+            }
+            Self::TaskDone { .. }
+            | Self::Placed { .. }
+            | Self::TaskCrashed { .. }
+            | Self::Steal(_) => false,
+        }
+    }
+
     /// Returns the label for logs.
     #[must_use]
     pub const fn kind(&self) -> &'static str {
--- a/crates/bramley-pool/src/pool/stealing.rs
+++ b/crates/bramley-pool/src/pool/stealing.rs
@@ -189,7 +189,9 @@
     /// in the queue and fit on its free workers.
     pub fn handle_steal(&mut self, requester: &DomainName, request: &StealRequest, now: UnixTime) {
         let mut released = 0;
-        if self.token.is_some() && self.allows(Mechanism::Stealing) {
+        // After a process pause, callers of waiting jobs may be gone, as for starts.
+        let is_paused = now < self.placement_paused_until;
+        if self.token.is_some() && self.allows(Mechanism::Stealing) && !is_paused {
             for part in self.choose_released(request, now) {
                 released += u32::try_from(part.tasks.len()).unwrap_or(u32::MAX);
                 self.release_tasks(part, requester, now);
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -141,6 +141,8 @@
     sending_paused_until: UnixTime,
     /// Pools that connected before that time.
     connected_while_paused: Vec<DomainName>,
+    /// Messages that arrived before that time and may lead to a submission.
+    held_messages: Vec<(PoolConnection, PoolMessage)>,
     actions: Vec<RelayAction>,
 }
 
@@ -161,6 +163,7 @@
             ticked_at: UnixTime::default(),
             sending_paused_until: UnixTime::default(),
             connected_while_paused: Vec::new(),
+            held_messages: Vec::new(),
             actions: Vec::new(),
         }
     }
@@ -481,6 +484,10 @@
             self.log_former_pool(connection, message.kind());
             return;
         }
+        if now < self.sending_paused_until && message.may_move_job() {
+            self.held_messages.push((connection.clone(), message));
+            return;
+        }
         match message {
             PoolMessage::Placed { job, placements } => {
                 if let Some(job) = self.job_at(&job, domain) {
@@ -548,6 +555,9 @@
         if now < self.sending_paused_until {
             return;
         }
+        for (connection, message) in std::mem::take(&mut self.held_messages) {
+            self.handle_pool_message(&connection, message, now);
+        }
         let held_jobs = self.jobs.iter().filter(|(_, job)| job.is_held());
         let held_jobs: Vec<JobName> = held_jobs.map(|(name, _)| name.clone()).collect();
         for name in held_jobs {
