Apply ends of tasks that a relay tells of to a job that is still open

A pool that still holds a job when its relay comes back from another pool started tasks again that had ended there: a start after the end.

Cause: a submission to an open record took over its deadline and placements, not the tasks that were done.

Change: they count as done, and their runs here are stopped. Test: a_pool_that_still_holds_a_job_starts_no_task_that_is_done_elsewhere failed before (task 3 started).

--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -70,6 +70,7 @@
             job.submission.placements = submission.placements;
             job.submission.earlier_workers = submission.earlier_workers;
             self.lift_run_limits_of(&name);
+            self.apply_done_tasks(&name, &submission.done, now);
             self.assign_part(&name, &submission.part);
             self.remember_crashes(&name, &submission.crashes, now);
             if self.close_if_any_barred(&name, now) {
@@ -78,8 +79,13 @@
             let Some(job) = self.jobs.get(&name) else {
                 return;
             };
+            let job_is_done = job.unfinished == 0;
             let done: Vec<u32> = job.done_tasks().collect();
             self.report_progress(relay, &name, &done);
+            if job_is_done {
+                self.finish(&name, JobOutcome::Completed, now);
+                return;
+            }
             self.enqueue(&name);
             self.place_due(now);
             return;
@@ -156,6 +162,31 @@
         self.place_admitted(relay, &name, now);
     }
 
+    /// Applies ends of tasks that other pools have reported to the relay of an open job, and stops the
+    /// runs of these tasks here.
+    fn apply_done_tasks(&mut self, name: &JobName, done: &[u32], now: UnixTime) {
+        let Some(job) = self.jobs.get_mut(name) else {
+            return;
+        };
+        let mut needless = Vec::new();
+        for index in done {
+            let Some(task) = job.tasks.get_mut(*index as usize) else {
+                continue;
+            };
+            match task.state {
+                TaskState::Waiting => job.waiting -= 1,
+                TaskState::Placed(worker) => needless.push((*index, worker)),
+                TaskState::Done | TaskState::Elsewhere => continue,
+            }
+            task.state = TaskState::Done;
+            job.unfinished -= 1;
+        }
+        for (task, worker) in needless {
+            self.stop_needless_runs_at(name, Some(task), worker, now);
+        }
+        self.update_queued(name);
+    }
+
     /// Returns whether a submitted job cannot have run anywhere: neither its relay nor this pool
     /// knows of a start or a crash, and no runs of an earlier leader may still be adopted.
     fn is_surely_new(&self, submission: &JobSubmission, now: UnixTime) -> bool {
@@ -527,15 +558,23 @@
             let TaskState::Placed(index) = task.state else {
                 continue;
             };
-            self.stop_job_runs_at(name, index, now);
+            self.stop_needless_runs_at(name, None, index, now);
         }
     }
 
-    fn stop_job_runs_at(&mut self, name: &JobName, index: WorkerIndex, now: UnixTime) {
+    /// Stops the runs of a job, or of one of its tasks, on a worker.
+    fn stop_needless_runs_at(
+        &mut self,
+        name: &JobName,
+        task: Option<u32>,
+        index: WorkerIndex,
+        now: UnixTime,
+    ) {
         let end_by = now.after(self.settings.caller_resend_delay);
         for position in 0..self.worker(index).runs.len() {
             let details = self.worker_mut(index).runs[position].details_mut();
-            if details.task.job == *name {
+            let is_meant = task.is_none_or(|task| details.task.index == task);
+            if details.task.job == *name && is_meant {
                 details.needed = false;
                 let end_by = details.end_by.min(end_by);
                 self.worker_mut(index).limit_run(position, end_by);
--- a/crates/bramley-pool/tests/left_pools.rs
+++ b/crates/bramley-pool/tests/left_pools.rs
@@ -5,7 +5,9 @@
 use bramley_core::names::DomainName;
 use bramley_fleet::{TestJob, World};
 use bramley_pool::job::JobName;
-use bramley_pool::message::{JobOutcome, PoolLoad, PoolMessage, RelayMessage, TaskPlacement};
+use bramley_pool::message::{
+    JobOutcome, PoolLoad, PoolMessage, RelayId, RelayMessage, TaskPlacement,
+};
 use bramley_pool::pool_connection::{LossCause, PoolLoss};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::{Relay, RelayAction};
@@ -123,3 +125,34 @@
     assert_eq!(relay.open_jobs(), 0);
     assert_eq!(sent(&mut relay), ["east cancel"]);
 }
+
+/// Guards against a task that is started after its end: a relay comes back to a pool that still holds
+/// the job, and tells of tasks that another pool has completed meanwhile.
+#[test]
+fn a_pool_that_still_holds_a_job_starts_no_task_that_is_done_elsewhere() {
+    let mut world = World::new(1, 1);
+    world.become_leader(0);
+    world.run_for(Duration::from_millis(50));
+    // The worker has room for three of the tasks.
+    let job = TestJob {
+        tasks: 5,
+        run: Duration::from_millis(600),
+        ..TestJob::default()
+    };
+    world.submit_to_pool(0, &job);
+    world.run_for(Duration::from_millis(100));
+    assert_eq!(world.runs(), 3, "{:#?}", world.log);
+    let mut again = world.submission(&job);
+    again.resumed = true;
+    again.done = vec![0, 3];
+    let message = RelayMessage::Submit(Box::new(again));
+    let now = world.now;
+    world.hosts[0]
+        .pool
+        .handle_relay_message(RelayId(0), message, now);
+    world.run_for(Duration::from_secs(3));
+    let starts = world.starts_by_task();
+    assert_eq!(starts.get("job-1.0.0.3"), None, "{:#?}", world.log);
+    assert_eq!(starts.get("job-1.0.0.4"), Some(&1), "{:#?}", world.log);
+    assert_eq!(world.hosts[0].pool.open_jobs(), 0, "{:#?}", world.log);
+}
