Apply the result of a renewal to the claim whose lease it names

The answer that the lease of an earlier claim had ended, arriving late, dropped the sound claim that the process had won since, and had it written again.

Cause: Claim::lease_renewed named no lease. Test: a_late_answer_to_a_renewal_does_not_end_a_later_claim (without the check on the lease it would find no grant; the signature is new, so the test could not run on the code before).

--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -312,14 +312,15 @@
         match renewed {
             Ok(()) => {
                 state.claim.store_answered(now);
-                state.claim.lease_renewed(false, now);
+                state.claim.lease_renewed(lease, false, now);
             }
             Err(error) => {
                 log::warn!(
                     "event=claim_renewal_failed lease={lease} reason={}",
                     error.as_str()
                 );
-                state.claim.lease_renewed(error == StoreError::Gone, now);
+                let ended = error == StoreError::Gone;
+                state.claim.lease_renewed(lease, ended, now);
             }
         }
     }
--- a/crates/bramley-pool/src/claim.rs
+++ b/crates/bramley-pool/src/claim.rs
@@ -250,16 +250,20 @@
         self.retry_at = now.after(self.settings.small_host_wait);
     }
 
-    /// Records the result of a renewal; `ended` is true if the lease no longer exists.
-    pub fn lease_renewed(&mut self, ended: bool, now: UnixTime) {
+    /// Records the result of a renewal; `ended` is true if the lease no longer exists. The result for
+    /// the lease of an earlier claim changes nothing.
+    pub fn lease_renewed(&mut self, lease: u64, ended: bool, now: UnixTime) {
         let ClaimState::Holding {
+            grant,
             renew_at,
             is_renewing,
-            ..
         } = &mut self.state
         else {
             return;
         };
+        if grant.lease != lease {
+            return;
+        }
         *is_renewing = false;
         *renew_at = now.after(self.settings.renew_interval);
         if ended {
--- a/crates/bramley-pool/tests/claims.rs
+++ b/crates/bramley-pool/tests/claims.rs
@@ -152,7 +152,7 @@
     let renewal = [ClaimAction::Renew { lease: 3 }];
     assert_eq!(claim.tick(CONNECTED, true, at(600)), renewal);
     assert!(claim.tick(CONNECTED, true, at(700)).is_empty());
-    claim.lease_renewed(false, at(705));
+    claim.lease_renewed(3, false, at(705));
     assert_eq!(claim.tick(CONNECTED, true, at(1_300)), renewal);
 }
 
@@ -255,7 +255,7 @@
     let released = [ClaimAction::Release { lease: 3 }];
     let kept = claim.tick(CONNECTED, true, at(3_050));
     assert_eq!(kept, [ClaimAction::Renew { lease: 3 }]);
-    claim.lease_renewed(false, at(3_055));
+    claim.lease_renewed(3, false, at(3_055));
     assert_eq!(claim.tick(CONNECTED, true, at(3_100)), released);
     claim.claim_read(None, at(3_110));
     assert!(claim.tick(CONNECTED, true, at(5_000)).is_empty());
@@ -453,7 +453,9 @@
         let now = at(self.now);
         match action {
             ClaimAction::Write { expected_revision } => self.write(index, *expected_revision),
-            ClaimAction::Renew { .. } => self.hosts[index].claim.lease_renewed(false, now),
+            ClaimAction::Renew { lease } => {
+                self.hosts[index].claim.lease_renewed(*lease, false, now);
+            }
             ClaimAction::Release { lease } => self.release(*lease),
             ClaimAction::StepDown { .. } => self.hosts[index].is_leader = false,
         }
@@ -620,3 +622,24 @@
         }]
     );
 }
+
+/// Guards against a sound claim that is dropped because the lease of an earlier one is found to have
+/// ended: the store answers its renewal late.
+#[test]
+fn a_late_answer_to_a_renewal_does_not_end_a_later_claim() {
+    let mut claim = held_claim();
+    assert_eq!(
+        claim.tick(CONNECTED, true, at(600)),
+        [ClaimAction::Renew { lease: 3 }]
+    );
+    claim.claim_read(Some(ClaimView::unreadable(10)), at(610));
+    assert!(claim.tick(CONNECTED, true, at(610)).is_empty());
+    assert_eq!(claim.tick(CONNECTED, true, at(635)).len(), 1);
+    let grant = ClaimGrant {
+        token: 11,
+        lease: 4,
+    };
+    assert!(claim.claim_written(grant, at(640)));
+    claim.lease_renewed(3, true, at(650));
+    assert_eq!(claim.grant(), Some(grant));
+}
