Count no list of workers that an earlier term has requested as the first of the present one

A new leader takes workers with runs of its predecessor for known once the list was read in its term; a read that its process had requested in an earlier term counted as well, and could miss workers that were listed meanwhile.

Change: a change of leadership ends the read, as for evacuations. By reading; no test of its own shows it.

--- a/crates/bramley-dock/src/watch.rs
+++ b/crates/bramley-dock/src/watch.rs
@@ -207,9 +207,21 @@
         }
         let is_complete = after.is_none();
         let mut delay = engine.settings().worker_read_pause;
-        let read = match after {
-            None => engine.platform().read_workers().await,
-            Some(revision) => engine.platform().watch_workers(revision).await,
+        let read = async {
+            match after {
+                None => engine.platform().read_workers().await,
+                Some(revision) => engine.platform().watch_workers(revision).await,
+            }
+        };
+        // A list that an earlier term has requested must not count as the first one of the current
+        // term, whose leader relies on it to know all workers with runs.
+        let read = tokio::select! {
+            biased;
+            () = engine.wait_for_leadership_change() => {
+                after = None;
+                continue;
+            }
+            read = read => read,
         };
         match read {
             Ok(workers) => {
