Tell a relay that another one has taken over its job

The relay of host 6 submits the job, then the relay of host 0 does, to the same pool. The pool takes the job over to the latter without a word to the former. The first caller leaves, host 0 cancels, and the relay of host 6 waits for ever. Each order on its own connection is one that TCP gives; the fault is the product's. The two submissions are of two relays, not of one.

Ruled out: a cancel of an earlier submission of the same relay, so no number of submissions on the wire is needed.

If the former connection is an earlier one of the same relay, the relay ignores the message, as it does not come over its current connection. The wire is as before.

--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -58,8 +58,8 @@
         let name = submission.work.job.clone();
         self.count_arrived_part(&submission.part);
         if let Some(job) = self.jobs.get_mut(&name) {
-            let has_other_relay = job.relay.is_some_and(|known| known != relay);
-            if job.is_split && has_other_relay {
+            let former_relay = job.relay.filter(|known| *known != relay);
+            if job.is_split && former_relay.is_some() {
                 // Only the relay that has split the job knows where its other tasks run.
                 self.refuse_unread(relay, name, Refusal::Unknown);
                 return;
@@ -69,6 +69,9 @@
             job.submission.resumed |= submission.resumed;
             job.submission.placements = submission.placements;
             job.submission.earlier_workers = submission.earlier_workers;
+            if let Some(former_relay) = former_relay {
+                self.dismiss_relay(former_relay, relay, &name);
+            }
             self.lift_run_limits_of(&name);
             self.apply_done_tasks(&name, &submission.done, now);
             self.assign_part(&name, &submission.part);
@@ -290,6 +293,23 @@
         self.send(Some(relay), message);
     }
 
+    /// Tells a relay that another one has taken over its job, of whose end it will not hear. Tasks
+    /// may have run. If both are connections of one relay, it ignores what comes over the earlier one.
+    fn dismiss_relay(&mut self, former: RelayId, current: RelayId, name: &JobName) {
+        let text = format!(
+            "event=job_taken_over job={name} relay={} former_relay={}",
+            current.0, former.0,
+        );
+        let job = Some(name.as_str().into());
+        self.log(Decision::Text { job, text });
+        let message = PoolMessage::Ended {
+            job: name.clone(),
+            outcome: JobOutcome::Refused(Refusal::Unknown),
+            wait: Duration::ZERO,
+        };
+        self.send(Some(former), message);
+    }
+
     /// Reports placements and completed tasks to a relay that may have missed them.
     fn report_progress(&mut self, relay: RelayId, name: &JobName, done: &[u32]) {
         let placements: Vec<TaskPlacement> = self.jobs.get(name).map_or_else(Vec::new, |job| {
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bramley_fleet::{TestJob, World};
+use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::JobAnswer;
 
 fn long_job(name: &str) -> TestJob {
@@ -233,3 +234,42 @@
     world.run_for(Duration::from_secs(1));
     assert_eq!(world.runs(), 0, "{:#?}", world.log);
 }
+
+/// Guards against a job that stays open for ever at a relay: the relay of another host, to which the
+/// same job was sent as well, has taken it over at the pool and cancelled it.
+#[test]
+fn a_relay_whose_job_another_relay_has_taken_over_is_not_left_waiting() {
+    let mut world = World::new(3, 8);
+    world.become_leader(0);
+    world.run_for(Duration::from_millis(50));
+    world.submit(1, &long_job("job-1"));
+    world.run_for(Duration::from_millis(10));
+    world.submit(2, &long_job("job-1"));
+    world.run_for(Duration::from_millis(30));
+    world.disconnect_caller(2, "job-1");
+    world.run_for(Duration::from_secs(4));
+    assert_eq!(world.hosts[1].relay.open_jobs(), 0, "{:#?}", world.log);
+    let answer = world.answer("job-1");
+    let Some(JobAnswer::Refused { refusal, .. }) = answer else {
+        panic!("{answer:?}");
+    };
+    assert_eq!(refusal, Refusal::Unknown, "tasks have run");
+}
+
+/// Guards against an answer to the caller that still waits, caused by the dismissal of the relay
+/// that held the job before it.
+#[test]
+fn a_job_that_another_relay_has_taken_over_is_completed_there() {
+    let mut world = World::new(3, 8);
+    world.become_leader(0);
+    world.run_for(Duration::from_millis(50));
+    world.submit(1, &long_job("job-1"));
+    world.run_for(Duration::from_millis(10));
+    world.submit(2, &long_job("job-1"));
+    world.run_for(Duration::from_millis(30));
+    world.disconnect_caller(1, "job-1");
+    world.run_for(Duration::from_secs(4));
+    assert_eq!(world.hosts[2].relay.open_jobs(), 0, "{:#?}", world.log);
+    assert_eq!(world.answer("job-1"), Some(JobAnswer::Completed));
+    assert_eq!(world.runs(), 4, "the runs go on: {:#?}", world.log);
+}
