--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -123,6 +123,9 @@
     /// Time for which a host that has read the claim of its successor still leads, because the
     /// store has not answered its own write of the claim yet.
     pub claim_write_delay: Option<Duration>,
+    /// Fault: the end of a former leader's term counts as the loss of whichever pool its relay is
+    /// connected to.
+    pub loses_current_pool: bool,
     next_caller: u64,
     /// Times at which callers' connections end on the side of the client.
     ends_of_callers: BTreeMap<u64, UnixTime>,
@@ -197,6 +200,7 @@
             local_leaders: self.leaders.values().copied().collect(),
             local_connections,
             claim_write_delay: None,
+            loses_current_pool: false,
             next_caller: 0,
             ends_of_callers: BTreeMap::new(),
             answered_callers: BTreeSet::new(),
@@ -456,7 +460,15 @@
     /// Lets the relay of a host lose the pool of the same host. The relay may be connected to another
     /// leader by then.
     fn lose_local_pool(&mut self, host: usize, loss: PoolLoss) {
-        if let Some(connection) = self.links_mut().local_connections.get(&host).cloned() {
+        let links = self.links_mut();
+        let former = links.local_connections.get(&host).cloned();
+        let lost = if links.loses_current_pool {
+            let host = &self.hosts[host];
+            host.relay.connection(&host.domain)
+        } else {
+            former
+        };
+        if let Some(connection) = lost {
             self.hosts[host].relay.pool_lost(&connection, loss);
         }
     }
--- a/crates/bramley-pool/tests/reset_links.rs
+++ b/crates/bramley-pool/tests/reset_links.rs
@@ -32,6 +32,10 @@
 /// Time after which a client resends a job whose connection was closed.
 const RESEND: Duration = Duration::from_millis(1_300);
 
+/// Time for which a former leader's write of its claim is in flight: its relay is connected to the
+/// successor by then.
+const CLAIM_WRITE_DELAY: Duration = Duration::from_millis(300);
+
 /// Probability that leadership of a failure domain passes on in a step, so that it does about three
 /// times in the runs with even seeds.
 const LEADER_CHANGE_PROBABILITY: f64 = 0.03;
@@ -52,6 +56,9 @@
 enum LoadKind {
     /// All alike.
     Even,
+    /// All alike, with ten times as many long runs. Connections last, as each reset makes relays
+    /// submit their jobs again where they are.
+    LongRuns,
     /// Mostly the first one, so that tasks wait there while the others have free workers.
     Skewed,
 }
@@ -115,7 +122,9 @@
         for _ in 0..jobs {
             self.submit();
         }
-        if self.rng.random_bool(0.1) {
+        if self.load == LoadKind::LongRuns {
+            // No resets.
+        } else if self.rng.random_bool(0.1) {
             self.reset_many();
         } else if self.rng.random_bool(0.15) {
             let host = self.rng.random_range(0..DOMAINS.len() * HOSTS);
@@ -162,7 +171,11 @@
     fn submit(&mut self) {
         self.next_job += 1;
         // A few runs outlast the time after which a relay takes those of a lost pool for ended.
-        let run_ms = if self.rng.random_bool(0.03) {
+        let long_share = match self.load {
+            LoadKind::LongRuns => 0.3,
+            LoadKind::Even | LoadKind::Skewed => 0.03,
+        };
+        let run_ms = if self.rng.random_bool(long_share) {
             self.rng.random_range(2_000..6_000)
         } else {
             self.rng.random_range(20..400)
@@ -345,6 +358,48 @@
     assert!(totals.taken > 1_000, "{totals:?}");
 }
 
+/// Lets former leaders give up their leadership well after their relays have turned to the successor.
+fn step_down_late(world: &mut World) {
+    if let Some(links) = &mut world.links {
+        links.claim_write_delay = Some(CLAIM_WRITE_DELAY);
+    }
+}
+
+/// Guards against a job that runs in two failure domains because what concerns a former leader is taken
+/// for news of its successor, while connections are reset and tasks are taken over by other pools.
+#[test]
+fn no_task_runs_twice_at_once_where_former_leaders_step_down_late() {
+    for load in [LoadKind::LongRuns, LoadKind::Skewed] {
+        let totals = run_load(SEEDS, ClientKind::Patient, load, step_down_late);
+        assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+        assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
+    }
+}
+
+/// Shows that the search finds a doubled run if the end of a former leader counts as the loss of its
+/// successor.
+#[test]
+fn the_search_finds_losses_of_the_wrong_pool() {
+    let totals = run_load(SEEDS, ClientKind::Patient, LoadKind::LongRuns, |world| {
+        step_down_late(world);
+        if let Some(links) = &mut world.links {
+            links.loses_current_pool = true;
+        }
+    });
+    assert!(!totals.doubled.is_empty());
+}
+
+/// Run with `cargo test --release -p bramley-pool --test reset_links -- --ignored --nocapture`.
+#[test]
+#[ignore = "takes minutes"]
+fn no_task_runs_twice_at_once_where_former_leaders_step_down_late_in_many_seeds() {
+    for load in [LoadKind::LongRuns, LoadKind::Skewed] {
+        let totals = run_load(SEEDS.end..600, ClientKind::Patient, load, step_down_late);
+        assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+        assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
+    }
+}
+
 /// Shows that the search finds a doubled run if a released task is also assigned to its first pool
 /// again.
 #[test]
