--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -446,9 +446,13 @@
         }
     }
 
-    /// Lets the pool of a host give up its leadership, as the driver does.
+    /// Lets the pool of a host give up its leadership, as the driver does, unless it has won its claim
+    /// anew meanwhile.
     fn step_down(&mut self, host: usize) {
         let now = self.now;
+        if self.leaders.get(&self.hosts[host].domain) == Some(&host) {
+            return;
+        }
         self.hosts[host].pool.step_down(now);
         let loss = PoolLoss {
             cause: LossCause::SteppedDown,
