--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -64,6 +64,8 @@
     RelayNotices(usize),
     /// A host reads from the store that its failure domain or another has a new leader.
     ClaimRead(usize, DomainName),
+    /// A heartbeat tells the relay that the pool is not the leader any more.
+    PoolSteppedDown(usize),
     /// The pool of a host whose relay has turned to another leader gives up its own leadership.
     StepsDown(usize),
     /// The relay of a host connects to the pool of a failure domain.
@@ -459,6 +461,17 @@
             last_message_at: now,
         };
         self.lose_local_pool(host, loss);
+        self.tell_relays_of_step_down(host);
+    }
+
+    /// Tells the connected relays that the pool of a host is not the leader any more.
+    fn tell_relays_of_step_down(&mut self, host: usize) {
+        let links = self.links_mut().connections.iter().enumerate();
+        let open = links.filter(|(_, link)| link.pool == host && link.pool_is_open);
+        let open: Vec<usize> = open.map(|(number, _)| number).collect();
+        for number in open {
+            self.schedule(DELAY, Event::Link(LinkEvent::PoolSteppedDown(number)));
+        }
     }
 
     /// Lets the relay of a host lose the pool of the same host. The relay may be connected to another
@@ -490,6 +503,7 @@
             };
             self.lose_local_pool(host, loss);
         }
+        self.tell_relays_of_step_down(host);
     }
 
     /// Sends a message on the current connection of a relay to the pool of a failure domain.
@@ -679,6 +693,26 @@
                 let event = Event::Link(LinkEvent::Reconnect(relay, domain));
                 self.schedule(RECONNECT_DELAY + delay, event);
             }
+            LinkEvent::PoolSteppedDown(number) => {
+                let link = &mut self.links_mut().connections[number];
+                if !link.relay_is_open || now >= link.lost_to_relay_from {
+                    return;
+                }
+                link.relay_is_open = false;
+                let (pool, relay) = (link.pool, link.relay);
+                let connection = link.connection.take();
+                let loss = PoolLoss {
+                    cause: LossCause::ConnectionEnded,
+                    last_message_at: now,
+                };
+                if let Some(connection) = connection {
+                    self.hosts[relay].relay.pool_lost(&connection, loss);
+                }
+                self.schedule(DELAY, Event::Link(LinkEvent::PoolNotices(number)));
+                let domain = self.hosts[pool].domain.clone();
+                let event = Event::Link(LinkEvent::Reconnect(relay, domain));
+                self.schedule(RECONNECT_DELAY, event);
+            }
             LinkEvent::ClaimRead(reader, domain) => self.claim_read(reader, &domain),
             LinkEvent::StepsDown(host) => self.step_down(host),
             LinkEvent::Reconnect(relay, domain) => self.open_link(relay, &domain),
@@ -725,6 +759,7 @@
                 (self.connections[*number].pool, Socket::Link(*number))
             }
             LinkEvent::ToRelay(number, _)
+            | LinkEvent::PoolSteppedDown(number)
             | LinkEvent::RelayConnects(number)
             | LinkEvent::RelayNotices(number) => {
                 (self.connections[*number].relay, Socket::Link(*number))
