--- a/crates/bramley-soak/src/callers.rs
+++ b/crates/bramley-soak/src/callers.rs
@@ -21,8 +21,8 @@
 /// Wait before a job without a conclusive response is sent again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(1_300);
 
-/// Deadline of a job, which is sent with it. A caller waits this long for each response and starts
-/// no retry after it.
+/// Deadline of a job, which is sent with it; that of a job of long tasks is longer by its longest run
+/// time. A caller starts no retry after it, and a patient one waits this long for each response.
 const JOB_DEADLINE: Duration = Duration::from_millis(6_000);
 
 /// Timeout for opening a connection.
@@ -38,9 +38,50 @@
 /// Share of the jobs whose tasks crash each worker that starts them.
 const CRASHING_SHARE: f64 = 0.02;
 
+/// Longest time that a worker takes for a task, as a factor on the run time that its payload states.
+const LONGEST_RUN_FACTOR: f64 = 1.4;
+
 /// End of the payload of such tasks.
 const CRASH_SUFFIX: &str = " crash";
 
+/// What callers send and how long they wait.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Share of the jobs whose tasks run longer than the time after which a relay takes the runs of a
+    /// lost pool for ended, which is 2,500 ms.
+    pub long_share: f64,
+    /// Range of the run times of such tasks in milliseconds.
+    pub long_run_ms: std::ops::Range<u64>,
+    /// Share of the callers that close a connection without a response some time after the response
+    /// was expected, and send the job again to any host.
+    pub impatient_share: f64,
+    /// That time.
+    pub patience: Duration,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        Self {
+            long_share: 0.3,
+            long_run_ms: 2_000..5_000,
+            impatient_share: 0.7,
+            patience: Duration::from_millis(1_500),
+        }
+    }
+}
+
+impl CallerSettings {
+    /// Returns settings for short jobs and patient callers.
+    #[must_use]
+    pub fn classic() -> Self {
+        Self {
+            long_share: 0.0,
+            impatient_share: 0.0,
+            ..Self::default()
+        }
+    }
+}
+
 /// Result of one job as its caller saw it.
 #[derive(Clone, Debug)]
 pub struct JobOutcome {
@@ -84,6 +125,7 @@
 /// Submits jobs one after the other until `stop` is set.
 pub async fn run_caller(
     seed: u64,
+    settings: CallerSettings,
     hosts: Vec<SocketAddr>,
     outcomes: OutcomeList,
     stop: Arc<AtomicBool>,
@@ -91,11 +133,24 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     // A generator of its own leaves the other draws of earlier seeds as they were.
     let mut crash_rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut long_rng = ChaCha8Rng::seed_from_u64(seed.rotate_left(24));
+    let is_impatient = long_rng.random_bool(settings.impatient_share);
     let mut connection: Option<SendRequest<Full<Bytes>>> = None;
     while !stop.load(Ordering::Relaxed) {
         let name = format!("{:016x}", rng.random::<u64>());
         let tasks = rng.random_range(1..5);
-        let run_ms: u64 = rng.random_range(20..400);
+        let mut run_ms: u64 = rng.random_range(20..400);
+        let mut deadline = JOB_DEADLINE;
+        let is_long = long_rng.random_bool(settings.long_share);
+        if is_long {
+            run_ms = long_rng.random_range(settings.long_run_ms.clone());
+            deadline += Duration::from_millis(run_ms).mul_f64(LONGEST_RUN_FACTOR);
+        }
+        let wait = if is_impatient {
+            settings.patience + Duration::from_millis(run_ms).mul_f64(LONGEST_RUN_FACTOR)
+        } else {
+            deadline
+        };
         let crash = if crash_rng.random_bool(CRASHING_SHARE) {
             CRASH_SUFFIX
         } else {
@@ -114,10 +169,16 @@
             state: None,
             sent_at: Instant::now(),
         };
-        while outcome.sent_at.elapsed() < JOB_DEADLINE {
+        while outcome.sent_at.elapsed() < deadline {
             let host = hosts[rng.random_range(0..hosts.len())];
             outcome.sends += 1;
-            let result = send_job(&mut connection, host, &outcome.name, &body).await;
+            let request = JobRequest {
+                name: &outcome.name,
+                body: &body,
+                deadline,
+                wait,
+            };
+            let result = send_job(&mut connection, host, &request).await;
             match result {
                 SendResult::Response(StatusCode::OK, text) => {
                     outcome.refused = false;
@@ -150,13 +211,23 @@
     CutOff,
 }
 
+/// A job as it is sent.
+#[derive(Clone, Copy, Debug)]
+struct JobRequest<'a> {
+    name: &'a str,
+    body: &'a str,
+    /// Deadline that is sent with it.
+    deadline: Duration,
+    /// Time for which the caller waits for the response.
+    wait: Duration,
+}
+
 /// Sends a job over the persistent connection, or over a new one to `host` if there is none that is
 /// ready.
 async fn send_job(
     connection: &mut Option<SendRequest<Full<Bytes>>>,
     host: SocketAddr,
-    name: &str,
-    body: &str,
+    request: &JobRequest<'_>,
 ) -> SendResult {
     let usable = connection.take().filter(SendRequest::is_ready);
     let sender = match usable {
@@ -167,7 +238,7 @@
         return SendResult::NoResponse;
     };
     let sent_at = Instant::now();
-    match timeout(JOB_DEADLINE, exchange(&mut sender, name, body)).await {
+    match timeout(request.wait, exchange(&mut sender, request)).await {
         Ok(Some((status, text))) => {
             *connection = Some(sender);
             SendResult::Response(status, text)
@@ -180,14 +251,13 @@
 /// Sends a request and reads the whole response. Returns `None` if the connection fails before that.
 async fn exchange(
     sender: &mut SendRequest<Full<Bytes>>,
-    name: &str,
-    body: &str,
+    job: &JobRequest<'_>,
 ) -> Option<(StatusCode, String)> {
-    let request = Request::post(format!("{ROUTE_PREFIX}{name}"))
+    let request = Request::post(format!("{ROUTE_PREFIX}{}", job.name))
         .header(HOST, ROUTE_HOST)
         .header(CONTENT_TYPE, "application/json")
-        .header("Deadline-Ms", JOB_DEADLINE.as_millis().to_string())
-        .body(Full::new(Bytes::from(String::from(body))))
+        .header("Deadline-Ms", job.deadline.as_millis().to_string())
+        .body(Full::new(Bytes::from(String::from(job.body))))
         .ok()?;
     let response = sender.send_request(request).await.ok()?;
     let status = response.status();
--- a/crates/bramley-soak/src/checks.rs
+++ b/crates/bramley-soak/src/checks.rs
@@ -1,6 +1,8 @@
 //! Compares the responses that callers got with the runs that workers recorded.
 
-use bramley_fleet_stand_in::recorder::RunRecorder;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use bramley_fleet_stand_in::recorder::{RunRecord, RunRecorder};
 
 use crate::callers::JobOutcome;
 
@@ -26,9 +28,8 @@
 pub fn find_violations(recorder: &RunRecorder, outcomes: &[JobOutcome]) -> Vec<String> {
     let mut found = Vec::new();
     for (first, second) in recorder.overlaps() {
-        found.push(format!(
-            "overlapping runs of one task: {first:?} {second:?}"
-        ));
+        let (first, second) = (describe_run(&first), describe_run(&second));
+        found.push(format!("overlapping runs of one task: {first}; {second}"));
     }
     for outcome in outcomes {
         let runs = recorder.runs_of(&outcome.name);
@@ -55,6 +56,23 @@
     found
 }
 
+/// Describes a run with times in Unix milliseconds, as in the logs of the hosts.
+fn describe_run(run: &RunRecord) -> String {
+    let now = Instant::now();
+    let now_unix = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now_ms = now_unix.map_or(0, |span| span.as_millis());
+    let unix_ms = |at: Instant| now_ms.saturating_sub(now.duration_since(at).as_millis());
+    format!(
+        "task={} worker={} spec={:?} began={} ended={:?} how={}",
+        run.task,
+        run.worker,
+        run.spec,
+        unix_ms(run.began),
+        run.ended.map(unix_ms),
+        run.how
+    )
+}
+
 /// Crashes of workers under a task after which the platform lets its job fail.
 const CRASHES_TO_FAIL: usize = 2;
 
--- a/crates/bramley-soak/src/deployment.rs
+++ b/crates/bramley-soak/src/deployment.rs
@@ -10,13 +10,16 @@
 
 use bramley_fleet_stand_in::recorder::RunRecorder;
 use bramley_fleet_stand_in::store::StoreStandIn;
-use bramley_fleet_stand_in::worker::{WorkerDescriptor, WorkerStandIn};
-use rand::Rng;
+use bramley_fleet_stand_in::view::StoreView;
+use bramley_fleet_stand_in::worker::{WorkerDescriptor, WorkerPace, WorkerStandIn};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 use tokio::time::sleep;
 
 use crate::proxy::{LoopbackProxy, ProxyMode};
+use crate::topology::{LinkTable, LinkTarget, LoopbackAddress, PairLink};
 
 /// Host name of the routes.
 pub const ROUTE_HOST: &str = "soak.example";
@@ -45,8 +48,50 @@
 /// watch, whose connection may just have been lost.
 pub const EVACUATION_BOUND: Duration = Duration::from_millis(4_000);
 
+/// Differences of the clocks and speeds of workers.
+#[derive(Clone, Copy, Debug)]
+pub struct PaceSettings {
+    /// Seed of the generator that draws them.
+    pub seed: u64,
+    /// Largest share by which a clock is slow, in thousandths.
+    pub clock_lag: u32,
+    /// Range of the factors on run times.
+    pub run_factors: (f64, f64),
+}
+
+impl Default for PaceSettings {
+    fn default() -> Self {
+        Self {
+            seed: 0,
+            clock_lag: 20,
+            run_factors: (0.7, 1.4),
+        }
+    }
+}
+
+impl PaceSettings {
+    /// Returns settings for true clocks and equal speeds.
+    #[must_use]
+    pub fn none() -> Self {
+        Self {
+            seed: 0,
+            clock_lag: 0,
+            run_factors: (1.0, 1.0),
+        }
+    }
+
+    fn draw(&self, rng: &mut ChaCha8Rng) -> WorkerPace {
+        let true_pace = WorkerPace::default();
+        let (lowest, highest) = self.run_factors;
+        WorkerPace {
+            clock_rate: true_pace.clock_rate - rng.random_range(0..=self.clock_lag),
+            run_factor: rng.random_range(lowest..=highest),
+        }
+    }
+}
+
 /// Number of hosts and workers in a deployment.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct DeploymentSize {
     /// Number of failure domains.
     pub domains: usize,
@@ -54,6 +99,8 @@
     pub hosts: usize,
     /// Number of workers in each failure domain.
     pub workers: usize,
+    /// Clocks and speeds of the workers.
+    pub pace: PaceSettings,
 }
 
 /// A host process and what is needed to restart it.
@@ -63,8 +110,16 @@
     pub caller_address: SocketAddr,
     /// Proxy between the host and the store.
     pub store_proxy: LoopbackProxy,
+    /// The host's view of the store.
+    pub store_view: StoreView,
+    /// Index of its failure domain.
+    pub domain: usize,
+    /// Address that accepts other hosts.
+    peer_address: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
+    /// How the process ended when it ended by itself.
+    early_exits: Vec<String>,
     child: Option<Child>,
 }
 
@@ -77,6 +132,10 @@
     pub proxy: LoopbackProxy,
     /// Address of the proxy, which the worker's store entry announces.
     pub address: SocketAddr,
+    /// Index of its failure domain.
+    pub domain: usize,
+    /// Address of the worker itself.
+    server_address: SocketAddr,
 }
 
 /// The host processes of a soak test, with the simulated store and workers.
@@ -90,6 +149,9 @@
     pub hosts: Vec<HostProcess>,
     /// Runs on all workers.
     pub recorder: RunRecorder,
+    /// Ways of the hosts to each other and to the workers.
+    pub links: LinkTable,
+    loopback: LoopbackAddress,
     program: PathBuf,
     /// Ports given to hosts so far.
     host_ports: BTreeSet<u16>,
@@ -108,42 +170,51 @@
         size: &DeploymentSize,
     ) -> std::io::Result<Self> {
         let store = StoreStandIn::default();
-        let store_address = store.serve().await?;
         store.put("op/config", &build_configuration(1));
         let mut deployment = Self {
             store,
             workers: Vec::new(),
             hosts: Vec::new(),
             recorder: RunRecorder::default(),
+            links: LinkTable::default(),
+            loopback: LoopbackAddress::reserve()?,
             program: program.into(),
             host_ports: BTreeSet::new(),
         };
+        let mut pace_rng = ChaCha8Rng::seed_from_u64(size.pace.seed);
         for domain in 0..size.domains {
             for index in 0..size.workers {
-                deployment.add_worker(domain, index).await?;
+                let pace = size.pace.draw(&mut pace_rng);
+                deployment.add_worker(domain, index, pace).await?;
             }
             for index in 0..size.hosts {
-                deployment
-                    .add_host(folder, domain, index, store_address)
-                    .await?;
+                deployment.add_host(folder, domain, index).await?;
             }
         }
+        deployment.add_links().await?;
         for host in &mut deployment.hosts {
             host.start(&deployment.program)?;
         }
         Ok(deployment)
     }
 
-    async fn add_worker(&mut self, domain: usize, index: usize) -> std::io::Result<()> {
+    async fn add_worker(
+        &mut self,
+        domain: usize,
+        index: usize,
+        pace: WorkerPace,
+    ) -> std::io::Result<()> {
         let descriptor = WorkerDescriptor {
             id: format!("w-{domain}-{index}"),
             service: String::from("service-1"),
             zone: format!("domain-{domain}"),
             cpu_milli: WORKER_CPU_MILLI,
         };
-        let worker = WorkerStandIn::new(descriptor, self.recorder.clone());
+        let worker = WorkerStandIn::with_pace(descriptor, self.recorder.clone(), pace);
         let proxy = LoopbackProxy::default();
-        let address = proxy.serve(worker.serve().await?).await?;
+        let any_port = SocketAddr::new(self.loopback.ip, 0);
+        let server_address = worker.serve_at(any_port).await?;
+        let address = proxy.serve(server_address).await?;
         let (heartbeat_worker, store) = (worker.clone(), self.store.clone());
         tokio::spawn(async move {
             loop {
@@ -176,6 +247,8 @@
             worker,
             proxy,
             address,
+            domain,
+            server_address,
         });
         Ok(())
     }
@@ -185,11 +258,14 @@
         folder: &Path,
         domain: usize,
         index: usize,
-        store_address: SocketAddr,
     ) -> std::io::Result<()> {
+        let ip = self.loopback.ip;
+        let store_view = StoreView::default();
+        let view_address = store_view
+            .serve(&self.store, SocketAddr::new(ip, 0))
+            .await?;
         let store_proxy = LoopbackProxy::default();
-        let proxy_address = store_proxy.serve(store_address).await?;
-        let ip: IpAddr = IpAddr::from([127, 0, 0, 1]);
+        let proxy_address = store_proxy.serve(view_address).await?;
         let (caller_address, health_address, peer_address) = (
             self.free_port(ip)?,
             self.free_port(ip)?,
@@ -215,13 +291,70 @@
         self.hosts.push(HostProcess {
             caller_address,
             store_proxy,
+            store_view,
+            domain,
+            peer_address,
             settings,
             log: folder.join(format!("{name}.log")),
+            early_exits: Vec::new(),
             child: None,
         });
         Ok(())
     }
 
+    /// Adds a link from each host to each other host and to each worker.
+    async fn add_links(&mut self) -> std::io::Result<()> {
+        for (source, host) in self.hosts.iter().enumerate() {
+            for (index, other) in self.hosts.iter().enumerate() {
+                if index == source {
+                    continue;
+                }
+                let link = PairLink {
+                    source,
+                    target: LinkTarget::Host(index),
+                    proxy: LoopbackProxy::default(),
+                };
+                let address = other.peer_address;
+                self.links
+                    .add(link, &host.store_view, address, address)
+                    .await?;
+            }
+            for (index, worker) in self.workers.iter().enumerate() {
+                let link = PairLink {
+                    source,
+                    target: LinkTarget::Worker(index),
+                    // What the worker's own proxy is told holds for all hosts.
+                    proxy: LoopbackProxy::with_parent(&worker.proxy),
+                };
+                self.links
+                    .add(
+                        link,
+                        &host.store_view,
+                        worker.address,
+                        worker.server_address,
+                    )
+                    .await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns the index of the host that the store names as the leader of a failure domain.
+    #[must_use]
+    pub fn leader(&self, domain: usize) -> Option<usize> {
+        let claim = self.store.value(&format!("pools/domain-{domain}"))?;
+        let address: SocketAddr = claim["address"].as_str()?.parse().ok()?;
+        self.hosts
+            .iter()
+            .position(|host| host.peer_address == address)
+    }
+
+    /// Kills a host's process.
+    pub fn kill_host(&mut self, host: usize) {
+        self.links.host_went_down(host);
+        self.hosts[host].kill();
+    }
+
     /// Returns an address with a port from [`HOST_PORTS`] that was free when it was checked and that
     /// no other host of the deployment has.
     fn free_port(&mut self, ip: IpAddr) -> std::io::Result<SocketAddr> {
@@ -247,6 +380,9 @@
     pub fn find_stopped_hosts(&mut self) -> Vec<String> {
         let mut stopped = Vec::new();
         for (index, host) in self.hosts.iter_mut().enumerate() {
+            for exit in &host.early_exits {
+                stopped.push(format!("host {index} ended by itself: {exit}"));
+            }
             let status = host.child.as_mut().map(Child::try_wait);
             if !matches!(status, Some(Ok(None))) {
                 stopped.push(format!("host {index} is not running: {status:?}"));
@@ -255,12 +391,16 @@
         stopped
     }
 
-    /// Starts a host's process again after it was killed or has exited.
+    /// Starts a host's process again after it was killed or has exited, unless it is running.
     ///
     /// # Errors
     ///
     /// Returns the I/O error if the process cannot be started.
     pub fn restart_host(&mut self, host: usize) -> std::io::Result<()> {
+        if self.hosts[host].is_running() {
+            return Ok(());
+        }
+        self.links.host_went_down(host);
         self.hosts[host].start(&self.program)
     }
 }
@@ -297,9 +437,24 @@
         }
     }
 
+    /// Returns whether the process runs, and records it if the process has ended by itself.
+    fn is_running(&mut self) -> bool {
+        match self.child.as_mut().map(Child::try_wait) {
+            Some(Ok(None)) => true,
+            Some(status) => {
+                self.early_exits.push(format!("{status:?}"));
+                self.child = None;
+                false
+            }
+            None => false,
+        }
+    }
+
     /// Kills the process and waits until it has exited.
     pub fn kill(&mut self) {
-        if let Some(mut child) = self.child.take() {
+        if self.is_running()
+            && let Some(mut child) = self.child.take()
+        {
             drop(child.kill());
             drop(child.wait());
         }
--- a/crates/bramley-soak/src/faults.rs
+++ b/crates/bramley-soak/src/faults.rs
@@ -8,12 +8,13 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 
 use crate::deployment::{Deployment, build_configuration};
 use crate::evacuations::EvacuationInjector;
 use crate::odd_writer::OddWriter;
 use crate::proxy::ProxyMode;
+use crate::series::SeriesInjector;
 
 /// Fault kinds that are planned operations or store faults. The last one is drawn only with
 /// `planned` set.
@@ -69,6 +70,8 @@
     started_at: Instant,
     /// Other writer on the store.
     odd_writer: OddWriter,
+    /// Series of faults that belong together.
+    series: SeriesInjector,
     /// Evacuations of failure domains.
     pub evacuations: EvacuationInjector,
     /// Messages for hosts that did not exit in time after SIGTERM.
@@ -76,9 +79,10 @@
 }
 
 impl FaultInjector {
-    /// Creates an injector whose faults are determined by `seed`.
+    /// Creates an injector whose faults are determined by `seed`. Series of faults are injected with
+    /// `has_series` set.
     #[must_use]
-    pub fn new(seed: u64, planned: bool, domains: usize) -> Self {
+    pub fn new(seed: u64, planned: bool, has_series: bool, domains: usize) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             planned,
@@ -87,6 +91,7 @@
             log: Vec::new(),
             started_at: Instant::now(),
             odd_writer: OddWriter::new(seed),
+            series: SeriesInjector::new(seed, has_series),
             evacuations: EvacuationInjector::new(seed, domains),
             stop_timeouts: Vec::new(),
         }
@@ -114,8 +119,14 @@
                 self.record(line);
             }
             let pause = self.rng.random_range(100..1_500);
-            sleep(Duration::from_millis(pause)).await;
+            let paused_until = Instant::now() + Duration::from_millis(pause);
+            self.series
+                .run_until(deployment, &mut self.evacuations, paused_until)
+                .await?;
+            self.record_series();
         }
+        self.series.end(deployment)?;
+        self.record_series();
         let far_future = Instant::now() + Duration::from_secs(3_600);
         self.undo_due(deployment, far_future)?;
         if let Some(line) = self.evacuations.end(&deployment.store, Instant::now()) {
@@ -130,6 +141,14 @@
         self.log.push(format!("{millis} {text}"));
     }
 
+    /// Moves the lines of the series to the log.
+    fn record_series(&mut self) {
+        for (at, text) in self.series.lines.drain(..) {
+            let millis = at.duration_since(self.started_at).as_millis();
+            self.log.push(format!("{millis} {text}"));
+        }
+    }
+
     /// Schedules `undo` after a random wait within `range`, in milliseconds.
     fn schedule_undo(&mut self, range: std::ops::Range<u64>, undo: Undo) {
         let wait = Duration::from_millis(self.rng.random_range(range));
@@ -147,7 +166,8 @@
         let is_any_hidden = self
             .pending_undos
             .iter()
-            .any(|(_, undo)| undo.hides_evacuations());
+            .any(|(_, undo)| undo.hides_evacuations())
+            || self.series.hides_evacuations(now);
         for (_, undo) in due {
             self.record(format!("{undo:?}"));
             match undo {
@@ -192,7 +212,7 @@
         self.record(format!("inject kind={kind} host={host} worker={worker}"));
         match kind {
             0..=2 if !self.is_host_busy(host) => {
-                deployment.hosts[host].kill();
+                deployment.kill_host(host);
                 self.schedule_undo(200..3_000, Undo::StartHost(host));
             }
             3 | 4 if !self.is_host_busy(host) => {
@@ -274,7 +294,7 @@
         if !deployment.hosts[host].wait_for_exit(STOP_TIMEOUT).await {
             self.stop_timeouts
                 .push(format!("host {host} did not exit in time after SIGTERM"));
-            deployment.hosts[host].kill();
+            deployment.kill_host(host);
         }
         deployment.restart_host(host)
     }
--- a/crates/bramley-soak/src/lib.rs
+++ b/crates/bramley-soak/src/lib.rs
@@ -13,6 +13,8 @@
 //! - [`faults`] injects a random sequence of faults that is determined by a seed.
 //! - [`odd_writer`] writes odd items to the store, as another program might.
 //! - [`proxy`] forwards connections and can delay, stall or reset them.
+//! - [`series`] injects series of faults that belong together, as when a domain loses its power.
+//! - [`topology`] puts a proxy of its own between each two hosts and each host and worker.
 
 pub mod callers;
 pub mod checks;
@@ -21,3 +23,5 @@
 pub mod faults;
 pub mod odd_writer;
 pub mod proxy;
+pub mod series;
+pub mod topology;
--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -4,23 +4,29 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use argh::FromArgs;
-use bramley_soak::callers::{OutcomeList, run_caller};
+use bramley_soak::callers::{CallerSettings, OutcomeList, run_caller};
 use bramley_soak::checks::{
     count_outcomes, find_cut_offs, find_misjudged_crashes, find_violations,
 };
-use bramley_soak::deployment::{Deployment, DeploymentSize};
+use bramley_soak::deployment::{Deployment, DeploymentSize, PaceSettings};
 use bramley_soak::faults::FaultInjector;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
 
 /// Wait between the last fault and the service check; the platform requires recovery within this
 /// time.
 const RECOVERY_WAIT: Duration = Duration::from_secs(12);
 
-/// Wait for outstanding responses after the callers are told to stop; longer than a job's deadline.
+/// Shortest wait for outstanding responses after the callers are told to stop.
 const DRAIN_WAIT: Duration = Duration::from_secs(7);
 
+/// Longest such wait, for which the callers' last jobs are waited for. It is longer than the longest
+/// deadline of a job and one more response.
+const MAX_DRAIN_WAIT: Duration = Duration::from_secs(30);
+
 /// Period after the recovery wait in which at least one new job must be served.
 const MEASURE_WINDOW: Duration = Duration::from_secs(3);
 
@@ -59,6 +65,11 @@
     #[argh(switch)]
     planned: bool,
 
+    /// leave out the series of faults, the long tasks, the impatient callers and the differences of
+    /// the workers
+    #[argh(switch)]
+    classic: bool,
+
     /// host binary to run; default: bramley-dock in the directory of this binary
     #[argh(option)]
     program: Option<PathBuf>,
@@ -100,10 +111,25 @@
 async fn run_seed(arguments: &Arguments, seed: u64) -> std::io::Result<bool> {
     let folder = arguments.folder.join(format!("seed-{seed}"));
     std::fs::create_dir_all(&folder)?;
+    // Planned operations alone say nothing about tasks that outlive a host's grace.
+    let is_classic = arguments.classic || arguments.planned;
     let size = DeploymentSize {
         domains: arguments.domains,
         hosts: arguments.hosts,
         workers: arguments.workers,
+        pace: if is_classic {
+            PaceSettings::none()
+        } else {
+            PaceSettings {
+                seed,
+                ..PaceSettings::default()
+            }
+        },
+    };
+    let caller_settings = if is_classic {
+        CallerSettings::classic()
+    } else {
+        CallerSettings::default()
     };
     let mut deployment = Deployment::start(resolve_program(arguments)?, &folder, &size).await?;
     tokio::time::sleep(Duration::from_secs(2)).await;
@@ -115,23 +141,32 @@
         .map(|host| host.caller_address)
         .collect();
     let stop_callers = Arc::new(AtomicBool::new(false));
+    let mut callers = JoinSet::new();
     for caller in 0..arguments.callers {
         let caller_seed = seed.wrapping_mul(1_000).wrapping_add(caller);
         let caller = run_caller(
             caller_seed,
+            caller_settings.clone(),
             hosts.clone(),
             outcomes.clone(),
             Arc::clone(&stop_callers),
         );
-        tokio::spawn(caller);
+        callers.spawn(caller);
     }
-    let mut faults = FaultInjector::new(seed, arguments.planned, arguments.domains);
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let began_ms = since_epoch.map_or(0, |span| span.as_millis());
+    let mut faults = FaultInjector::new(seed, arguments.planned, !is_classic, arguments.domains);
     faults.run(&mut deployment, fault_duration).await?;
     tokio::time::sleep(RECOVERY_WAIT).await;
     let recovered_at = Instant::now();
     tokio::time::sleep(MEASURE_WINDOW).await;
     stop_callers.store(true, Ordering::Relaxed);
     tokio::time::sleep(DRAIN_WAIT).await;
+    let are_drained = timeout(MAX_DRAIN_WAIT - DRAIN_WAIT, async {
+        while callers.join_next().await.is_some() {}
+    })
+    .await
+    .is_ok();
     let all = outcomes.all();
     let mut violations = find_violations(&deployment.recorder, &all);
     violations.extend(find_misjudged_crashes(&deployment.recorder, &all));
@@ -146,6 +181,9 @@
         .iter()
         .filter(|outcome| outcome.sent_at >= recovered_at && outcome.state.is_some())
         .count();
+    if !are_drained {
+        violations.push(String::from("a caller did not end"));
+    }
     if served_again == 0 {
         violations.push(String::from("no job was served after the recovery wait"));
     }
@@ -163,6 +201,12 @@
         for violation in violations.iter().take(10) {
             println!("  violation {violation}");
         }
+        let command: Vec<String> = std::env::args().collect();
+        println!("  command {}", command.join(" "));
+        println!(
+            "  host logs {}/host-*.log; the name of a job finds its lines; the faults' times count from {began_ms} ms",
+            folder.display()
+        );
     }
     Ok(violations.is_empty())
 }
--- a/crates/bramley-soak/src/proxy.rs
+++ b/crates/bramley-soak/src/proxy.rs
@@ -1,13 +1,14 @@
 //! Loopback TCP proxy that forwards connections and can delay, stall or reset them.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::sync::Notify;
+use tokio::time::sleep;
 
 /// Size of the buffer for each direction of a connection.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -18,6 +19,9 @@
 /// Interval at which connections check whether they are stalled or reset.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Interval between attempts to reach a server that refuses connections.
+const PROBE_INTERVAL: Duration = Duration::from_millis(10);
+
 /// How a proxy treats the data on its connections.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum ProxyMode {
@@ -31,6 +35,9 @@
     /// Data from the server is held back until the mode changes; data from the client is
     /// forwarded.
     ResponsesStalled,
+    /// Data from the client is held back until the mode changes; data from the server is
+    /// forwarded.
+    RequestsStalled,
     /// New connections are refused.
     Refusing,
 }
@@ -42,6 +49,12 @@
     reset_epoch: AtomicU64,
     /// Number of permanent stalls so far. A connection accepted at a lower count stays stalled.
     stall_epoch: AtomicU64,
+    /// Whether the server refuses connections, so that the proxy does, too.
+    is_server_down: AtomicBool,
+    /// Wakes the proxy when the mode changes or the server goes down.
+    changed: Notify,
+    /// State that holds for this proxy as well.
+    parent: Option<Arc<ProxyState>>,
 }
 
 /// A proxy in front of one server. Clones share the same state.
@@ -51,34 +64,33 @@
 }
 
 impl LoopbackProxy {
-    /// Listens on a free loopback port, forwards connections to `server` and returns the address.
+    /// Creates a proxy that also obeys what `parent` is told.
+    #[must_use]
+    pub fn with_parent(parent: &Self) -> Self {
+        let state = ProxyState {
+            parent: Some(Arc::clone(&parent.state)),
+            ..ProxyState::default()
+        };
+        Self {
+            state: Arc::new(state),
+        }
+    }
+
+    /// Listens on a free port of the IP address of `server`, forwards connections to `server` and
+    /// returns the address.
     ///
     /// # Errors
     ///
     /// Returns the I/O error if no port can be bound.
     pub async fn serve(&self, server: SocketAddr) -> std::io::Result<SocketAddr> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let listener = TcpListener::bind(SocketAddr::new(server.ip(), 0)).await?;
         let address = listener.local_addr()?;
-        let state = Arc::clone(&self.state);
-        tokio::spawn(async move {
-            let mut listener = Some(listener);
-            loop {
-                if state.mode() == ProxyMode::Refusing {
-                    listener = None;
-                    sleep(POLL_INTERVAL).await;
-                    continue;
-                }
-                let Some(open) = &listener else {
-                    // The port may be in use for a moment; the next round tries again.
-                    listener = TcpListener::bind(address).await.ok();
-                    sleep(REBIND_INTERVAL).await;
-                    continue;
-                };
-                if let Ok(Ok((client, _))) = timeout(POLL_INTERVAL, open.accept()).await {
-                    tokio::spawn(forward_connection(Arc::clone(&state), client, server));
-                }
-            }
-        });
+        tokio::spawn(accept_connections(
+            Arc::clone(&self.state),
+            listener,
+            address,
+            server,
+        ));
         Ok(address)
     }
 
@@ -90,6 +102,13 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         *current = mode;
+        self.state.changed.notify_one();
+    }
+
+    /// Makes the proxy refuse connections until the server accepts them again.
+    pub fn mark_server_down(&self) {
+        self.state.is_server_down.store(true, Ordering::SeqCst);
+        self.state.changed.notify_one();
     }
 
     /// Closes all connections that are open now.
@@ -104,20 +123,74 @@
 }
 
 impl ProxyState {
+    /// Returns the mode of the parent unless it is open, and else that of the proxy itself.
     fn mode(&self) -> ProxyMode {
-        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
+        let own_mode = *self.mode.lock().unwrap_or_else(PoisonError::into_inner);
+        match self.parent.as_ref().map(|parent| parent.mode()) {
+            None | Some(ProxyMode::Open) => own_mode,
+            Some(mode) => mode,
+        }
     }
 
-    /// Returns the reset epoch and the stall epoch.
+    /// Returns the reset epoch and the stall epoch. They rise with those of the parent.
     fn epochs(&self) -> (u64, u64) {
-        let resets = self.reset_epoch.load(Ordering::SeqCst);
-        (resets, self.stall_epoch.load(Ordering::SeqCst))
+        let (resets, stalls) = match &self.parent {
+            Some(parent) => parent.epochs(),
+            None => (0, 0),
+        };
+        (
+            resets + self.reset_epoch.load(Ordering::SeqCst),
+            stalls + self.stall_epoch.load(Ordering::SeqCst),
+        )
+    }
+
+    fn is_server_down(&self) -> bool {
+        self.is_server_down.load(Ordering::SeqCst)
+    }
+}
+
+async fn accept_connections(
+    state: Arc<ProxyState>,
+    listener: TcpListener,
+    address: SocketAddr,
+    server: SocketAddr,
+) {
+    let mut listener = Some(listener);
+    loop {
+        if state.mode() == ProxyMode::Refusing {
+            listener = None;
+            sleep(POLL_INTERVAL).await;
+            continue;
+        }
+        if state.is_server_down() {
+            listener = None;
+            sleep(PROBE_INTERVAL).await;
+            let is_down = TcpStream::connect(server).await.is_err();
+            state.is_server_down.store(is_down, Ordering::SeqCst);
+            continue;
+        }
+        let Some(open) = &listener else {
+            // The port may be in use for a moment; the next round tries again.
+            listener = TcpListener::bind(address).await.ok();
+            sleep(REBIND_INTERVAL).await;
+            continue;
+        };
+        tokio::select! {
+            accepted = open.accept() => {
+                if let Ok((client, _)) = accepted {
+                    tokio::spawn(forward_connection(Arc::clone(&state), client, server));
+                }
+            }
+            () = state.changed.notified() => {}
+            () = sleep(POLL_INTERVAL) => {}
+        }
     }
 }
 
 async fn forward_connection(state: Arc<ProxyState>, client: TcpStream, server: SocketAddr) {
     let accepted_epochs = state.epochs();
     let Ok(server) = TcpStream::connect(server).await else {
+        state.is_server_down.store(true, Ordering::SeqCst);
         return;
     };
     let (mut client_reader, mut client_writer) = client.into_split();
@@ -168,7 +241,8 @@
             let mode = state.mode();
             let is_stalled = state.epochs().1 != accepted_epochs.1
                 || mode == ProxyMode::Stalled
-                || (mode == ProxyMode::ResponsesStalled && is_response);
+                || (mode == ProxyMode::ResponsesStalled && is_response)
+                || (mode == ProxyMode::RequestsStalled && !is_response);
             if !is_stalled {
                 if let ProxyMode::Delayed(millis) = mode {
                     sleep(Duration::from_millis(millis)).await;
