--- a/crates/bramley-soak/src/deployment.rs
+++ b/crates/bramley-soak/src/deployment.rs
@@ -314,10 +314,8 @@
                     target: LinkTarget::Host(index),
                     proxy: LoopbackProxy::default(),
                 };
-                let address = other.peer_address;
-                self.links
-                    .add(link, &host.store_view, address, address)
-                    .await?;
+                let seen = self.links.add(link, other.peer_address).await?;
+                host.store_view.replace_address(other.peer_address, seen);
             }
             for (index, worker) in self.workers.iter().enumerate() {
                 let link = PairLink {
@@ -326,14 +324,8 @@
                     // What the worker's own proxy is told holds for all hosts.
                     proxy: LoopbackProxy::with_parent(&worker.proxy),
                 };
-                self.links
-                    .add(
-                        link,
-                        &host.store_view,
-                        worker.address,
-                        worker.server_address,
-                    )
-                    .await?;
+                let seen = self.links.add(link, worker.server_address).await?;
+                host.store_view.replace_address(worker.address, seen);
             }
         }
         Ok(())
--- a/crates/bramley-soak/src/topology.rs
+++ b/crates/bramley-soak/src/topology.rs
@@ -2,8 +2,6 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 
-use bramley_fleet_stand_in::view::StoreView;
-
 use crate::proxy::{LoopbackProxy, ProxyMode};
 
 /// Port that a soak listens on as long as it uses a loopback address. It lies outside the ranges of
@@ -71,23 +69,15 @@
 }
 
 impl LinkTable {
-    /// Adds a link to the server at `server`, which the source finds at the link's proxy wherever
-    /// `announced` was written to the store.
+    /// Adds a link that leads to `server`; returns the address at which its source finds it.
     ///
     /// # Errors
     ///
     /// Returns the I/O error if no port can be bound.
-    pub async fn add(
-        &mut self,
-        link: PairLink,
-        view: &StoreView,
-        announced: SocketAddr,
-        server: SocketAddr,
-    ) -> std::io::Result<()> {
+    pub async fn add(&mut self, link: PairLink, server: SocketAddr) -> std::io::Result<SocketAddr> {
         let address = link.proxy.serve(server).await?;
-        view.replace_address(announced, address);
         self.links.push(link);
-        Ok(())
+        Ok(address)
     }
 
     /// Returns the links for which `is_chosen` returns true.
