--- a/crates/bramley-soak/src/faults.rs
+++ b/crates/bramley-soak/src/faults.rs
@@ -1,5 +1,6 @@
 //! Injects a random sequence of faults that is determined by a seed.
 
+use std::str::FromStr;
 use std::time::Duration;
 
 use bramley_fleet_stand_in::store::StoreMode;
@@ -27,6 +28,47 @@
 /// Time that a host gets to exit after SIGTERM before it is killed; the platform's grace period.
 const STOP_TIMEOUT: Duration = Duration::from_secs(6);
 
+/// Faults that a soak injects.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum FaultProfile {
+    /// Single faults and series of faults.
+    #[default]
+    All,
+    /// Single faults, with short tasks, patient callers and equal workers.
+    Classic,
+    /// Series of faults, between which the deployment works.
+    Series,
+}
+
+impl FaultProfile {
+    const fn has_series(self) -> bool {
+        match self {
+            Self::All | Self::Series => true,
+            Self::Classic => false,
+        }
+    }
+
+    const fn has_single_faults(self) -> bool {
+        match self {
+            Self::All | Self::Classic => true,
+            Self::Series => false,
+        }
+    }
+}
+
+impl FromStr for FaultProfile {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "all" => Ok(Self::All),
+            "classic" => Ok(Self::Classic),
+            "series" => Ok(Self::Series),
+            _ => Err(format!("profile {text:?}; expected all, classic or series")),
+        }
+    }
+}
+
 /// Action that reverts a fault on the host or worker with the given index. The variant names appear
 /// in the fault log.
 #[derive(Clone, Copy, Debug)]
@@ -61,6 +103,8 @@
     rng: ChaCha8Rng,
     /// Whether to inject only planned operations and store faults.
     planned: bool,
+    /// Which faults to inject.
+    profile: FaultProfile,
     /// Actions that revert active faults, with the times at which they are due.
     pending_undos: Vec<(Instant, Undo)>,
     /// Version of the configuration written last.
@@ -79,19 +123,19 @@
 }
 
 impl FaultInjector {
-    /// Creates an injector whose faults are determined by `seed`. Series of faults are injected with
-    /// `has_series` set.
+    /// Creates an injector whose faults are determined by `seed`.
     #[must_use]
-    pub fn new(seed: u64, planned: bool, has_series: bool, domains: usize) -> Self {
+    pub fn new(seed: u64, planned: bool, profile: FaultProfile, domains: usize) -> Self {
         Self {
             rng: ChaCha8Rng::seed_from_u64(seed),
             planned,
+            profile,
             pending_undos: Vec::new(),
             configuration_version: 1,
             log: Vec::new(),
             started_at: Instant::now(),
             odd_writer: OddWriter::new(seed),
-            series: SeriesInjector::new(seed, has_series),
+            series: SeriesInjector::new(seed, profile.has_series()),
             evacuations: EvacuationInjector::new(seed, domains),
             stop_timeouts: Vec::new(),
         }
@@ -110,7 +154,9 @@
         let deadline = Instant::now() + duration;
         while Instant::now() < deadline {
             self.undo_due(deployment, Instant::now())?;
-            self.inject_fault(deployment).await?;
+            if self.profile.has_single_faults() {
+                self.inject_fault(deployment).await?;
+            }
             let line = self.evacuations.step(&deployment.store, Instant::now());
             if let Some(line) = line {
                 self.record(line);
--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -12,7 +12,7 @@
     count_outcomes, find_cut_offs, find_misjudged_crashes, find_violations,
 };
 use bramley_soak::deployment::{Deployment, DeploymentSize, PaceSettings};
-use bramley_soak::faults::FaultInjector;
+use bramley_soak::faults::{FaultInjector, FaultProfile};
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -65,10 +65,11 @@
     #[argh(switch)]
     planned: bool,
 
-    /// leave out the series of faults, the long tasks, the impatient callers and the differences of
-    /// the workers
-    #[argh(switch)]
-    classic: bool,
+    /// faults to inject: all (default), series (only series of faults that belong together) or classic
+    /// (only single faults, with short tasks, patient callers and equal workers); planned operations
+    /// are always classic
+    #[argh(option, default = "FaultProfile::All")]
+    profile: FaultProfile,
 
     /// host binary to run; default: bramley-dock in the directory of this binary
     #[argh(option)]
@@ -112,7 +113,12 @@
     let folder = arguments.folder.join(format!("seed-{seed}"));
     std::fs::create_dir_all(&folder)?;
     // Planned operations alone say nothing about tasks that outlive a host's grace.
-    let is_classic = arguments.classic || arguments.planned;
+    let profile = if arguments.planned {
+        FaultProfile::Classic
+    } else {
+        arguments.profile
+    };
+    let is_classic = profile == FaultProfile::Classic;
     let size = DeploymentSize {
         domains: arguments.domains,
         hosts: arguments.hosts,
@@ -155,7 +161,7 @@
     }
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let began_ms = since_epoch.map_or(0, |span| span.as_millis());
-    let mut faults = FaultInjector::new(seed, arguments.planned, !is_classic, arguments.domains);
+    let mut faults = FaultInjector::new(seed, arguments.planned, profile, arguments.domains);
     faults.run(&mut deployment, fault_duration).await?;
     tokio::time::sleep(RECOVERY_WAIT).await;
     let recovered_at = Instant::now();
--- a/crates/bramley-soak/src/series.rs
+++ b/crates/bramley-soak/src/series.rs
@@ -20,7 +20,7 @@
 use crate::topology::{LinkTarget, PairLink, set_links};
 
 /// Wait between the beginnings of two series in milliseconds.
-const SERIES_INTERVAL_MS: Range<u64> = 1_500..4_000;
+const SERIES_INTERVAL_MS: Range<u64> = 1_000..3_500;
 
 /// Length of an outage of the store in milliseconds. Most outlast the lease of a claim.
 const OUTAGE_MS: Range<u64> = 500..4_000;
@@ -227,15 +227,15 @@
             .max()
             .unwrap_or(0);
         let domain = self.rng.random_range(0..domains);
-        let kind = self.rng.random_range(0..12);
+        let kind = self.rng.random_range(0..14);
         self.record(format!("begin series kind={kind} domain={domain}"));
         let hidden = match kind {
             0..=2 => self.lose_power(domain, now, true),
             3 => self.lose_power(domain, now, false),
             4 | 5 => self.lose_store(now),
-            6 | 7 => self.contest_claim(domain, now),
-            8 | 9 => self.cut_links(deployment, domain, now),
-            10 => self.suspend_hosts(domain, now),
+            6..=9 => self.contest_claim(domain, now),
+            10 | 11 => self.cut_links(deployment, domain, now),
+            12 => self.suspend_hosts(domain, now),
             _ => self.delay_orders(deployment, now),
         };
         if !hidden.is_zero() {
@@ -301,7 +301,7 @@
             1 => WriteMode::Delayed(delay_ms),
             _ => WriteMode::Unanswered(delay_ms),
         };
-        let group = if self.rng.random_bool(0.5) {
+        let group = if self.rng.random_bool(0.3) {
             HostGroup::Domain(domain)
         } else {
             HostGroup::Leader(domain)
