--- a/crates/bramley-soak/src/lib.rs
+++ b/crates/bramley-soak/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`proxy`] forwards connections and can delay, stall or reset them.
 //! - [`series`] injects series of faults that belong together, as when a domain loses its power.
 //! - [`topology`] puts a proxy of its own between each two hosts and each host and worker.
+//! - [`traces`] collects the lines of the hosts' logs on the jobs that a violation names.
 
 pub mod callers;
 pub mod checks;
@@ -25,3 +26,4 @@
 pub mod proxy;
 pub mod series;
 pub mod topology;
+pub mod traces;
--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -13,6 +13,7 @@
 };
 use bramley_soak::deployment::{Deployment, DeploymentSize, PaceSettings};
 use bramley_soak::faults::{FaultInjector, FaultProfile};
+use bramley_soak::traces::find_lines;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
@@ -206,6 +207,9 @@
         }
         for violation in violations.iter().take(10) {
             println!("  violation {violation}");
+            for line in find_lines(&folder, violation)? {
+                println!("    {line}");
+            }
         }
         let command: Vec<String> = std::env::args().collect();
         println!("  command {}", command.join(" "));
