--- a/crates/bramley-soak/src/series.rs
+++ b/crates/bramley-soak/src/series.rs
@@ -19,8 +19,9 @@
 use crate::proxy::ProxyMode;
 use crate::topology::{LinkTarget, PairLink, set_links};
 
-/// Wait between the beginnings of two series in milliseconds.
-const SERIES_INTERVAL_MS: Range<u64> = 1_000..3_500;
+/// Wait between the beginnings of two series in milliseconds. Many waits are longer than the time
+/// after which a relay takes the runs of a lost pool for ended, so that what follows can be seen.
+const SERIES_INTERVAL_MS: Range<u64> = 1_500..5_000;
 
 /// Length of an outage of the store in milliseconds. Most outlast the lease of a claim.
 const OUTAGE_MS: Range<u64> = 500..4_000;
@@ -227,15 +228,15 @@
             .max()
             .unwrap_or(0);
         let domain = self.rng.random_range(0..domains);
-        let kind = self.rng.random_range(0..14);
+        let kind = self.rng.random_range(0..16);
         self.record(format!("begin series kind={kind} domain={domain}"));
         let hidden = match kind {
             0..=2 => self.lose_power(domain, now, true),
             3 => self.lose_power(domain, now, false),
             4 | 5 => self.lose_store(now),
-            6..=9 => self.contest_claim(domain, now),
-            10 | 11 => self.cut_links(deployment, domain, now),
-            12 => self.suspend_hosts(domain, now),
+            6..=11 => self.contest_claim(domain, now),
+            12 | 13 => self.cut_links(deployment, domain, now),
+            14 => self.suspend_hosts(domain, now),
             _ => self.delay_orders(deployment, now),
         };
         if !hidden.is_zero() {
@@ -308,7 +309,7 @@
         };
         self.schedule(now, SeriesStep::Writes(group, mode));
         for _ in 0..self.rng.random_range(1..4) {
-            let value = if self.rng.random_bool(0.5) {
+            let value = if self.rng.random_bool(0.7) {
                 FOREIGN_CLAIMS.choose(&mut self.rng).copied()
             } else {
                 None
