--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -164,6 +164,7 @@
     let began_ms = since_epoch.map_or(0, |span| span.as_millis());
     let mut faults = FaultInjector::new(seed, arguments.planned, profile, arguments.domains);
     faults.run(&mut deployment, fault_duration).await?;
+    std::fs::write(folder.join("faults.log"), faults.log.join("\n"))?;
     tokio::time::sleep(RECOVERY_WAIT).await;
     let recovered_at = Instant::now();
     tokio::time::sleep(MEASURE_WINDOW).await;
@@ -214,7 +215,7 @@
         let command: Vec<String> = std::env::args().collect();
         println!("  command {}", command.join(" "));
         println!(
-            "  host logs {}/host-*.log; the name of a job finds its lines; the faults' times count from {began_ms} ms",
+            "  host logs {}/host-*.log, faults also in faults.log; the name of a job finds its lines; the faults' times count from {began_ms} ms",
             folder.display()
         );
     }
--- a/crates/bramley-soak/src/series.rs
+++ b/crates/bramley-soak/src/series.rs
@@ -38,8 +38,12 @@
 /// Time for which a domain's claim is contested in milliseconds.
 const CONTEST_MS: Range<u64> = 500..3_000;
 
-/// Delay of writes while a claim is contested in milliseconds.
-const WRITE_DELAY_MS: Range<u64> = 20..900;
+/// Short delay of writes while a claim is contested in milliseconds; longer than a leader takes to
+/// notice that its claim was overwritten.
+const SHORT_WRITE_DELAY_MS: Range<u64> = 20..150;
+
+/// Long delay of writes while a claim is contested in milliseconds.
+const LONG_WRITE_DELAY_MS: Range<u64> = 150..900;
 
 /// Time after which late orders are carried out in milliseconds.
 const ORDER_DELAY_MS: Range<u64> = 300..3_000;
@@ -234,7 +238,7 @@
             0..=2 => self.lose_power(domain, now, true),
             3 => self.lose_power(domain, now, false),
             4 | 5 => self.lose_store(now),
-            6..=11 => self.contest_claim(domain, now),
+            6..=11 => self.contest_claim(deployment, domain, now),
             12 | 13 => self.cut_links(deployment, domain, now),
             14 => self.suspend_hosts(domain, now),
             _ => self.delay_orders(deployment, now),
@@ -292,22 +296,23 @@
         outage + Duration::from_millis(300)
     }
 
-    /// Overwrites the claim of a failure domain while the writes of its hosts are slow, unanswered or
-    /// as usual.
-    fn contest_claim(&mut self, domain: usize, now: Instant) -> Duration {
+    /// Overwrites the claim of a failure domain while the writes of its hosts take different times, so
+    /// that a holder that writes its claim again may be overtaken by another host.
+    fn contest_claim(&mut self, deployment: &Deployment, domain: usize, now: Instant) -> Duration {
         let until = now + self.draw(CONTEST_MS);
-        let delay_ms = self.rng.random_range(WRITE_DELAY_MS);
-        let mode = match self.rng.random_range(0..3) {
-            0 => WriteMode::Prompt,
-            1 => WriteMode::Delayed(delay_ms),
-            _ => WriteMode::Unanswered(delay_ms),
-        };
-        let group = if self.rng.random_bool(0.3) {
-            HostGroup::Domain(domain)
-        } else {
-            HostGroup::Leader(domain)
-        };
-        self.schedule(now, SeriesStep::Writes(group, mode));
+        for host in find_hosts(deployment, &HostGroup::Domain(domain)) {
+            let delay_ms = if self.rng.random_bool(0.5) {
+                self.rng.random_range(SHORT_WRITE_DELAY_MS)
+            } else {
+                self.rng.random_range(LONG_WRITE_DELAY_MS)
+            };
+            let mode = match self.rng.random_range(0..5) {
+                0 => WriteMode::Prompt,
+                1 => WriteMode::Unanswered(delay_ms),
+                _ => WriteMode::Delayed(delay_ms),
+            };
+            self.schedule(now, SeriesStep::Writes(HostGroup::Listed(vec![host]), mode));
+        }
         for _ in 0..self.rng.random_range(1..4) {
             let value = if self.rng.random_bool(0.7) {
                 FOREIGN_CLAIMS.choose(&mut self.rng).copied()
