--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -206,10 +206,16 @@
         for line in &faults.log {
             println!("  fault {line}");
         }
+        let mut shown_lines = Vec::new();
         for violation in violations.iter().take(10) {
             println!("  violation {violation}");
-            for line in find_lines(&folder, violation)? {
-                println!("    {line}");
+            let lines = find_lines(&folder, violation)?;
+            // Tasks of one job share their lines.
+            if lines != shown_lines {
+                for line in &lines {
+                    println!("    {line}");
+                }
+                shown_lines = lines;
             }
         }
         let command: Vec<String> = std::env::args().collect();
