--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -147,11 +147,7 @@
     /// Returns whether the message states what stays true whichever pool holds the job.
     #[must_use]
     pub const fn is_fact(&self) -> bool {
-        match self {
-            Self::TaskDone { .. } | Self::TaskCrashed { .. } => true,
-            Self::Ended { outcome, .. } => matches!(outcome, JobOutcome::Completed),
-            Self::Placed { .. } | Self::Steal(_) | Self::Released { .. } => false,
-        }
+        matches!(self, Self::TaskDone { .. } | Self::TaskCrashed { .. })
     }
 
     /// Returns whether the relay may submit the job, or tasks of it, to another pool in response.
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -472,7 +472,7 @@
     }
 
     /// Handles a message of a pool. Over a connection that has ended, only what stays true whichever
-    /// pool holds the job is applied: ends of tasks, completed jobs and losses of workers.
+    /// pool holds the job is applied: ends of tasks and losses of workers.
     pub fn handle_pool_message(
         &mut self,
         connection: &PoolConnection,
@@ -516,11 +516,6 @@
                 self.crashes.record(&job, crash, retention, now);
             }
             PoolMessage::Ended { job, outcome, wait } => {
-                let is_current = self.current_pool(connection).is_some();
-                if outcome == JobOutcome::Completed && !(is_current && self.is_at(&job, domain)) {
-                    self.completed_elsewhere(&job);
-                    return;
-                }
                 let ended_by = now.after(self.settings.lost_pool_wait);
                 let Some(record) = self.job_at(&job, domain) else {
                     return;
@@ -597,21 +592,6 @@
         self.cancel_at(name, domain);
     }
 
-    /// Answers the caller of a job that a pool has completed which does not hold it any more. The tasks
-    /// of a split job are reported one by one.
-    fn completed_elsewhere(&mut self, name: &JobName) {
-        let is_whole = self.jobs.get(name).is_some_and(|job| !job.is_split);
-        if is_whole && let Some(job) = self.jobs.remove(name) {
-            self.cancel_elsewhere(name, &job, None);
-            let answer = RelayAction::Answer(name.clone(), JobAnswer::Completed);
-            self.actions.push(answer);
-        }
-    }
-
-    fn is_at(&self, name: &JobName, domain: &DomainName) -> bool {
-        self.jobs.get(name).is_some_and(|job| job.is_at(domain))
-    }
-
     fn job_at(&mut self, name: &JobName, domain: &DomainName) -> Option<&mut RelayJob> {
         let job = self.jobs.get_mut(name)?;
         job.is_at(domain).then_some(job)
@@ -707,7 +687,8 @@
     /// Cancels a job at the pool of a failure domain that holds none of it any more, if that pool is
     /// connected.
     fn cancel_at(&mut self, name: &JobName, domain: &DomainName) {
-        if self.is_connected(domain) && !self.is_at(name, domain) {
+        let is_held_there = self.jobs.get(name).is_some_and(|job| job.is_at(domain));
+        if self.is_connected(domain) && !is_held_there {
             let message = RelayMessage::Cancel(name.clone());
             self.actions
                 .push(RelayAction::Send(domain.clone(), message));
--- a/crates/bramley-pool/tests/reset_links.rs
+++ b/crates/bramley-pool/tests/reset_links.rs
@@ -376,6 +376,19 @@
     }
 }
 
+/// Guards against an answer that lacks a task: seed 502 had one while a completed job counted as such
+/// over a connection that had ended, although its tasks were released to another pool.
+#[test]
+fn seeds_that_failed_stay_mended() {
+    let totals = run_load(
+        502..503,
+        ClientKind::Patient,
+        LoadKind::Skewed,
+        step_down_late,
+    );
+    assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
+}
+
 /// Shows that the search finds a doubled run if the end of a former leader counts as the loss of its
 /// successor.
 #[test]
