Soak: resume a host before it is stopped

Trace: a series had suspended all hosts at 1,609 ms and was to resume them at 3,064; at 2,607 the injector sent SIGTERM to one of them and waited for its exit for 6 s, in which series make no step. The host's log has no line in that time, not even stop_begun; it was suspended throughout. The check is unchanged: the process has the platform's grace to exit once it can run.

--- a/crates/bramley-soak/src/faults.rs
+++ b/crates/bramley-soak/src/faults.rs
@@ -336,6 +336,8 @@
     }
 
     async fn stop_host(&mut self, deployment: &mut Deployment, host: usize) -> std::io::Result<()> {
+        // A series may have suspended the host, and does not go on before the process has exited.
+        deployment.hosts[host].signal(Signal::CONT);
         deployment.hosts[host].signal(Signal::TERM);
         if !deployment.hosts[host].wait_for_exit(STOP_TIMEOUT).await {
             self.stop_timeouts
