Review, case 8: two runs of one task after a suspended host resumes a job that was sent again

0.1 s after a suspension of 4 s the host hands its callers' jobs over again, although they may have sent them elsewhere long before, and the ends of their connections have not arrived yet.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -10,6 +10,7 @@
 mod kind;
 mod partition;
 mod record;
+mod suspended;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -69,6 +70,7 @@
             "frozen" => frozen::run(&setup).await,
             "kind" => kind::run(&setup).await,
             "partition" => partition::run(&setup).await,
+            "suspended" => suspended::run(&setup).await,
             other => Err(format!("unknown case {other}")),
         }
     };
