--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,7 +3,6 @@
 //!
 //! `review-cases-2 CASE FOLDER`: FOLDER takes `record.txt`. `TROUBLE=0` leaves out the disruption.
 
-mod cancel;
 mod client;
 mod deployment;
 mod frozen;
@@ -66,7 +65,6 @@
     };
     let run = async {
         match case.as_str() {
-            "cancel" => cancel::run(&setup).await,
             "frozen" => frozen::run(&setup).await,
             "kind" => kind::run(&setup).await,
             "partition" => partition::run(&setup).await,
