--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::client::ClientRequest;
 
@@ -72,7 +73,11 @@
             other => Err(format!("unknown case {other}")),
         }
     };
-    let result = tokio::time::timeout(CASE_LIMIT, run).await;
+    // Whatever ends the case, dropping it ends the processes that it has started.
+    let result = tokio::select! {
+        result = tokio::time::timeout(CASE_LIMIT, run) => result,
+        () = terminated() => Ok(Err(String::from("terminated by a signal"))),
+    };
     let _removed = std::fs::remove_dir_all(&scratch);
     match result {
         Ok(Ok(Verdict::Held)) => {
@@ -94,6 +99,20 @@
     }
 }
 
+/// Waits for a signal that asks this program to end.
+async fn terminated() {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
 /// Returns a submission of a job whose tasks each run for `run_ms` on `cpu_milli`.
 fn submission(
     job: &str,
