--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs one scripted case of the second review: run-case-2.sh CASE FOLDER.
+# Runs one scripted case of the second review: run-case-2.sh CASE FOLDER. TROUBLE=0 leaves out the
+# disruption; the driver reads the variable.
 set -uo pipefail
 case_name="$1"
 folder="$(cd "$2" && pwd)" || exit 2
