Relay logs the messages that it holds after a pause

The log of a host that was paused told that it answered a job, not which messages of the pool it had put aside.

--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -165,6 +165,19 @@
         }
     }
 
+    /// Returns the job that the message concerns.
+    #[must_use]
+    pub const fn job(&self) -> Option<&JobName> {
+        match self {
+            Self::TaskDone { job, .. }
+            | Self::Placed { job, .. }
+            | Self::TaskCrashed { job, .. }
+            | Self::Ended { job, .. }
+            | Self::Released { job, .. } => Some(job),
+            Self::Steal(_) => None,
+        }
+    }
+
     /// Returns the label for logs.
     #[must_use]
     pub const fn kind(&self) -> &'static str {
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -485,7 +485,7 @@
             return;
         }
         if now < self.sending_paused_until && message.may_move_job() {
-            self.held_messages.push((connection.clone(), message));
+            self.hold_message(connection, message);
             return;
         }
         match message {
@@ -543,6 +543,23 @@
         }
     }
 
+    /// Puts a message aside until submissions are allowed again.
+    fn hold_message(&mut self, connection: &PoolConnection, message: PoolMessage) {
+        if let Some(job) = message.job() {
+            let text = format!(
+                "event=pool_message_held job={job} pool={} kind={}",
+                connection.domain(),
+                message.kind(),
+            );
+            let decision = Decision::Text {
+                job: Some(job.as_str().into()),
+                text,
+            };
+            self.actions.push(RelayAction::LogDecision(decision));
+        }
+        self.held_messages.push((connection.clone(), message));
+    }
+
     /// Performs timed work; to be called at least every 50 ms while jobs are open.
     pub fn tick(&mut self, now: UnixTime) {
         self.crashes.expire(now);
