Keep the order of a pool's messages about a job after a process pause

Cause: for 100 ms after a pause the relay holds messages that may move a job and handles all others at once. The end of a pool's part overtook the release of the other tasks, which alone told that the job was split.

Evidence: with the line pool_message_held the host's log shows two releases held and the answer in the same millisecond. Ruled out: the release was not ignored as that of a former pool.

Change: later messages about the job over the same connection are held behind it, and held messages are handled before anything that arrives after the wait. A pool that ran only a part ends it as part_completed, so that no answer rests on a message before it.

--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -199,6 +199,7 @@
             job: String::from(job.as_str()),
             outcome: encode_outcome(outcome),
             wait_us: micros(wait),
+            is_part: outcome == JobOutcome::PartCompleted,
         }),
         PoolMessage::Steal(request) => pool_frame::Body::Steal(StealTasks {
             slots: request.slots.iter().map(encode_slot).collect(),
@@ -344,7 +345,7 @@
         }),
         pool_frame::Body::Ended(ended) => Some(PoolMessage::Ended {
             job: JobName::new(ended.job),
-            outcome: decode_outcome(ended.outcome),
+            outcome: decode_outcome(ended.outcome, ended.is_part),
             wait: Duration::from_micros(ended.wait_us),
         }),
         pool_frame::Body::Steal(steal) => Some(PoolMessage::Steal(StealRequest {
@@ -392,15 +393,17 @@
 
 const fn encode_outcome(outcome: JobOutcome) -> u32 {
     match outcome {
-        JobOutcome::Completed => COMPLETED,
+        // Processes of earlier versions tell a part by the releases before it.
+        JobOutcome::Completed | JobOutcome::PartCompleted => COMPLETED,
         JobOutcome::Failed => FAILED,
         JobOutcome::Returned => RETURNED,
         JobOutcome::Refused(refusal) => FIRST_REFUSAL + refusal.code(),
     }
 }
 
-fn decode_outcome(code: u32) -> JobOutcome {
+fn decode_outcome(code: u32, is_part: bool) -> JobOutcome {
     match code {
+        COMPLETED if is_part => JobOutcome::PartCompleted,
         COMPLETED => JobOutcome::Completed,
         FAILED => JobOutcome::Failed,
         RETURNED => JobOutcome::Returned,
--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -105,6 +105,7 @@
 fn every_outcome_arrives_as_it_was_sent() {
     let mut outcomes = vec![
         JobOutcome::Completed,
+        JobOutcome::PartCompleted,
         JobOutcome::Failed,
         JobOutcome::Returned,
     ];
--- a/crates/bramley-pool/src/decision.rs
+++ b/crates/bramley-pool/src/decision.rs
@@ -460,7 +460,7 @@
                 _ => LogPriority::Important,
             },
             Self::JobEnded { outcome, .. } => {
-                if matches!(outcome, JobOutcome::Completed) {
+                if matches!(outcome, JobOutcome::Completed | JobOutcome::PartCompleted) {
                     LogPriority::Routine
                 } else {
                     LogPriority::Important
--- a/crates/bramley-pool/src/message.rs
+++ b/crates/bramley-pool/src/message.rs
@@ -71,8 +71,11 @@
 /// Outcome of a job at a pool.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobOutcome {
-    /// All tasks succeeded.
+    /// All tasks of the job succeeded.
     Completed,
+    /// All tasks succeeded that the pool held of the job. Others were released to other pools, or
+    /// never submitted to this one.
+    PartCompleted,
     /// A task used up the attempts that its route allows, or crashes its workers.
     Failed,
     /// The failure domain is evacuated and the job has begun: its runs have ended, no task of it will
@@ -88,6 +91,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Completed => "completed",
+            Self::PartCompleted => "part_completed",
             Self::Failed => "failed",
             Self::Returned => "returned",
             Self::Refused(refusal) => refusal.answer().reason,
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -86,7 +86,7 @@
             let done: Vec<u32> = job.done_tasks().collect();
             self.report_progress(relay, &name, &done);
             if job_is_done {
-                self.finish(&name, JobOutcome::Completed, now);
+                self.complete(&name, now);
                 return;
             }
             self.enqueue(&name);
@@ -137,7 +137,7 @@
                 let tasks: Vec<u32> = job.done_tasks().collect();
                 self.report_progress(relay, &name, &tasks);
             }
-            self.finish(&name, JobOutcome::Completed, now);
+            self.complete(&name, now);
             return;
         }
         if job.may_have_started || done > 0 {
@@ -213,7 +213,7 @@
         let is_complete = job.unfinished == 0;
         self.jobs.insert(name.clone(), job);
         if is_complete {
-            self.finish(&name, JobOutcome::Completed, now);
+            self.complete(&name, now);
         } else {
             self.place_admitted(relay, &name, now);
         }
@@ -509,6 +509,16 @@
         self.send(job.relay, message);
     }
 
+    /// Closes a job whose tasks have all succeeded, except for those that other pools run.
+    pub(super) fn complete(&mut self, name: &JobName, now: UnixTime) {
+        let is_split = self.jobs.get(name).is_some_and(|job| job.is_split);
+        let outcome = match is_split {
+            true => JobOutcome::PartCompleted,
+            false => JobOutcome::Completed,
+        };
+        self.finish(name, outcome, now);
+    }
+
     /// Closes a job that has run, reports its outcome and stops its remaining runs.
     pub(super) fn finish(&mut self, name: &JobName, outcome: JobOutcome, now: UnixTime) {
         let Some(job) = self.jobs.remove(name) else {
@@ -516,7 +526,7 @@
         };
         self.queue.remove(name);
         match outcome {
-            JobOutcome::Completed => self.counts.jobs_completed += 1,
+            JobOutcome::Completed | JobOutcome::PartCompleted => self.counts.jobs_completed += 1,
             JobOutcome::Failed => self.counts.jobs_failed += 1,
             JobOutcome::Returned => self.counts.jobs_returned += 1,
             JobOutcome::Refused(_) => self.counts.jobs_refused += 1,
--- a/crates/bramley-pool/src/pool/reports.rs
+++ b/crates/bramley-pool/src/pool/reports.rs
@@ -204,7 +204,7 @@
                     .get(&end.task.job)
                     .is_some_and(|job| job.unfinished == 0)
                 {
-                    self.finish(&end.task.job, JobOutcome::Completed, now);
+                    self.complete(&end.task.job, now);
                 }
             } else if self.orphaned_ends_kept_until > now {
                 self.worker_mut(index).orphaned_ends.push(end.clone());
@@ -425,7 +425,7 @@
                 self.send(relay, message);
             }
             if is_complete {
-                self.finish(&details.task.job, JobOutcome::Completed, now);
+                self.complete(&details.task.job, now);
             }
             return;
         }
--- a/crates/bramley-pool/src/pool/stealing.rs
+++ b/crates/bramley-pool/src/pool/stealing.rs
@@ -21,9 +21,7 @@
 use crate::decision::Decision;
 use crate::job::{JobName, JobRecord, QueueClass, TaskState};
 use crate::mechanism::Mechanism;
-use crate::message::{
-    FreeSlot, JobOutcome, PoolMessage, RelayId, RelayMessage, StealRequest, WaitingTasks,
-};
+use crate::message::{FreeSlot, PoolMessage, RelayId, RelayMessage, StealRequest, WaitingTasks};
 
 /// Shortest time between two messages about waiting tasks, which bounds their number while tasks
 /// keep coming and going.
@@ -268,7 +266,7 @@
         };
         self.send(relay, message);
         if is_complete {
-            self.finish(&name, JobOutcome::Completed, now);
+            self.complete(&name, now);
         }
     }
 
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -141,7 +141,8 @@
     sending_paused_until: UnixTime,
     /// Pools that connected before that time.
     connected_while_paused: Vec<DomainName>,
-    /// Messages that arrived before that time and may lead to a submission.
+    /// Messages that arrived before that time and may lead to a submission, with all that arrived
+    /// later about the same jobs over the same connections.
     held_messages: Vec<(PoolConnection, PoolMessage)>,
     actions: Vec<RelayAction>,
 }
@@ -478,16 +479,27 @@
         connection: &PoolConnection,
         message: PoolMessage,
         now: UnixTime,
+    ) {
+        if now >= self.sending_paused_until {
+            self.handle_held_messages(now);
+        } else if message.may_move_job() || self.holds_earlier_message(connection, &message) {
+            self.hold_message(connection, message);
+            return;
+        }
+        self.apply_pool_message(connection, message, now);
+    }
+
+    fn apply_pool_message(
+        &mut self,
+        connection: &PoolConnection,
+        message: PoolMessage,
+        now: UnixTime,
     ) {
         let domain = connection.domain();
         if self.current_pool(connection).is_none() && !message.is_fact() {
             self.log_former_pool(connection, message.kind());
             return;
         }
-        if now < self.sending_paused_until && message.may_move_job() {
-            self.hold_message(connection, message);
-            return;
-        }
         match message {
             PoolMessage::Placed { job, placements } => {
                 if let Some(job) = self.job_at(&job, domain) {
@@ -520,6 +532,10 @@
                 let Some(record) = self.job_at(&job, domain) else {
                     return;
                 };
+                if outcome == JobOutcome::PartCompleted {
+                    record.started = true;
+                    record.is_split = true;
+                }
                 if record.is_split {
                     self.part_ended(&job, domain, outcome, now);
                     return;
@@ -543,6 +559,20 @@
         }
     }
 
+    /// Returns whether a message about the same job, which arrived over the same connection, is held.
+    /// What a message means depends on those before it.
+    fn holds_earlier_message(&self, connection: &PoolConnection, message: &PoolMessage) -> bool {
+        let mut held = self.held_messages.iter();
+        held.any(|(other, earlier)| other == connection && earlier.job() == message.job())
+    }
+
+    /// Handles the messages that were held after a process pause, in the order of their arrival.
+    fn handle_held_messages(&mut self, now: UnixTime) {
+        for (connection, message) in std::mem::take(&mut self.held_messages) {
+            self.apply_pool_message(&connection, message, now);
+        }
+    }
+
     /// Puts a message aside until submissions are allowed again.
     fn hold_message(&mut self, connection: &PoolConnection, message: PoolMessage) {
         if let Some(job) = message.job() {
@@ -567,9 +597,7 @@
         if now < self.sending_paused_until {
             return;
         }
-        for (connection, message) in std::mem::take(&mut self.held_messages) {
-            self.handle_pool_message(&connection, message, now);
-        }
+        self.handle_held_messages(now);
         let held_jobs = self.jobs.iter().filter(|(_, job)| job.is_held());
         let held_jobs: Vec<JobName> = held_jobs.map(|(name, _)| name.clone()).collect();
         for name in held_jobs {
@@ -641,8 +669,8 @@
         let answer = match outcome {
             JobOutcome::Completed => JobAnswer::Completed,
             JobOutcome::Failed => JobAnswer::Failed,
-            // Handled by `job_returned`.
-            JobOutcome::Returned => return,
+            // Handled by `part_ended` and `job_returned`.
+            JobOutcome::PartCompleted | JobOutcome::Returned => return,
             JobOutcome::Refused(refusal) => {
                 if let Some(domain) = self.pool_after_refusal(name, refusal, wait, now) {
                     self.submit_to(name, domain);
--- a/crates/bramley-pool/src/relay/parts.rs
+++ b/crates/bramley-pool/src/relay/parts.rs
@@ -254,7 +254,7 @@
     ) {
         let ended_by = now.after(self.settings.lost_pool_wait);
         match outcome {
-            JobOutcome::Completed => {
+            JobOutcome::Completed | JobOutcome::PartCompleted => {
                 if let Some(job) = self.jobs.get_mut(name) {
                     // Tasks that were assigned while the message was under way are still to come.
                     let is_rest = matches!(&job.state, JobState::AtPool(at) if at == domain);
--- a/crates/bramley-pool/tests/stealing.rs
+++ b/crates/bramley-pool/tests/stealing.rs
@@ -3,9 +3,13 @@
 
 use std::time::Duration;
 
+use bramley_core::names::DomainName;
 use bramley_fleet::{TestJob, World};
-use bramley_pool::message::{FreeSlot, RelayId, StealRequest};
-use bramley_pool::pool::PoolAction;
+use bramley_pool::job::{JobSubmission, ServiceName};
+use bramley_pool::message::{
+    FreeSlot, JobOutcome, PoolMessage, RelayId, RelayMessage, StealRequest,
+};
+use bramley_pool::pool::{Pool, PoolAction};
 use bramley_pool::relay::JobAnswer;
 use bramley_pool::resources::TaskResources;
 use bramley_pool::settings::PoolSettings;
@@ -191,3 +195,41 @@
     });
     assert_eq!(released.count(), 0);
 }
+
+/// Guards against the end of a part that relays take for that of the whole job.
+#[test]
+fn a_pool_that_has_released_tasks_ends_its_part_alone() {
+    let world = World::new(1, 0);
+    let mut pool = Pool::new(PoolSettings::default());
+    pool.relay_connected(RelayId(1), DomainName::from("domain-1"));
+    pool.become_leader(5, world.now);
+    pool.worker_list_read(world.now);
+    let job = TestJob {
+        tasks: 2,
+        ..TestJob::default()
+    };
+    let submission = JobSubmission {
+        resumed: true,
+        ..world.submission(&job)
+    };
+    let message = RelayMessage::Submit(Box::new(submission));
+    pool.handle_relay_message(RelayId(1), message, world.now);
+    let later = world.now.after(Duration::from_secs(4));
+    let slot = FreeSlot {
+        service: ServiceName::from("service-1"),
+        free: TaskResources {
+            accelerators: 0,
+            cpu_milli: 30_000,
+            memory_mb: 1_000,
+        },
+        pace_permille: 1_000,
+    };
+    let request = StealRequest { slots: vec![slot] };
+    pool.handle_steal(&DomainName::from("domain-2"), &request, later);
+    let messages = pool.take_actions().into_iter();
+    let ends = messages.filter_map(|action| match action {
+        PoolAction::Send(_, PoolMessage::Ended { outcome, .. }) => Some(outcome),
+        _ => None,
+    });
+    assert_eq!(ends.collect::<Vec<_>>(), [JobOutcome::PartCompleted]);
+}
