Start handed-over tasks on evidence that their earlier runs have ended

Cause: a new leader started resumed tasks without a check once it had led for 1,500 ms, as if the former leader had met its fencing token by then. A leader that is cut off with a worker meets it nowhere and renews its leases.

Evidence: the successor's log has task_placed in the millisecond of job_handed_over, 4,177 ms into its term, and no report of the worker that the hand-over named. Ruled out: an unnamed worker; the placement was carried.

Change: submissions carry the time by which runs of other terms have certainly ended, as the relay that was connected to the former leader knows it; heartbeats carry the leader's token, so that a job that goes back to the same term waits for nothing. Workers that a hand-over names are asked at once, listed or not, and their runs adopted.

--- a/crates/bramley-dock/src/engine/claims.rs
+++ b/crates/bramley-dock/src/engine/claims.rs
@@ -292,13 +292,13 @@
     /// Connects the local relay to the local pool if that is the leader by the latest claim.
     fn connect_local_pool(&self, state: &mut EngineState) {
         let domain = &self.settings.host.domain;
-        let is_leader = state.pool.token().is_some();
+        let token = state.pool.token();
         let Some(link) = state.pools.get_mut(domain) else {
             return;
         };
         let is_local = link.claim.incarnation == self.incarnation;
-        if is_local && is_leader && link.connection.is_none() {
-            let connection = state.relay.pool_connected(domain, self.now());
+        if is_local && token.is_some() && link.connection.is_none() {
+            let connection = state.relay.pool_connected(domain, token, self.now());
             link.connection = Some(connection.clone());
             state.local_connection = Some(connection);
         }
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -12,7 +12,8 @@
 use super::actions::queue_frame;
 use super::{Engine, RelayLink};
 use crate::links::convert::{
-    PoolHeartbeat, decode_admissions, decode_age, decode_load, encode_age, encode_heartbeat,
+    PoolHeartbeat, decode_admissions, decode_age, decode_load, decode_term, encode_age,
+    encode_heartbeat,
 };
 use crate::links::{DisconnectReason, OutgoingFrame};
 use crate::platform::Platform;
@@ -49,7 +50,7 @@
         let heartbeat = encode_heartbeat(&PoolHeartbeat {
             load: state.pool.load(now),
             admissions: &admissions,
-            is_leader: state.pool.token().is_some(),
+            token: state.pool.token(),
             gives_way: state.gives_way(now),
             callers_lost_at: state.callers_lost_at(self.settings.link.silence_limit(), now),
             // Follow with the next heartbeat, because the relays of all hosts connect at once.
@@ -98,6 +99,7 @@
     pub(crate) fn pool_connected(
         self: &Rc<Self>,
         domain: &DomainName,
+        term: Option<u64>,
         outgoing: mpsc::UnboundedSender<OutgoingFrame<RelayFrame>>,
     ) -> Option<PoolConnection> {
         self.detect_pause();
@@ -109,7 +111,7 @@
             let address = &link.claim.address;
             log::info!("event=pool_connected pool={domain} address={address}");
             link.outgoing = Some(outgoing);
-            let connection = state.relay.pool_connected(domain, now);
+            let connection = state.relay.pool_connected(domain, term, now);
             link.connection = Some(connection.clone());
             connection
         };
@@ -123,6 +125,7 @@
         let mut state = self.state.borrow_mut();
         let relay = &mut state.relay;
         relay.update_pool_load(connection, decode_load(beat));
+        relay.update_term(connection, decode_term(beat));
         relay.update_route_admissions(connection, admissions, now);
         let callers_lost_at = decode_age(beat.caller_loss_age_ms, now);
         relay.update_caller_loss(connection, callers_lost_at, now);
--- a/crates/bramley-dock/src/engine/placement.rs
+++ b/crates/bramley-dock/src/engine/placement.rs
@@ -66,6 +66,7 @@
             crashes: CrashHistory::default(),
             acknowledged: false,
             earlier_workers: 0,
+            earlier_runs_end_by: UnixTime::default(),
             resumed: false,
             accepts_late: false,
             part: Vec::new(),
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -102,7 +102,8 @@
         }
         state.last_heartbeat_at = now;
         let load = state.pool.load(now);
-        let is_leader = state.pool.token().is_some();
+        let token = state.pool.token();
+        let is_leader = token.is_some();
         let gives_way = state.gives_way(now);
         let admissions = state.pool.route_admissions(now);
         let callers_lost_at = state.callers_lost_at(self.settings.link.silence_limit(), now);
@@ -111,7 +112,7 @@
             let heartbeat = encode_heartbeat(&PoolHeartbeat {
                 load,
                 admissions: &admissions,
-                is_leader,
+                token,
                 gives_way,
                 callers_lost_at,
                 members: members.as_deref(),
@@ -128,6 +129,7 @@
         {
             let relay = &mut state.relay;
             relay.update_pool_load(&connection, load);
+            relay.update_term(&connection, token);
             relay.update_caller_loss(&connection, callers_lost_at, now);
             if let Some(members) = members {
                 relay.update_members(&connection, members);
--- a/crates/bramley-dock/src/links/convert.rs
+++ b/crates/bramley-dock/src/links/convert.rs
@@ -31,6 +31,10 @@
 /// Outcome code of the first refusal; the refusal's own code is added to it.
 const FIRST_REFUSAL: u32 = 2;
 
+/// Time after which the runs of earlier leaders count as ended if the relay, of an earlier version, does
+/// not tell when they end.
+const UNTOLD_RUNS_WAIT: Duration = Duration::from_millis(2_500);
+
 /// Encodes a message of a relay.
 #[must_use]
 pub fn encode_relay_message(message: RelayMessage, now: UnixTime) -> RelayFrame {
@@ -62,6 +66,7 @@
         crashes,
         acknowledged,
         earlier_workers,
+        earlier_runs_end_by,
         resumed,
         accepts_late,
         part,
@@ -94,6 +99,7 @@
         crashes: crashes.iter().map(encode_crash).collect(),
         workers_unguarded: !policy.workers_are_guarded,
         part,
+        earlier_runs_left_us: Some(micros(earlier_runs_end_by.since(now))),
     }
 }
 
@@ -138,6 +144,11 @@
 /// Decodes a submission received at `now`.
 #[must_use]
 pub fn decode_submission(submit: SubmitJob, now: UnixTime) -> JobSubmission {
+    let earlier_runs_left = match submit.earlier_runs_left_us {
+        Some(left_us) => Duration::from_micros(left_us),
+        None if submit.resumed => UNTOLD_RUNS_WAIT,
+        None => Duration::ZERO,
+    };
     JobSubmission {
         work: JobWork {
             job: JobName::new(submit.job),
@@ -173,6 +184,7 @@
         crashes: submit.crashes.into_iter().map(decode_crash).collect(),
         acknowledged: submit.acknowledged,
         earlier_workers: submit.earlier_workers,
+        earlier_runs_end_by: now.after(earlier_runs_left),
         resumed: submit.resumed,
         accepts_late: submit.accepts_late,
         part: submit.part,
@@ -227,8 +239,8 @@
     pub load: PoolLoad,
     /// Admission states of routes.
     pub admissions: &'a [RouteAdmission],
-    /// Whether the pool is the leader.
-    pub is_leader: bool,
+    /// Fencing token of the pool while it is the leader.
+    pub token: Option<u64>,
     /// Whether another host should take over.
     pub gives_way: bool,
     /// Earliest time at which callers of active runs may have lost their host.
@@ -246,7 +258,8 @@
     let now = heartbeat.sent_at;
     PoolFrame {
         body: Some(pool_frame::Body::Beat(PoolBeat {
-            commands: heartbeat.is_leader,
+            commands: heartbeat.token.is_some(),
+            token: heartbeat.token.unwrap_or_default(),
             gives_way: heartbeat.gives_way,
             free_cpu_milli: load.free_cpu_milli,
             listed_workers: load.listed_workers,
@@ -310,6 +323,16 @@
         .min(NO_LATE_WAIT - 1)
 }
 
+/// Decodes the fencing token of a pool from its heartbeat; `None` if the pool, of an earlier version,
+/// does not tell it.
+#[must_use]
+pub const fn decode_term(beat: &PoolBeat) -> Option<u64> {
+    match beat.token {
+        0 => None,
+        token => Some(token),
+    }
+}
+
 /// Decodes the load of a pool from its heartbeat.
 #[must_use]
 pub const fn decode_load(beat: &PoolBeat) -> PoolLoad {
--- a/crates/bramley-dock/src/links/outbound.rs
+++ b/crates/bramley-dock/src/links/outbound.rs
@@ -12,7 +12,7 @@
 use tokio::time::{interval, sleep, timeout};
 use tokio_util::task::AbortOnDropHandle;
 
-use super::convert::decode_pool_message;
+use super::convert::{decode_pool_message, decode_term};
 use super::{
     DisconnectReason, FrameReader, OutgoingFrame, configure_stream, read_frame, split_stream,
     write_frames,
@@ -108,7 +108,7 @@
                 return DisconnectReason::Closed;
             }
             if connection.is_none() {
-                connection = engine.pool_connected(domain, outgoing.clone());
+                connection = engine.pool_connected(domain, decode_term(beat), outgoing.clone());
             }
             if let Some(connection) = &connection {
                 engine.heartbeat_received(connection, beat);
--- a/crates/bramley-dock/tests/frames.rs
+++ b/crates/bramley-dock/tests/frames.rs
@@ -65,6 +65,7 @@
         crashes: CrashEvidence::ALL.into_iter().map(crash).collect(),
         acknowledged: true,
         earlier_workers: 16,
+        earlier_runs_end_by: now.after(Duration::from_millis(900)),
         resumed: true,
         accepts_late: true,
         part: Vec::new(),
@@ -85,6 +86,7 @@
     let mut expected = sent;
     expected.arrived_at = receiver_now.before(Duration::from_millis(30));
     expected.deadline = receiver_now.after(Duration::from_millis(1_470));
+    expected.earlier_runs_end_by = receiver_now.after(Duration::from_millis(900));
     assert_eq!(format!("{received:?}"), format!("{expected:?}"));
 }
 
@@ -174,7 +176,7 @@
     let frame = encode_heartbeat(&PoolHeartbeat {
         load,
         admissions: &admissions,
-        is_leader: true,
+        token: Some(17),
         gives_way: false,
         callers_lost_at: Some(callers_lost_at),
         members: Some(&[7, u64::MAX]),
@@ -192,3 +194,24 @@
     let members = beat.members.expect("the members");
     assert_eq!(members.incarnations, [7, u64::MAX]);
 }
+
+/// Guards against a job of a relay of an earlier version, which does not tell when the runs of the last
+/// leader end, that is started beside them.
+#[test]
+fn runs_of_earlier_leaders_are_waited_for_if_a_relay_does_not_tell_their_end() {
+    let now = UnixTime::from_millis(50_000);
+    for (resumed, wait_ms) in [(true, 2_500), (false, 0)] {
+        let sent = JobSubmission {
+            resumed,
+            ..submission()
+        };
+        let frame = encode_relay_message(RelayMessage::Submit(Box::new(sent)), now);
+        let Some(relay_frame::Body::Submit(mut submit)) = frame.body else {
+            panic!("the frame does not hold a submission");
+        };
+        submit.earlier_runs_left_us = None;
+        let received = decode_submission(submit, now);
+        let expected = now.after(Duration::from_millis(wait_ms));
+        assert_eq!(received.earlier_runs_end_by, expected);
+    }
+}
--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -368,7 +368,7 @@
                 let relay = &mut self.hosts[index].relay;
                 // The connections to a leader that has only written its claim again stay.
                 if !relay.is_connected(&domain) {
-                    relay.pool_connected(&domain, now);
+                    relay.pool_connected(&domain, Some(token), now);
                 }
                 self.send_caller_loss(host, index);
             }
@@ -410,11 +410,13 @@
         let now = self.now;
         let lost_at = self.hosts[leader].pool.callers_lost_at(now);
         let members = self.hosts[leader].pool.members();
+        let term = self.hosts[leader].pool.token();
         let domain = self.hosts[leader].domain.clone();
         let relay = &mut self.hosts[relay].relay;
         if let Some(connection) = relay.connection(&domain) {
             relay.update_caller_loss(&connection, lost_at, now);
             relay.update_members(&connection, members);
+            relay.update_term(&connection, term);
         }
     }
 
@@ -501,8 +503,9 @@
         let domain = self.hosts[index].domain.clone();
         let settings = RelaySettings::without(self.settings.disabled);
         let mut relay = Relay::new(settings, domain.clone());
-        for domain in self.leaders.keys() {
-            relay.pool_connected(domain, now);
+        for (domain, leader) in &self.leaders {
+            let term = self.hosts[*leader].pool.token();
+            relay.pool_connected(domain, term, now);
         }
         self.hosts[index] = VirtualHost {
             domain,
@@ -599,6 +602,7 @@
             crashes: CrashHistory::default(),
             acknowledged: false,
             earlier_workers: 0,
+            earlier_runs_end_by: UnixTime::default(),
             resumed: false,
             accepts_late: false,
             part: Vec::new(),
--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -125,6 +125,9 @@
     /// Time for which a host that has read the claim of its successor still leads, because the
     /// store has not answered its own write of the claim yet.
     pub claim_write_delay: Option<Duration>,
+    /// Times after which hosts read the claim of a new leader, for hosts that the store does not
+    /// answer.
+    pub claim_read_delays: BTreeMap<usize, Duration>,
     /// Fault: the end of a former leader's term counts as the loss of whichever pool its relay is
     /// connected to.
     pub loses_current_pool: bool,
@@ -202,6 +205,7 @@
             local_leaders: self.leaders.values().copied().collect(),
             local_connections,
             claim_write_delay: None,
+            claim_read_delays: BTreeMap::new(),
             loses_current_pool: false,
             next_caller: 0,
             ends_of_callers: BTreeMap::new(),
@@ -393,9 +397,11 @@
             } else {
                 MAX_NOTICE_MS
             };
-            let delay = match reader == host {
-                true => Duration::ZERO,
-                false => Duration::from_millis(links.rng.random_range(0..limit_ms)),
+            let drawn = Duration::from_millis(links.rng.random_range(0..limit_ms));
+            let delay = match links.claim_read_delays.get(&reader) {
+                _ if reader == host => Duration::ZERO,
+                Some(delay) => *delay,
+                None => drawn,
             };
             let event = LinkEvent::ClaimRead(reader, domain.clone());
             self.schedule(delay, Event::Link(event));
@@ -439,7 +445,9 @@
             self.schedule(DELAY, Event::Link(LinkEvent::PoolNotices(number)));
         }
         if leader == reader {
-            let connection = self.hosts[reader].relay.pool_connected(domain, now);
+            let host = &mut self.hosts[reader];
+            let term = host.pool.token();
+            let connection = host.relay.pool_connected(domain, term, now);
             let links = self.links_mut();
             links.local_leaders.insert(reader);
             links.local_connections.insert(reader, connection);
@@ -651,8 +659,9 @@
                 let (pool, relay) = (link.pool, link.relay);
                 let domain = self.hosts[pool].domain.clone();
                 let load = self.hosts[pool].pool.load(now);
+                let term = self.hosts[pool].pool.token();
                 let host = &mut self.hosts[relay].relay;
-                let connection = host.pool_connected(&domain, now);
+                let connection = host.pool_connected(&domain, term, now);
                 host.update_pool_load(&connection, load);
                 self.links_mut().connections[number].connection = Some(connection);
                 self.send_caller_loss(pool, relay);
--- a/crates/bramley-pool/benches/admission.rs
+++ b/crates/bramley-pool/benches/admission.rs
@@ -71,6 +71,7 @@
         crashes: CrashHistory::default(),
         acknowledged: false,
         earlier_workers: 0,
+        earlier_runs_end_by: UnixTime::default(),
         resumed: false,
         accepts_late: false,
         part: Vec::new(),
--- a/crates/bramley-pool/benches/relay_refusal.rs
+++ b/crates/bramley-pool/benches/relay_refusal.rs
@@ -23,7 +23,7 @@
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("domain-0"));
     for number in 0..4 {
         let domain = DomainName::new(format!("domain-{number}"));
-        let connection = relay.pool_connected(&domain, NOW);
+        let connection = relay.pool_connected(&domain, Some(1), NOW);
         let load = PoolLoad {
             free_cpu_milli: 100_000,
             listed_workers: 117,
@@ -74,6 +74,7 @@
         crashes: CrashHistory::default(),
         acknowledged: false,
         earlier_workers: 0,
+        earlier_runs_end_by: UnixTime::default(),
         resumed: false,
         accepts_late: false,
         part: Vec::new(),
--- a/crates/bramley-pool/src/job.rs
+++ b/crates/bramley-pool/src/job.rs
@@ -136,6 +136,9 @@
     /// Number of listed workers in the previous pool's last load report; 0 if there was no such
     /// pool.
     pub earlier_workers: u32,
+    /// Time by which all runs have certainly ended that leaders of other terms may have started; in
+    /// the past if there are none.
+    pub earlier_runs_end_by: UnixTime,
     /// Whether the pool must accept the job even if it would miss its latency objective, because
     /// some of its tasks may already be running.
     pub resumed: bool,
--- a/crates/bramley-pool/src/pool/fleet.rs
+++ b/crates/bramley-pool/src/pool/fleet.rs
@@ -49,10 +49,11 @@
     }
 
     /// Returns whether a waiting task can be started without the risk of a second concurrent run,
-    /// because all runs that an earlier pool may have started have ended or are known here.
+    /// because all runs that an earlier pool may have started have ended or are known here. How long
+    /// this pool has led shows neither: an earlier leader that is cut off together with a worker goes
+    /// on renewing its leases, and only the relay that was connected to it knows until when.
     pub(super) fn is_safe_to_start(&self, job: &JobRecord, task: usize, now: UnixTime) -> bool {
-        let bound = self.leader_since.after(self.settings.takeover_bound);
-        if !job.submission.resumed || now >= bound {
+        if !job.submission.resumed || now >= job.submission.earlier_runs_end_by {
             return true;
         }
         if !job.submission.acknowledged {
--- a/crates/bramley-pool/src/pool/jobs.rs
+++ b/crates/bramley-pool/src/pool/jobs.rs
@@ -69,6 +69,8 @@
             job.submission.resumed |= submission.resumed;
             job.submission.placements = submission.placements;
             job.submission.earlier_workers = submission.earlier_workers;
+            let ended_by = &mut job.submission.earlier_runs_end_by;
+            *ended_by = submission.earlier_runs_end_by.max(*ended_by);
             if let Some(former_relay) = former_relay {
                 self.dismiss_relay(former_relay, relay, &name);
             }
@@ -121,6 +123,7 @@
             return;
         }
         self.remember_crashes(&name, &submission.crashes, now);
+        self.probe_earlier_workers(&submission, now);
         let mut job = self.make_record(relay, submission, now);
         self.add_tasks(&mut job);
         job.route = self.track_route(&job.submission.policy);
@@ -165,6 +168,21 @@
         self.place_admitted(relay, &name, now);
     }
 
+    /// Requests reports from the workers to which an earlier leader has assigned tasks of a job and that
+    /// have not reported in this term. A worker whose entry has expired may still run them, and its
+    /// report comes before the leases end.
+    fn probe_earlier_workers(&mut self, submission: &JobSubmission, now: UnixTime) {
+        for placement in &submission.placements {
+            let index = self.by_name.get(&placement.worker).copied();
+            if let Some(index) = index
+                && !self.worker(index).synced
+            {
+                self.worker_mut(index).next_probe_at = now;
+                self.probe(index, now);
+            }
+        }
+    }
+
     /// Applies ends of tasks that other pools have reported to the relay of an open job, and stops the
     /// runs of these tasks here.
     fn apply_done_tasks(&mut self, name: &JobName, done: &[u32], now: UnixTime) {
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -65,16 +65,24 @@
     Held,
     /// Submitted to the pool of this failure domain.
     AtPool(DomainName),
-    /// The connection to the pool of this failure domain was lost; the job's runs have certainly
-    /// ended by `ended_by`.
+    /// The connection to the pool of this failure domain was lost, and the job's runs may go on.
     InDoubt {
         domain: DomainName,
-        ended_by: UnixTime,
+        runs: DoubtfulRuns,
     },
     /// All unfinished tasks belong to parts at other pools.
     Elsewhere,
 }
 
+/// Runs that a lost pool may have started or go on controlling.
+#[derive(Clone, Copy, Debug)]
+struct DoubtfulRuns {
+    /// Term of the pool; `None` if it is not known.
+    term: Option<u64>,
+    /// Time by which the runs have certainly ended, unless the pool of the same term goes on with them.
+    ended_by: UnixTime,
+}
+
 /// An open job of a caller.
 #[derive(Clone, Debug)]
 struct RelayJob {
@@ -108,6 +116,8 @@
 struct PoolView {
     /// Current connection; `None` while there is none.
     connection: Option<PoolConnection>,
+    /// Fencing token of the pool's term as leader, as it last told; `None` if it has told none.
+    term: Option<u64>,
     load: PoolLoad,
     /// Time of the last heartbeat of any pool of the failure domain.
     heartbeat_at: Option<UnixTime>,
@@ -280,10 +290,15 @@
         self.cancel_elsewhere(name, &job, None);
     }
 
-    /// Records a connection to a pool and returns it, to be passed on with all that the pool reports.
-    /// Jobs in doubt after the loss of an earlier connection to the same failure domain are
-    /// resubmitted.
-    pub fn pool_connected(&mut self, domain: &DomainName, now: UnixTime) -> PoolConnection {
+    /// Records a connection to a pool, which leads with the fencing token `term` if it tells so, and
+    /// returns it, to be passed on with all that the pool reports. Jobs in doubt after the loss of an
+    /// earlier connection to the same failure domain are resubmitted.
+    pub fn pool_connected(
+        &mut self,
+        domain: &DomainName,
+        term: Option<u64>,
+        now: UnixTime,
+    ) -> PoolConnection {
         if let Some(replaced) = self.connection(domain) {
             let heard_at = self.pools.get(domain).and_then(|pool| pool.heartbeat_at);
             let loss = PoolLoss {
@@ -296,6 +311,7 @@
         self.next_connection += 1;
         let view = self.pools.entry(domain.clone()).or_default();
         view.connection = Some(connection.clone());
+        view.term = term;
         view.load = PoolLoad::default();
         self.gate.forget_pool(domain);
         if now >= self.sending_paused_until {
@@ -354,10 +370,13 @@
         pool.connection = None;
         pool.callers_lost_at = pool.callers_lost_at.or(pool.heartbeat_at);
         let earlier_workers = pool.load.listed_workers;
+        let runs = DoubtfulRuns {
+            term: pool.term,
+            ended_by: loss.last_message_at.after(self.settings.lost_pool_wait),
+        };
         let domain = connection.domain();
         self.gate.forget_pool(domain);
-        let ended_by = loss.last_message_at.after(self.settings.lost_pool_wait);
-        let parts = self.parts_lost(domain, ended_by, earlier_workers);
+        let parts = self.parts_lost(domain, runs, earlier_workers);
         let mut jobs = 0;
         for job in self.jobs.values_mut() {
             if matches!(&job.state, JobState::AtPool(at) if at == domain) {
@@ -365,7 +384,7 @@
                 *known = earlier_workers.max(*known);
                 job.state = JobState::InDoubt {
                     domain: domain.clone(),
-                    ended_by,
+                    runs,
                 };
                 jobs += 1;
             }
@@ -381,6 +400,13 @@
         }
     }
 
+    /// Records the fencing token with which a pool leads, as it reports it.
+    pub fn update_term(&mut self, connection: &PoolConnection, term: Option<u64>) {
+        if let Some(pool) = self.current_pool(connection) {
+            pool.term = term;
+        }
+    }
+
     /// Records the load reported by a pool.
     pub fn update_pool_load(&mut self, connection: &PoolConnection, load: PoolLoad) {
         if let Some(pool) = self.current_pool(connection) {
@@ -528,7 +554,10 @@
                 self.crashes.record(&job, crash, retention, now);
             }
             PoolMessage::Ended { job, outcome, wait } => {
-                let ended_by = now.after(self.settings.lost_pool_wait);
+                let runs = DoubtfulRuns {
+                    term: self.pools.get(domain).and_then(|pool| pool.term),
+                    ended_by: now.after(self.settings.lost_pool_wait),
+                };
                 let Some(record) = self.job_at(&job, domain) else {
                     return;
                 };
@@ -550,7 +579,7 @@
                     // The pool is no longer leader, and the job's runs may continue for a while.
                     record.state = JobState::InDoubt {
                         domain: domain.clone(),
-                        ended_by,
+                        runs,
                     };
                     return;
                 }
@@ -709,9 +738,13 @@
 
     /// Resubmits a job that another pool may have started.
     fn resume(&mut self, name: &JobName, domain: DomainName, reason: HandoverReason) {
+        let term = self.pools.get(&domain).and_then(|pool| pool.term);
         let Some(job) = self.jobs.get_mut(name) else {
             return;
         };
+        if let JobState::InDoubt { runs, .. } = job.state {
+            job.wait_for(runs, term);
+        }
         job.submission.resumed = true;
         let from = job.domain().cloned();
         let decision = Decision::JobHandedOver {
@@ -978,6 +1011,15 @@
     }
 
     fn has_ended_by(&self, now: UnixTime) -> bool {
-        matches!(&self.state, JobState::InDoubt { ended_by, .. } if *ended_by <= now)
+        matches!(&self.state, JobState::InDoubt { runs, .. } if runs.ended_by <= now)
+    }
+
+    /// Lets the next pool, which leads with the fencing token `term`, start no task before the runs
+    /// of a lost pool have ended. A pool that has led since then knows its own runs.
+    fn wait_for(&mut self, runs: DoubtfulRuns, term: Option<u64>) {
+        if runs.term.is_none() || runs.term != term {
+            let ended_by = &mut self.submission.earlier_runs_end_by;
+            *ended_by = runs.ended_by.max(*ended_by);
+        }
     }
 }
--- a/crates/bramley-pool/src/relay/parts.rs
+++ b/crates/bramley-pool/src/relay/parts.rs
@@ -12,7 +12,7 @@
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
 
-use super::{JobAnswer, JobState, PoolView, Relay, RelayAction, RelayJob};
+use super::{DoubtfulRuns, JobAnswer, JobState, PoolView, Relay, RelayAction, RelayJob};
 use crate::decision::Decision;
 use crate::job::{JobName, JobSubmission};
 use crate::message::{JobOutcome, RelayMessage};
@@ -25,9 +25,8 @@
     domain: DomainName,
     /// Tasks that are not done.
     tasks: Vec<u32>,
-    /// Time by which the part's runs have certainly ended after its pool was lost; `None` while the
-    /// pool is connected.
-    ended_by: Option<UnixTime>,
+    /// The part's runs after its pool was lost; `None` while the pool is connected.
+    doubt: Option<DoubtfulRuns>,
     /// Whether the pool has reported placements, so that all of them are known but the last ones.
     acknowledged: bool,
     /// Listed workers that the pool last reported.
@@ -103,7 +102,7 @@
                 None => job.parts.push(JobPart {
                     domain: domain.clone(),
                     tasks: tasks.clone(),
-                    ended_by: None,
+                    doubt: None,
                     acknowledged: false,
                     earlier_workers: 0,
                 }),
@@ -131,14 +130,14 @@
     pub(super) fn parts_lost(
         &mut self,
         domain: &DomainName,
-        ended_by: UnixTime,
+        runs: DoubtfulRuns,
         earlier_workers: u32,
     ) -> usize {
         let mut count = 0;
         let jobs = self.jobs.values_mut();
         let parts = jobs.flat_map(|job| job.parts.iter_mut());
-        for part in parts.filter(|part| part.domain == *domain && part.ended_by.is_none()) {
-            part.ended_by = Some(ended_by);
+        for part in parts.filter(|part| part.domain == *domain && part.doubt.is_none()) {
+            part.doubt = Some(runs);
             part.earlier_workers = earlier_workers.max(part.earlier_workers);
             count += 1;
         }
@@ -148,7 +147,8 @@
     /// Submits the parts in doubt at a failure domain to its current pool, which knows their runs or
     /// finds them on its workers.
     pub(super) fn resume_parts_of(&mut self, domain: &DomainName) {
-        let is_due = |part: &JobPart| part.domain == *domain && part.ended_by.is_some();
+        let is_due = |part: &JobPart| part.domain == *domain && part.doubt.is_some();
+        let term = self.pools.get(domain).and_then(|pool| pool.term);
         let names = self.jobs_with_part(is_due);
         for name in names {
             let Some(job) = self.jobs.get_mut(&name) else {
@@ -157,9 +157,12 @@
             let Some(part) = job.parts.iter_mut().find(|part| is_due(part)) else {
                 continue;
             };
-            part.ended_by = None;
+            let doubt = part.doubt.take();
             let acknowledged = std::mem::take(&mut part.acknowledged);
             let (tasks, earlier_workers) = (part.tasks.clone(), part.earlier_workers);
+            if let Some(runs) = doubt {
+                job.wait_for(runs, term);
+            }
             let submission = JobSubmission {
                 resumed: true,
                 acknowledged,
@@ -176,7 +179,7 @@
 
     /// Assigns the tasks of parts whose runs have certainly ended to other pools.
     pub(super) fn reassign_ended_parts(&mut self, now: UnixTime) {
-        let is_due = |part: &JobPart| part.ended_by.is_some_and(|ended_by| ended_by <= now);
+        let is_due = |part: &JobPart| part.doubt.is_some_and(|runs| runs.ended_by <= now);
         for name in self.jobs_with_part(is_due) {
             let Some(domain) = self.pool_for_part(&name) else {
                 self.refuse_unserved(&name, Refusal::Unknown);
@@ -252,7 +255,10 @@
         outcome: JobOutcome,
         now: UnixTime,
     ) {
-        let ended_by = now.after(self.settings.lost_pool_wait);
+        let runs = DoubtfulRuns {
+            term: self.pools.get(domain).and_then(|pool| pool.term),
+            ended_by: now.after(self.settings.lost_pool_wait),
+        };
         match outcome {
             JobOutcome::Completed | JobOutcome::PartCompleted => {
                 if let Some(job) = self.jobs.get_mut(name) {
@@ -283,13 +289,13 @@
                 };
                 for part in &mut job.parts {
                     if part.domain == *domain {
-                        part.ended_by.get_or_insert(ended_by);
+                        part.doubt.get_or_insert(runs);
                     }
                 }
                 if matches!(&job.state, JobState::AtPool(at) if at == domain) {
                     job.state = JobState::InDoubt {
                         domain: domain.clone(),
-                        ended_by,
+                        runs,
                     };
                 }
                 let message = RelayMessage::Cancel(name.clone());
@@ -329,13 +335,13 @@
     pub(super) fn is_at(&self, domain: &DomainName) -> bool {
         let is_rest_there = matches!(&self.state, JobState::AtPool(at) if at == domain);
         let mut parts = self.parts.iter();
-        is_rest_there || parts.any(|part| part.domain == *domain && part.ended_by.is_none())
+        is_rest_there || parts.any(|part| part.domain == *domain && part.doubt.is_none())
     }
 
     /// Returns whether tasks of the job are in doubt at a failure domain.
     fn is_in_doubt_at(&self, domain: &DomainName) -> bool {
         let mut parts = self.parts.iter();
-        parts.any(|part| part.domain == *domain && part.ended_by.is_some())
+        parts.any(|part| part.domain == *domain && part.doubt.is_some())
             || self.is_rest_in_doubt_at(domain)
     }
 
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -21,10 +21,6 @@
     pub clock_error_permille: u32,
     /// Time that a disconnected relay has to reconnect before its jobs are cancelled.
     pub relay_grace: Duration,
-    /// Time after a change of leader until runs on workers that have not reported have certainly
-    /// ended: the previous pool meets the new fencing token within one long poll, and then its last
-    /// leases expire.
-    pub takeover_bound: Duration,
     /// Time after a change of leader in which relays can adopt unacknowledged ends of runs.
     pub adoption_window: Duration,
     /// Longest time after a change of leader until runs that no relay has adopted are stopped. It
@@ -106,7 +102,6 @@
             min_poll_wait: Duration::from_millis(40),
             clock_error_permille: 20,
             relay_grace: Duration::from_millis(300),
-            takeover_bound: Duration::from_millis(1_500),
             adoption_window: Duration::from_millis(800),
             orphaned_run_timeout: Duration::from_millis(400),
             min_adoption_time: Duration::from_millis(100),
--- a/crates/bramley-pool/tests/evacuation.rs
+++ b/crates/bramley-pool/tests/evacuation.rs
@@ -334,7 +334,7 @@
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
     for (domain, free_cpu_milli) in free {
         let domain = DomainName::from(*domain);
-        let connection = relay.pool_connected(&domain, now);
+        let connection = relay.pool_connected(&domain, Some(1), now);
         let load = PoolLoad {
             free_cpu_milli: *free_cpu_milli,
             listed_workers: 12,
--- a/crates/bramley-pool/tests/explanation.rs
+++ b/crates/bramley-pool/tests/explanation.rs
@@ -77,7 +77,7 @@
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("domain-1"));
     for (domain, free_cpu_milli) in free_cpu_milli {
         let domain = DomainName::from(*domain);
-        let connection = relay.pool_connected(&domain, now);
+        let connection = relay.pool_connected(&domain, Some(1), now);
         let load = PoolLoad {
             free_cpu_milli: *free_cpu_milli,
             ..PoolLoad::default()
--- a/crates/bramley-pool/tests/late_service.rs
+++ b/crates/bramley-pool/tests/late_service.rs
@@ -83,7 +83,7 @@
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
     for domain in ["home", "east", "west"] {
         let domain = DomainName::from(domain);
-        let connection = relay.pool_connected(&domain, NOW);
+        let connection = relay.pool_connected(&domain, Some(1), NOW);
         let load = PoolLoad {
             free_cpu_milli: 100_000,
             listed_workers: 12,
@@ -127,6 +127,7 @@
         crashes: CrashHistory::default(),
         acknowledged: false,
         earlier_workers: 0,
+        earlier_runs_end_by: UnixTime::default(),
         resumed: false,
         accepts_late: false,
         part: Vec::new(),
--- a/crates/bramley-pool/tests/left_pools.rs
+++ b/crates/bramley-pool/tests/left_pools.rs
@@ -20,7 +20,7 @@
 fn relay_with_job_in_doubt(world: &World) -> Relay {
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
     for (domain, free_cpu_milli) in [("east", 90_000), ("west", 50_000)] {
-        let connection = relay.pool_connected(&DomainName::from(domain), world.now);
+        let connection = relay.pool_connected(&DomainName::from(domain), Some(1), world.now);
         let load = PoolLoad {
             free_cpu_milli,
             ..PoolLoad::default()
@@ -137,14 +137,14 @@
     let world = World::new(1, 0);
     let east = DomainName::from("east");
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
-    let former = relay.pool_connected(&east, world.now);
+    let former = relay.pool_connected(&east, Some(1), world.now);
     relay.accept(world.submission(&TestJob::default()), world.now);
     let loss = PoolLoss {
         cause: LossCause::ClaimChanged,
         last_message_at: world.now,
     };
     relay.pool_lost(&former, loss);
-    relay.pool_connected(&east, world.now);
+    relay.pool_connected(&east, Some(2), world.now);
     let released = PoolMessage::Released {
         job: JobName::from("job-1"),
         tasks: vec![0],
--- a/crates/bramley-pool/tests/paused_relays.rs
+++ b/crates/bramley-pool/tests/paused_relays.rs
@@ -19,7 +19,7 @@
 fn resumed_relay(world: &World, job: &TestJob) -> Relay {
     let mut relay = Relay::new(RelaySettings::default(), DomainName::from("home"));
     for domain in ["home", "east"] {
-        let connection = relay.pool_connected(&DomainName::from(domain), world.now);
+        let connection = relay.pool_connected(&DomainName::from(domain), Some(1), world.now);
         let load = PoolLoad {
             free_cpu_milli: 90_000,
             ..PoolLoad::default()
--- a/crates/bramley-pool/tests/published_state.rs
+++ b/crates/bramley-pool/tests/published_state.rs
@@ -44,7 +44,7 @@
         for domain in ["home", "east", "west"] {
             bench
                 .relay
-                .pool_connected(&DomainName::from(domain), bench.now);
+                .pool_connected(&DomainName::from(domain), Some(1), bench.now);
         }
         bench.set_free_cpu("east", 100_000);
         bench.set_free_cpu("west", 90_000);
@@ -280,7 +280,7 @@
     bench.publish_everywhere(0);
     bench
         .relay
-        .pool_connected(&DomainName::from("home"), bench.now);
+        .pool_connected(&DomainName::from("home"), Some(1), bench.now);
     // The jobs that the earlier connection held are submitted over the new one.
     drop(bench.relay.take_actions());
     assert!(
