Give up jobs whose callers may have left unheard during a pause of the process

Cause: 100 ms after a pause a relay takes what was sent during it for read. The end of a connection that was sent to a suspended host is retransmitted with doubling delays and arrives up to the length of the pause later.

Evidence: job_handed_over 102 ms after process_resumed, caller_left 399 ms after that; the first run had been stopped. Ruled out: a longer fixed wait, as the delay grows with the pause.

Change: a relay keeps when each caller was last seen, and from the pauses since by when an end of its connection would have arrived. If that is too late to stop the runs before the caller's second submission, the job is not submitted any more, is cancelled in time where it runs, and its caller is answered at once.

--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -80,10 +80,10 @@
         let now = self.now();
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
-        state.pool.process_resumed(now);
-        state.relay.process_resumed(now);
         state.pool.clock_skipped(skipped);
         state.relay.clock_skipped(skipped);
+        state.pool.process_resumed(now);
+        state.relay.process_resumed(pause, now);
         for link in state.relays.values_mut() {
             link.last_heard_at = link.last_heard_at.before(skipped);
         }
--- a/crates/bramley-fleet/src/lib.rs
+++ b/crates/bramley-fleet/src/lib.rs
@@ -421,6 +421,7 @@
     }
 
     fn send_heartbeats(&mut self) {
+        self.send_relay_beats();
         for leader in self.leaders.clone().into_values() {
             for relay in 0..self.hosts.len() {
                 if self.hosts[leader].alive && self.is_linked(relay, leader) {
@@ -699,6 +700,7 @@
                     host.pool.tick(now);
                     host.relay.tick(now);
                 }
+                self.drop_silent_relays();
                 self.send_load();
                 self.ticks += 1;
                 if self.ticks.is_multiple_of(TICKS_PER_HEARTBEAT) {
--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -9,6 +9,7 @@
 use bramley_pool::job::JobName;
 use bramley_pool::message::{JobOutcome, PoolMessage, RelayId, RelayMessage};
 use bramley_pool::pool_connection::{LossCause, PoolConnection, PoolLoss};
+use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::JobAnswer;
 use bramley_pool::worker::{CallAnswer, WorkerCall};
 use rand::{Rng, SeedableRng};
@@ -44,6 +45,19 @@
 /// Longest time until an earlier leader that the store does not answer learns of its successor.
 const MAX_LATE_CLAIM_MS: u64 = 2_000;
 
+/// Silence after which either end of a connection takes it for lost, as in the driver.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Time from which a host that stood still knows so until it processes what arrived meanwhile.
+const WAKE_TIME: Duration = Duration::from_millis(1);
+
+/// Time after which the end of a caller's connection is first retransmitted to a host that stands still;
+/// the delay doubles each time.
+const FIRST_RETRANSMISSION: Duration = Duration::from_millis(200);
+
+/// Time after which a client sends a job again whose outcome it was not told.
+const RESEND_DELAY: Duration = Duration::from_millis(1_300);
+
 /// HTTP status of an answer that promises that the job has not run.
 const NOT_RUN_STATUS: u16 = 503;
 
@@ -76,6 +90,10 @@
     ClientResends(u64, usize, TestJob),
     /// The host notices that the caller's connection with this number has ended.
     CallerLeaves(usize, u64, String),
+    /// A host that stood still for this time runs again.
+    Wakes(usize, Duration),
+    /// A heartbeat of the relay arrives at the pool.
+    Beat(usize),
 }
 
 /// Source of events of a host, which are processed in order.
@@ -96,6 +114,8 @@
     relay_is_open: bool,
     pool_is_open: bool,
     last_heard_at: UnixTime,
+    /// Time at which the pool last got a heartbeat of the relay.
+    pool_heard_at: UnixTime,
     /// Time from which messages to the pool are lost.
     lost_to_pool_from: UnixTime,
     /// Time from which messages to the relay are lost.
@@ -108,6 +128,8 @@
     until: UnixTime,
     /// Varies the order in which the host then processes its sockets.
     seed: u64,
+    /// Whether the host stands still, so that nothing that is sent to it meanwhile is acknowledged.
+    is_frozen: bool,
 }
 
 /// State of all connections.
@@ -142,6 +164,8 @@
     pub refused: BTreeSet<String>,
     /// Hosts whose calls to workers are being reset, with the time until which they are.
     calls_reset_until: BTreeMap<usize, UnixTime>,
+    /// Whether clients send a job again whose outcome is unknown.
+    pub resends_unknown: bool,
     /// Jobs that their clients sent again sooner than the platform's pause after their connection
     /// had ended.
     pub resent_early: BTreeSet<String>,
@@ -213,6 +237,7 @@
             jobs: BTreeMap::new(),
             refused: BTreeSet::new(),
             calls_reset_until: BTreeMap::new(),
+            resends_unknown: false,
             resent_early: BTreeSet::new(),
             resets: 0,
             refusals: 0,
@@ -266,6 +291,7 @@
             relay_is_open: true,
             pool_is_open: false,
             last_heard_at: UnixTime::default(),
+            pool_heard_at: UnixTime::default(),
             lost_to_pool_from: UnixTime::NEVER,
             lost_to_relay_from: UnixTime::NEVER,
         });
@@ -321,7 +347,117 @@
             *busy = BusySpan {
                 until: now.after(span),
                 seed,
+                is_frozen: false,
+            };
+        }
+    }
+
+    /// Lets a host stand still for a while. Connections that are silent for too long are lost, and the
+    /// ends of callers' connections are retransmitted after it. No caller may call the host meanwhile.
+    pub fn freeze_host(&mut self, host: usize, span: Duration) {
+        let now = self.now;
+        let links = self.links_mut();
+        let seed = links.rng.random();
+        let busy = BusySpan {
+            until: now.after(span).after(WAKE_TIME),
+            seed,
+            is_frozen: true,
+        };
+        links.busy.insert(host, busy);
+        let (at_ms, span_ms) = (now.as_millis(), span.as_millis());
+        let line = format!("{at_ms} host={host} event=frozen span_ms={span_ms}");
+        self.log.push(line);
+        self.schedule(span, Event::Link(LinkEvent::Wakes(host, span)));
+        if span <= IDLE_TIMEOUT {
+            return;
+        }
+        let links = self.links_mut().connections.iter_mut().zip(0..);
+        let open = links.filter(|(link, _)| {
+            let is_open = link.relay_is_open && link.lost_to_pool_from == UnixTime::NEVER;
+            is_open && (link.relay == host || link.pool == host)
+        });
+        let mut notices = Vec::new();
+        for (link, number) in open {
+            link.lost_to_pool_from = now.after(DELAY);
+            link.lost_to_relay_from = now.after(DELAY);
+            let notice = match link.relay == host {
+                true => span,
+                false => IDLE_TIMEOUT,
             };
+            notices.push((notice, number));
+        }
+        for (notice, number) in notices {
+            self.schedule(notice, Event::Link(LinkEvent::RelayNotices(number)));
+        }
+    }
+
+    /// Lets all relays that run send heartbeats to their pools.
+    pub(crate) fn send_relay_beats(&mut self) {
+        let Some(links) = &self.links else {
+            return;
+        };
+        let open = links.connections.iter().zip(0..);
+        let open = open.filter(|(link, _)| link.relay_is_open && !self.is_frozen(link.relay));
+        let open: Vec<usize> = open.map(|(_, number)| number).collect();
+        for number in open {
+            self.schedule(DELAY, Event::Link(LinkEvent::Beat(number)));
+        }
+    }
+
+    /// Lets the pools that run drop connections over which nothing has arrived for too long.
+    pub(crate) fn drop_silent_relays(&mut self) {
+        let now = self.now;
+        let Some(links) = &self.links else {
+            return;
+        };
+        let open = links.connections.iter().zip(0..);
+        let silent = open.filter(|(link, _)| {
+            let is_silent = now.since(link.pool_heard_at) > IDLE_TIMEOUT;
+            link.pool_is_open && is_silent && !self.is_delayed(link.pool)
+        });
+        let silent: Vec<usize> = silent.map(|(_, number)| number).collect();
+        for number in silent {
+            self.drop_relay(number);
+        }
+    }
+
+    fn drop_relay(&mut self, number: usize) {
+        let (now, first) = (self.now, self.hosts.len());
+        let link = &mut self.links_mut().connections[number];
+        link.pool_is_open = false;
+        let (pool, heard_at) = (link.pool, link.pool_heard_at);
+        let relay = RelayId((first + number) as u64);
+        let pool = &mut self.hosts[pool].pool;
+        pool.relay_lost(relay, heard_at, now);
+        self.schedule(DELAY, Event::Link(LinkEvent::RelayNotices(number)));
+    }
+
+    /// Returns whether a host stands still.
+    #[must_use]
+    pub fn is_frozen(&self, host: usize) -> bool {
+        let links = self.links.as_ref();
+        let busy = links.and_then(|links| links.busy.get(&host));
+        busy.is_some_and(|busy| busy.is_frozen && self.now < busy.until)
+    }
+
+    /// Lets the pool and the relay of a host notice that it stood still, as the driver does.
+    fn wake_host(&mut self, host: usize, span: Duration) {
+        let now = self.now;
+        let busy = self.links_mut().busy.get(&host);
+        if busy.is_some_and(|busy| busy.until > now.after(WAKE_TIME)) {
+            // Has been made to stand still for longer.
+            return;
+        }
+        self.hosts[host].pool.process_resumed(now);
+        self.hosts[host].relay.process_resumed(span, now);
+        if span <= IDLE_TIMEOUT {
+            return;
+        }
+        let links = self.links_mut().connections.iter().zip(0..);
+        let open = links.filter(|(link, _)| link.pool == host && link.pool_is_open);
+        let open: Vec<usize> = open.map(|(_, number)| number).collect();
+        for number in open {
+            self.drop_relay(number);
         }
     }
 
@@ -335,6 +471,9 @@
     /// Returns the time at which an event is processed whose host processes its events late.
     pub(crate) fn held_until(&self, event: &Event) -> Option<UnixTime> {
         let links = self.links.as_ref()?;
+        if let Some(held_until) = links.frozen_until(event, self.now) {
+            return Some(held_until);
+        }
         let (host, socket) = links.socket_of(event)?;
         let busy = links.busy.get(&host)?;
         let socket_seed = match socket {
@@ -602,6 +741,15 @@
         let JobAnswer::Refused { refusal, .. } = answer else {
             return;
         };
+        if refusal == Refusal::Unknown
+            && links.resends_unknown
+            && let Some(job) = links.jobs.get(job).cloned()
+        {
+            let next = links.rng.random_range(0..hosts);
+            links.next_caller += 1;
+            let resends = LinkEvent::ClientResends(links.next_caller, next, job);
+            return self.schedule(RESEND_DELAY, Event::Link(resends));
+        }
         let is_not_run = refusal.answer().status == NOT_RUN_STATUS;
         if !is_not_run || !links.refused.insert(String::from(job)) {
             return;
@@ -610,6 +758,12 @@
             return;
         };
         let next = links.rng.random_range(0..hosts);
+        if self.is_frozen(next) {
+            self.links_mut().next_caller += 1;
+            let caller = self.links_mut().next_caller;
+            let event = LinkEvent::ClientResends(caller, next, job);
+            return self.schedule(RECONNECT_DELAY, Event::Link(event));
+        }
         self.call_host(next, &job, None);
     }
 
@@ -644,6 +798,7 @@
                 let link = &mut self.links_mut().connections[number];
                 if now < link.lost_to_pool_from {
                     link.pool_is_open = true;
+                    link.pool_heard_at = now;
                     let (relay, pool) = (link.relay, link.pool);
                     self.report_caller_loss(relay, pool);
                     self.introduce_relay(relay, pool, relay_id(number));
@@ -726,6 +881,13 @@
             LinkEvent::StepsDown(host) => self.step_down(host),
             LinkEvent::Reconnect(relay, domain) => self.open_link(relay, &domain),
             LinkEvent::CallerArrives(host, caller, job) => {
+                let links = self.links_mut();
+                let is_frozen = links.busy.get(&host).is_some_and(|busy| busy.is_frozen);
+                let end = links.ends_of_callers.get(&caller);
+                if is_frozen && end.is_some_and(|end| *end <= now) {
+                    // Has stopped connecting while the host stood still.
+                    return;
+                }
                 let key = (host, job.name.clone());
                 let links = self.links_mut();
                 links.callers.insert(key, caller);
@@ -733,10 +895,22 @@
                 self.submit(host, &job);
             }
             LinkEvent::ClientResends(caller, host, job) => {
+                if self.is_frozen(host) {
+                    // Connecting takes until the host runs again.
+                    let resends = LinkEvent::ClientResends(caller, host, job);
+                    return self.schedule(RECONNECT_DELAY, Event::Link(resends));
+                }
                 if !self.links_mut().answered_callers.contains(&caller) {
                     self.call_host(host, &job, None);
                 }
             }
+            LinkEvent::Wakes(host, span) => self.wake_host(host, span),
+            LinkEvent::Beat(number) => {
+                let link = &mut self.links_mut().connections[number];
+                if link.pool_is_open && now < link.lost_to_pool_from {
+                    link.pool_heard_at = now;
+                }
+            }
             LinkEvent::CallerLeaves(host, caller, job) => {
                 let key = (host, job);
                 if self.links_mut().callers.get(&key) == Some(&caller) {
@@ -749,6 +923,34 @@
 }
 
 impl Links {
+    /// Returns the time at which an event is processed whose host stands still.
+    fn frozen_until(&self, event: &Event, now: UnixTime) -> Option<UnixTime> {
+        let host = match event {
+            Event::List(host)
+            | Event::Link(
+                LinkEvent::CallerLeaves(host, ..)
+                | LinkEvent::ClaimRead(host, _)
+                | LinkEvent::Reconnect(host, _)
+                | LinkEvent::StepsDown(host),
+            ) => host,
+            _ => return None,
+        };
+        let busy = self.busy.get(host)?;
+        if !busy.is_frozen || now >= busy.until {
+            return None;
+        }
+        let Event::Link(LinkEvent::CallerLeaves(_, caller, _)) = event else {
+            return Some(busy.until);
+        };
+        let mut arrives_at = self.ends_of_callers.get(caller).copied().unwrap_or(now);
+        let mut delay = FIRST_RETRANSMISSION;
+        while arrives_at < busy.until {
+            arrives_at = arrives_at.after(delay);
+            delay *= 2;
+        }
+        Some(arrives_at)
+    }
+
     /// Returns the host that processes an event and the socket from which it comes.
     fn socket_of(&self, event: &Event) -> Option<(usize, Socket)> {
         match event {
@@ -764,6 +966,7 @@
         let (host, socket) = match event {
             LinkEvent::ToPool(number, _)
             | LinkEvent::PoolAccepts(number)
+            | LinkEvent::Beat(number)
             | LinkEvent::PoolNotices(number) => {
                 (self.connections[*number].pool, Socket::Link(*number))
             }
@@ -778,7 +981,8 @@
             LinkEvent::ClaimRead(..)
             | LinkEvent::ClientResends(..)
             | LinkEvent::Reconnect(..)
-            | LinkEvent::StepsDown(_) => return None,
+            | LinkEvent::StepsDown(_)
+            | LinkEvent::Wakes(..) => return None,
         };
         Some((host, socket))
     }
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -6,6 +6,7 @@
 //! are resubmitted to the pool that takes over the same workers, or to any other pool once their
 //! runs have certainly ended.
 
+mod doubted;
 mod overload;
 mod parts;
 
@@ -28,6 +29,7 @@
 use crate::route_gate::RouteGate;
 use crate::settings::RelaySettings;
 
+use self::doubted::PauseSeries;
 pub use self::overload::{RefusalSource, RouteOffer, RouteRefusal};
 use self::parts::JobPart;
 
@@ -101,6 +103,11 @@
     late_offers: usize,
     /// Whether a pool has reported that a task was placed.
     started: bool,
+    /// Time at which the caller last sent the job.
+    caller_seen_at: UnixTime,
+    /// Earliest time at which the caller may have left unheard; `None` if it still waits as far as is
+    /// known.
+    doubted_from: Option<UnixTime>,
 }
 
 /// Refusal of a pool that could not serve a job in time.
@@ -149,6 +156,10 @@
     ticked_at: UnixTime,
     /// Time until which no job is submitted after a process pause.
     sending_paused_until: UnixTime,
+    /// Time from which jobs of doubted callers are given up after a process pause.
+    giving_up_from: UnixTime,
+    /// Last pauses of the process, while ends of connections that were sent during them may arrive.
+    pauses: Option<PauseSeries>,
     /// Pools that connected before that time.
     connected_while_paused: Vec<DomainName>,
     /// Messages that arrived before that time and may lead to a submission, with all that arrived
@@ -173,6 +184,8 @@
             started_jobs: FxHashMap::default(),
             ticked_at: UnixTime::default(),
             sending_paused_until: UnixTime::default(),
+            giving_up_from: UnixTime::default(),
+            pauses: None,
             connected_while_paused: Vec::new(),
             held_messages: Vec::new(),
             actions: Vec::new(),
@@ -227,12 +240,6 @@
         pool.is_some_and(|pool| pool.is_connected() && pool.load.evacuated)
     }
 
-    /// Delays submissions after a process pause, so that closed connections of callers are handled
-    /// first: a caller may have resent its job elsewhere in the meantime.
-    pub fn process_resumed(&mut self, now: UnixTime) {
-        self.sending_paused_until = now.after(self.settings.resume_wait);
-    }
-
     /// Accepts a job of a caller. A job that is already open keeps its runs, and its answer goes to
     /// the latest caller.
     pub fn accept(&mut self, submission: JobSubmission, now: UnixTime) {
@@ -249,6 +256,8 @@
         let name = submission.work.job.clone();
         if let Some(job) = self.jobs.get_mut(&name) {
             job.submission.deadline = submission.deadline;
+            job.caller_seen_at = now;
+            job.doubted_from = None;
             return;
         }
         let job = RelayJob {
@@ -260,6 +269,8 @@
             declined: Vec::new(),
             late_offers: 0,
             started: false,
+            caller_seen_at: now,
+            doubted_from: None,
         };
         self.jobs.insert(name.clone(), job);
         if now >= self.sending_paused_until {
@@ -349,7 +360,7 @@
         let names: Vec<JobName> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.is_rest_in_doubt_at(domain))
+            .filter(|(_, job)| job.doubted_from.is_none() && job.is_rest_in_doubt_at(domain))
             .map(|(name, _)| name.clone())
             .collect();
         for name in names {
@@ -465,6 +476,9 @@
             pool.heartbeat_at = pool.heartbeat_at.map(|at| at.before(span));
             pool.callers_lost_at = pool.callers_lost_at.map(|at| at.before(span));
         }
+        for job in self.jobs.values_mut() {
+            job.clock_skipped(span);
+        }
     }
 
     /// Records the admission state of routes as published by a pool, which replaces its earlier
@@ -508,7 +522,7 @@
     ) {
         if now >= self.sending_paused_until {
             self.handle_held_messages(now);
-        } else if message.may_move_job() || self.holds_earlier_message(connection, &message) {
+        } else if self.is_to_be_held(connection, &message) {
             self.hold_message(connection, message);
             return;
         }
@@ -526,6 +540,13 @@
             self.log_former_pool(connection, message.kind());
             return;
         }
+        if message.may_move_job()
+            && let Some(job) = message.job()
+            && self.is_caller_doubted(job)
+        {
+            self.give_up_moved_job(&job.clone(), &message, now);
+            return;
+        }
         match message {
             PoolMessage::Placed { job, placements } => {
                 if let Some(job) = self.job_at(&job, domain) {
@@ -588,11 +609,14 @@
         }
     }
 
-    /// Returns whether a message about the same job, which arrived over the same connection, is held.
-    /// What a message means depends on those before it.
-    fn holds_earlier_message(&self, connection: &PoolConnection, message: &PoolMessage) -> bool {
+    /// Returns whether a message that arrives soon after a process pause is handled later: because it
+    /// may move a job, or because such a message about the same job has arrived over the same
+    /// connection and what it means depends on that one. Jobs of doubted callers are not moved.
+    fn is_to_be_held(&self, connection: &PoolConnection, message: &PoolMessage) -> bool {
+        let is_doubted = message.job().is_some_and(|job| self.is_caller_doubted(job));
         let mut held = self.held_messages.iter();
-        held.any(|(other, earlier)| other == connection && earlier.job() == message.job())
+        message.may_move_job() && !is_doubted
+            || held.any(|(other, earlier)| other == connection && earlier.job() == message.job())
     }
 
     /// Handles the messages that were held after a process pause, in the order of their arrival.
@@ -623,6 +647,7 @@
     pub fn tick(&mut self, now: UnixTime) {
         self.crashes.expire(now);
         self.expire_started_jobs(now);
+        self.give_up_doubted_jobs(now);
         if now < self.sending_paused_until {
             return;
         }
--- a/crates/bramley-pool/src/relay/parts.rs
+++ b/crates/bramley-pool/src/relay/parts.rs
@@ -219,10 +219,11 @@
         (!job.is_in_doubt_at(&domain)).then_some(domain)
     }
 
+    /// Returns the jobs with such a part whose callers still wait as far as is known.
     fn jobs_with_part(&self, is_wanted: impl Fn(&JobPart) -> bool) -> Vec<JobName> {
         self.jobs
             .iter()
-            .filter(|(_, job)| job.parts.iter().any(&is_wanted))
+            .filter(|(_, job)| job.doubted_from.is_none() && job.parts.iter().any(&is_wanted))
             .map(|(name, _)| name.clone())
             .collect()
     }
@@ -338,6 +339,11 @@
         is_rest_there || parts.any(|part| part.domain == *domain && part.doubt.is_none())
     }
 
+    /// Returns whether a pool that held a part of the job was lost.
+    pub(super) fn has_part_in_doubt(&self) -> bool {
+        self.parts.iter().any(|part| part.doubt.is_some())
+    }
+
     /// Returns whether tasks of the job are in doubt at a failure domain.
     fn is_in_doubt_at(&self, domain: &DomainName) -> bool {
         let mut parts = self.parts.iter();
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -145,6 +145,18 @@
     /// Time after a process pause in which no job is submitted, long enough to read what arrived
     /// during the pause.
     pub resume_wait: Duration,
+    /// Time after a process pause in which answers that arrived during it are read before jobs of
+    /// callers that may have left are given up. With a tick it is shorter than the time in which pools
+    /// start nothing after a pause.
+    pub answer_read_wait: Duration,
+    /// Shortest time after which a caller whose connection has ended resends its job, possibly to
+    /// another host; the platform specifies `resend_ms`.
+    pub caller_resend_delay: Duration,
+    /// Part of `caller_resend_delay` that is reserved for stopping the job's runs.
+    pub stop_allowance: Duration,
+    /// Longest time after which the end of a connection that is not acknowledged is retransmitted for
+    /// the first time. The delay doubles each time.
+    pub first_retransmission: Duration,
     /// Minimum `Retry-After` time of a refusal.
     pub min_retry_after: Duration,
     /// Maximum `Retry-After` time of a refusal; most clients stop waiting before.
@@ -161,6 +173,10 @@
         Self {
             lost_pool_wait: Duration::from_millis(2_500),
             resume_wait: Duration::from_millis(100),
+            answer_read_wait: Duration::from_millis(50),
+            caller_resend_delay: Duration::from_millis(1_300),
+            stop_allowance: Duration::from_millis(150),
+            first_retransmission: Duration::from_millis(300),
             min_retry_after: Duration::from_secs(1),
             max_retry_after: Duration::from_secs(5),
             max_late_offers: 2,
--- a/crates/bramley-pool/tests/explanation.rs
+++ b/crates/bramley-pool/tests/explanation.rs
@@ -13,6 +13,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+/// Pause after which no caller can have sent its job elsewhere before the end of its connection is read.
+const SHORT_PAUSE: Duration = Duration::from_millis(350);
+
 /// Compares explanations with what then happens, at loads from idle to overloaded. Guards against
 /// an explanation that follows other rules than the pool, or changes its state.
 #[test]
@@ -144,7 +147,7 @@
         }
     ));
     let mut paused_relay = relay_with_pools(&[("domain-1", 0)], world.now);
-    paused_relay.process_resumed(world.now);
+    paused_relay.process_resumed(SHORT_PAUSE, world.now);
     let held = paused_relay.explain(&submission, world.now);
     assert!(held.offers.is_empty());
     assert_eq!(held.ending, OfferEnding::Held);
--- a/crates/bramley-pool/tests/handover.rs
+++ b/crates/bramley-pool/tests/handover.rs
@@ -6,6 +6,9 @@
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::JobAnswer;
 
+/// Pause after which no caller can have sent its job elsewhere before the end of its connection is read.
+const SHORT_PAUSE: Duration = Duration::from_millis(350);
+
 fn long_job(name: &str) -> TestJob {
     TestJob {
         name: String::from(name),
@@ -142,13 +145,13 @@
     let mut world = World::new(2, 4);
     world.become_leader(0);
     world.run_for(Duration::from_millis(50));
-    world.hosts[1].relay.process_resumed(world.now);
+    world.hosts[1].relay.process_resumed(SHORT_PAUSE, world.now);
     world.submit(1, &long_job("job-1"));
     world.run_for(Duration::from_millis(60));
     world.disconnect_caller(1, "job-1");
     world.run_for(Duration::from_secs(2));
     assert_eq!(world.runs(), 0, "{:#?}", world.log);
-    world.hosts[1].relay.process_resumed(world.now);
+    world.hosts[1].relay.process_resumed(SHORT_PAUSE, world.now);
     world.submit(1, &long_job("job-2"));
     world.run_for(Duration::from_secs(2));
     assert_eq!(world.answer("job-2"), Some(JobAnswer::Completed));
--- a/crates/bramley-pool/tests/paused_relays.rs
+++ b/crates/bramley-pool/tests/paused_relays.rs
@@ -12,6 +12,9 @@
 use bramley_pool::relay::{JobAnswer, Relay, RelayAction};
 use bramley_pool::settings::RelaySettings;
 
+/// Pause after which no caller can have sent its job elsewhere before the end of its connection is read.
+const SHORT_PAUSE: Duration = Duration::from_millis(350);
+
 /// Time after which a resumed relay submits jobs again.
 const RESUMED_AFTER: Duration = Duration::from_millis(101);
 
@@ -28,7 +31,7 @@
     }
     relay.accept(world.submission(job), world.now);
     assert_eq!(submitted_to(&mut relay), ["home"]);
-    relay.process_resumed(world.now);
+    relay.process_resumed(SHORT_PAUSE, world.now);
     relay
 }
 
