Bound run leases by the last message of the relay that waits for the run

Cause: until a silent relay counts as lost, after 700 ms, its runs' leases were renewed for 800 ms each time, so that they could end 1,500 ms after its last message; its callers may send their jobs elsewhere after 1,300 ms. A frame that lay unread during a pause of the leader counted as sent when it was read.

Change: a lease never outlasts caller_resend_delay from the last message of the relay of any run on the worker. Frames that are read within resume_wait after a pause are no sign of life.

--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -182,6 +182,8 @@
     last_active_at: Cell<Duration>,
     /// The same time on the process's clock.
     last_active_clock: Cell<UnixTime>,
+    /// Time at which the process ran again after its last pause.
+    resumed_at: Cell<UnixTime>,
     explanation_limit: Cell<ExplanationLimit>,
     leadership_changed: Notify,
     /// Tells that the pool waits for the entry of a worker.
@@ -235,6 +237,7 @@
             state: RefCell::new(state),
             last_active_at: Cell::new(time_since_boot()),
             last_active_clock: Cell::new(clock.now()),
+            resumed_at: Cell::default(),
             explanation_limit: Cell::default(),
             leadership_changed: Notify::new(),
             entries_wanted: Notify::new(),
--- a/crates/bramley-dock/src/engine/peers.rs
+++ b/crates/bramley-dock/src/engine/peers.rs
@@ -33,6 +33,7 @@
         state.drop_relay_of(hello.incarnation, now);
         state.pool.relay_connected(relay, domain);
         state.pool.relay_introduced(relay, hello.incarnation);
+        state.pool.relay_heard(relay, now);
         if let Some(lost_at) = decode_age(hello.caller_loss_age_ms, now) {
             state.pool.observe_caller_loss(lost_at, now);
         }
@@ -67,10 +68,19 @@
         relay
     }
 
+    /// Records that a relay has sent a frame. One that is read soon after a pause of this process may
+    /// have been sent long before and does not show that the relay is alive.
     pub(crate) fn relay_frame_received(&self, relay: RelayId) {
+        self.detect_pause();
         let now = self.now();
-        if let Some(link) = self.state.borrow_mut().relays.get_mut(&relay) {
+        if now < self.resumed_at.get().after(self.settings.relay.resume_wait) {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        if let Some(link) = state.relays.get_mut(&relay) {
             link.last_heard_at = now;
+            state.pool.relay_heard(relay, now);
         }
     }
 
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -78,6 +78,7 @@
             skipped.as_millis(),
         );
         let now = self.now();
+        self.resumed_at.set(now);
         let mut state = self.state.borrow_mut();
         let state = &mut *state;
         state.pool.clock_skipped(skipped);
--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -51,6 +51,9 @@
 /// Time from which a host that stood still knows so until it processes what arrived meanwhile.
 const WAKE_TIME: Duration = Duration::from_millis(1);
 
+/// Time after a pause in which what arrives does not show that its sender is alive, as in the driver.
+const RESUME_WAIT: Duration = Duration::from_millis(100);
+
 /// Time after which the end of a caller's connection is first retransmitted to a host that stands still;
 /// the delay doubles each time.
 const FIRST_RETRANSMISSION: Duration = Duration::from_millis(200);
@@ -800,6 +803,7 @@
                     link.pool_is_open = true;
                     link.pool_heard_at = now;
                     let (relay, pool) = (link.relay, link.pool);
+                    self.hosts[pool].pool.relay_heard(relay_id(number), now);
                     self.report_caller_loss(relay, pool);
                     self.introduce_relay(relay, pool, relay_id(number));
                     self.schedule(DELAY, Event::Link(LinkEvent::RelayConnects(number)));
@@ -906,9 +910,17 @@
             }
             LinkEvent::Wakes(host, span) => self.wake_host(host, span),
             LinkEvent::Beat(number) => {
-                let link = &mut self.links_mut().connections[number];
-                if link.pool_is_open && now < link.lost_to_pool_from {
+                let links = self.links_mut();
+                let link = &mut links.connections[number];
+                // A heartbeat that is read soon after a pause may have been sent long before.
+                let busy = links.busy.get(&link.pool);
+                let is_stale =
+                    busy.is_some_and(|busy| busy.is_frozen && now < busy.until.after(RESUME_WAIT));
+                if link.pool_is_open && now < link.lost_to_pool_from && !is_stale {
                     link.pool_heard_at = now;
+                    let pool = link.pool;
+                    let pool = &mut self.hosts[pool].pool;
+                    pool.relay_heard(relay_id(number), now);
                 }
             }
             LinkEvent::CallerLeaves(host, caller, job) => {
--- a/crates/bramley-pool/src/pool/caller_loss.rs
+++ b/crates/bramley-pool/src/pool/caller_loss.rs
@@ -16,7 +16,7 @@
 use super::Pool;
 use crate::decision::Decision;
 use crate::job::{JobName, TaskState};
-use crate::worker::WorkerIndex;
+use crate::worker::{WorkerIndex, min_elapsed};
 
 impl Pool {
     /// Records that callers of runs of an earlier leader may have lost their host at `lost_at`, as
@@ -166,8 +166,27 @@
         limit.since(now) >= self.settings.min_start_lease
     }
 
+    /// Returns the length of the run lease that may be granted on a worker now. It does not outlast the
+    /// time by which one of the worker's runs has to have ended, nor `caller_resend_delay` after the last
+    /// message of a relay of such a run: its callers may have lost their host then, and this pool may
+    /// not be able to stop the run. A clock that runs slow does not carry the lease beyond that.
+    pub(super) fn allowed_lease(&self, index: WorkerIndex, now: UnixTime) -> Duration {
+        let worker = self.worker(index);
+        let relays = worker.runs.iter().filter_map(|run| {
+            let job = self.jobs.get(&run.details().task.job)?;
+            job.relay
+        });
+        let heard_at = relays.filter_map(|relay| self.membership.heard_at(relay));
+        let resend_delay = self.settings.caller_resend_delay;
+        let silence_limit = heard_at.min().map(|heard_at| heard_at.after(resend_delay));
+        let limit = silence_limit.map_or(worker.lease_limit, |limit| limit.min(worker.lease_limit));
+        min_elapsed(limit.since(now), self.settings.clock_error_permille)
+            .min(self.settings.run_lease)
+    }
+
     /// Handles time that the process's clock did not count, because its host was suspended.
     pub fn clock_skipped(&mut self, span: Duration) {
+        self.membership.clock_skipped(span);
         self.callers_lost_at = self.callers_lost_at.before(span);
         for worker in &mut self.workers {
             for position in 0..worker.runs.len() {
--- a/crates/bramley-pool/src/pool/maintenance.rs
+++ b/crates/bramley-pool/src/pool/maintenance.rs
@@ -309,12 +309,11 @@
     /// Keeps one long poll in flight to a worker with active runs. The poll renews the run lease
     /// while a run is needed and the worker answers.
     pub(super) fn poll_if_needed(&mut self, index: WorkerIndex, now: UnixTime) {
-        let lease = self.settings.run_lease;
+        let lease = self.allowed_lease(index, now);
         let clock_error = self.settings.clock_error_permille;
         let wait = self.choose_poll_wait(index, now);
         let overdue_at = now.after(wait).after(self.resend_delay());
         let worker = self.worker_mut(index);
-        let lease = worker.allowed_lease(now, lease, clock_error);
         if worker.poll_in_flight || worker.runs.is_empty() || worker.next_poll_at > now {
             return;
         }
--- a/crates/bramley-pool/src/pool/membership.rs
+++ b/crates/bramley-pool/src/pool/membership.rs
@@ -7,6 +7,7 @@
 //! [`Pool::observe_caller_loss`].
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use bramley_core::units::UnixTime;
 use rustc_hash::FxHashMap;
@@ -18,6 +19,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct RelayMembership {
     connected: FxHashMap<RelayId, u64>,
+    /// Times of the last messages of relays of other processes.
+    heard_at: FxHashMap<RelayId, UnixTime>,
     /// Relays of the last leader that have not resubmitted their jobs yet; `None` if they are not
     /// known.
     awaited: Option<BTreeSet<u64>>,
@@ -75,12 +78,25 @@
     }
 
     pub(super) fn relay_lost(&mut self, relay: RelayId, cancelled_at: UnixTime) {
+        self.heard_at.remove(&relay);
         if let Some(incarnation) = self.connected.remove(&relay) {
             self.leaving.push((incarnation, cancelled_at));
             self.has_changed = true;
         }
     }
 
+    /// Returns the time of the last message of a relay; `None` for the relay of this process.
+    pub(super) fn heard_at(&self, relay: RelayId) -> Option<UnixTime> {
+        self.heard_at.get(&relay).copied()
+    }
+
+    /// Handles time that the process's clock did not count.
+    pub(super) fn clock_skipped(&mut self, span: Duration) {
+        for heard_at in self.heard_at.values_mut() {
+            *heard_at = heard_at.before(span);
+        }
+    }
+
     fn members(&self) -> Vec<u64> {
         let connected = self.connected.values().copied();
         let awaited = self.awaited.iter().flatten().copied();
@@ -97,6 +113,11 @@
         self.membership.has_changed = true;
     }
 
+    /// Records that a message of a relay of another process has arrived that it sent just before.
+    pub fn relay_heard(&mut self, relay: RelayId, now: UnixTime) {
+        self.membership.heard_at.insert(relay, now);
+    }
+
     /// Sets the relays that held jobs at the last leader, to be called when the pool becomes leader.
     pub fn await_relays(&mut self, incarnations: impl IntoIterator<Item = u64>) {
         self.membership.awaited = Some(incarnations.into_iter().collect());
--- a/crates/bramley-pool/src/pool/starts.rs
+++ b/crates/bramley-pool/src/pool/starts.rs
@@ -24,7 +24,6 @@
         index: WorkerIndex,
         now: UnixTime,
     ) {
-        let lease = self.settings.run_lease;
         let clock_error = self.settings.clock_error_permille;
         let worker = &self.workers[index.0 as usize];
         let born_unix_ms = worker.entry.born_unix_ms;
@@ -59,9 +58,10 @@
         };
         let task = details.task.clone();
         self.update_queued(name);
+        self.worker_mut(index)
+            .add_run(LiveRun::Starting(Run::new(details)));
+        let lease = self.allowed_lease(index, now);
         let worker = self.worker_mut(index);
-        worker.add_run(LiveRun::Starting(Run::new(details)));
-        let lease = worker.allowed_lease(now, lease, clock_error);
         let lease_end = worker.clock.extend_lease(now, lease, clock_error);
         let decision = Decision::Placed {
             task: task.clone(),
@@ -224,7 +224,7 @@
     /// Resends an unanswered start request with the same run number; returns false if the caller
     /// may be gone or the failure domain is evacuated.
     fn resend_start(&mut self, index: WorkerIndex, position: usize, now: UnixTime) -> bool {
-        let lease = self.settings.run_lease;
+        let lease = self.allowed_lease(index, now);
         let clock_error = self.settings.clock_error_permille;
         let details = self.worker(index).runs[position].details();
         let (task, number) = (details.task.clone(), details.number);
@@ -238,7 +238,6 @@
         let details = worker.runs[position].details_mut();
         details.resent = true;
         details.pending_starts += 1;
-        let lease = worker.allowed_lease(now, lease, clock_error);
         let lease_end = worker.clock.extend_lease(now, lease, clock_error);
         let decision = Decision::StartSentAgain {
             task: task.clone(),
--- a/crates/bramley-pool/src/worker.rs
+++ b/crates/bramley-pool/src/worker.rs
@@ -309,7 +309,7 @@
 }
 
 /// Returns the least time that can pass on a slow clock during `span`.
-fn min_elapsed(span: Duration, error_permille: u32) -> Duration {
+pub(crate) fn min_elapsed(span: Duration, error_permille: u32) -> Duration {
     let kept = 1_000_u32.saturating_sub(error_permille);
     span.saturating_mul(kept) / 1_000
 }
@@ -522,13 +522,6 @@
         self.lease_limit = ends.min().unwrap_or(UnixTime::NEVER);
     }
 
-    /// Returns the length of the longest run lease that may be granted now, at most `longest`. A
-    /// clock that runs slow by the given rate does not carry the lease beyond its limit.
-    #[must_use]
-    pub fn allowed_lease(&self, now: UnixTime, longest: Duration, error_permille: u32) -> Duration {
-        min_elapsed(self.lease_limit.since(now), error_permille).min(longest)
-    }
-
     /// Adds a run and allocates its resources.
     pub fn add_run(&mut self, run: LiveRun) {
         self.allocated = self.allocated.saturating_add(run.details().resources);
--- a/crates/bramley-pool/tests/frozen_hosts.rs
+++ b/crates/bramley-pool/tests/frozen_hosts.rs
@@ -272,3 +272,46 @@
     assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
     assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
 }
+
+/// Guards against runs that outlast the pause of their callers because the lease was renewed for a relay
+/// that had been silent for long, and the leader, which stood still soon after, could not stop them.
+#[test]
+fn leases_end_in_time_where_a_leader_stands_still_after_a_host_of_callers() {
+    let mut late = Vec::new();
+    for freeze_ms in (400..600).step_by(20) {
+        for delay_ms in (0..=1_000).step_by(50) {
+            if outlasts_pause(freeze_ms, delay_ms) {
+                late.push((freeze_ms, delay_ms));
+            }
+        }
+    }
+    assert!(late.is_empty(), "{} of 210: {late:?}", late.len());
+}
+
+/// Lets a host of a caller stand still some time after its job was sent, and its leader later, and
+/// returns whether the job still runs when the caller, who has left at once, may send it elsewhere.
+fn outlasts_pause(freeze_ms: u64, delay_ms: u64) -> bool {
+    let domains = &DOMAINS[..1];
+    let mut world = World::with_domains(domains, HOSTS, WORKERS, &PoolSettings::default());
+    world.become_leader(0);
+    world.run_for(Duration::from_millis(50));
+    world.use_links(1);
+    world.run_for(Duration::from_millis(2_000));
+    let job = TestJob {
+        run: Duration::from_secs(6),
+        ..TestJob::default()
+    };
+    let leaves_after = Duration::from_millis(freeze_ms + 1);
+    world.call_host(2, &job, Some(leaves_after));
+    world.run_for(Duration::from_millis(freeze_ms));
+    world.freeze_host(2, Duration::from_secs(6));
+    let delay = Duration::from_millis(delay_ms);
+    world.run_for(delay);
+    world.freeze_host(0, Duration::from_secs(4));
+    world.run_for(RESEND.saturating_sub(delay));
+    let now = world.now;
+    world.workers.iter_mut().any(|worker| {
+        worker.advance(now);
+        worker.running() > 0
+    })
+}
