Doubt callers by the retransmission that can come last, not by its linear bound

Cause: the end of a connection was taken to arrive as late after a pause as the pause was long, and 300 ms. The delays double from 200 to 300 ms on, so that after pauses of up to 550 ms it comes before a caller can have sent its job elsewhere; the linear bound gave up jobs from 425 ms on.

--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -54,9 +54,12 @@
 /// Time after a pause in which what arrives does not show that its sender is alive, as in the driver.
 const RESUME_WAIT: Duration = Duration::from_millis(100);
 
-/// Time after which the end of a caller's connection is first retransmitted to a host that stands still;
-/// the delay doubles each time.
-const FIRST_RETRANSMISSION: Duration = Duration::from_millis(200);
+/// Shortest time in milliseconds after which the end of a caller's connection is first retransmitted to a
+/// host that stands still; the delay doubles each time.
+const FIRST_RETRANSMISSION_MS: u64 = 200;
+
+/// Range of that time in milliseconds, which differs by connection.
+const RETRANSMISSION_RANGE_MS: u64 = 101;
 
 /// Time after which a client sends a job again whose outcome it was not told.
 const RESEND_DELAY: Duration = Duration::from_millis(1_300);
@@ -955,7 +958,8 @@
             return Some(busy.until);
         };
         let mut arrives_at = self.ends_of_callers.get(caller).copied().unwrap_or(now);
-        let mut delay = FIRST_RETRANSMISSION;
+        let first_ms = FIRST_RETRANSMISSION_MS + caller * 37 % RETRANSMISSION_RANGE_MS;
+        let mut delay = Duration::from_millis(first_ms);
         while arrives_at < busy.until {
             arrives_at = arrives_at.after(delay);
             delay *= 2;
--- a/crates/bramley-pool/src/relay/doubted.rs
+++ b/crates/bramley-pool/src/relay/doubted.rs
@@ -32,9 +32,24 @@
     /// Returns the time by which the end of a connection has arrived that was sent at `sent_at` or
     /// later to a host that has run again since `ended_at`.
     fn heard_by(&self, sent_at: UnixTime, ended_at: UnixTime) -> UnixTime {
-        ended_at
-            .after(ended_at.since(sent_at))
-            .after(self.first_retransmission)
+        ended_at.after(self.longest_retransmission(ended_at.since(sent_at)))
+    }
+
+    /// Returns the longest time from the end of a pause until a packet is retransmitted that was first
+    /// sent during it. The transmission before, after `2^n - 1` first delays, has just missed the end.
+    fn longest_retransmission(&self, pause: Duration) -> Duration {
+        let (shortest, longest) = self.first_retransmission;
+        let mut wait = longest;
+        let mut doublings = 1_u32;
+        loop {
+            let factor = 1_u32.checked_shl(doublings).unwrap_or(u32::MAX);
+            let first = (pause / (factor - 1)).min(longest);
+            if first < shortest {
+                return wait;
+            }
+            wait = wait.max(first.saturating_mul(factor));
+            doublings += 1;
+        }
     }
 
     /// Returns the time by which the runs of a caller who left at `left_at` are to be stopped, so that
--- a/crates/bramley-pool/src/settings.rs
+++ b/crates/bramley-pool/src/settings.rs
@@ -154,9 +154,10 @@
     pub caller_resend_delay: Duration,
     /// Part of `caller_resend_delay` that is reserved for stopping the job's runs.
     pub stop_allowance: Duration,
-    /// Longest time after which the end of a connection that is not acknowledged is retransmitted for
-    /// the first time. The delay doubles each time.
-    pub first_retransmission: Duration,
+    /// Shortest and longest time after which the end of a connection that is not acknowledged is
+    /// retransmitted for the first time: the smallest retransmission timeout of common TCP stacks, and
+    /// with the round trips of callers and their variance. The delay doubles each time.
+    pub first_retransmission: (Duration, Duration),
     /// Minimum `Retry-After` time of a refusal.
     pub min_retry_after: Duration,
     /// Maximum `Retry-After` time of a refusal; most clients stop waiting before.
@@ -176,7 +177,7 @@
             answer_read_wait: Duration::from_millis(50),
             caller_resend_delay: Duration::from_millis(1_300),
             stop_allowance: Duration::from_millis(150),
-            first_retransmission: Duration::from_millis(300),
+            first_retransmission: (Duration::from_millis(200), Duration::from_millis(300)),
             min_retry_after: Duration::from_secs(1),
             max_retry_after: Duration::from_secs(5),
             max_late_offers: 2,
