--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -543,6 +543,7 @@
         if message.may_move_job()
             && let Some(job) = message.job()
             && self.is_caller_doubted(job)
+            && self.job_at(job, domain).is_some()
         {
             self.give_up_moved_job(&job.clone(), &message, now);
             return;
