--- a/crates/bramley-dock/src/routes.rs
+++ b/crates/bramley-dock/src/routes.rs
@@ -26,15 +26,21 @@
 pub struct RequestLimits {
     /// Largest body in bytes.
     pub body_bytes: usize,
+    /// Largest head in bytes.
+    pub header_bytes: usize,
     /// Time limit for receiving all headers of a request.
     pub header_time: Duration,
+    /// Time limit for a connection at rest.
+    pub idle_time: Duration,
 }
 
 impl Default for RequestLimits {
     fn default() -> Self {
         Self {
             body_bytes: 256 * 1024,
+            header_bytes: 16 * 1024,
             header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
         }
     }
 }
