Connections from callers are bounded, and the one that occupies most is closed

Callers saw: with 500 idle connections a process had 521 descriptors where its settings allow 400, and those for the store, workers and readiness come from the same. Cause: connections were accepted without a bound. A connection that rested for longer than a head may take was closed although idle_timeout_ms allows it, because the HTTP library's timer for heads runs between requests as well.

bramley-intake keeps a ledger of the open connections of an address: what they hold, since when, and their deadlines. Its limits are derived from memory_mb and max_fds, of which half of the sockets stay for the store and workers. At a limit, the connection with the largest product of bytes and time is closed, one that has had an answer later; one whose request is being served never. Ordinary callers send a small request at once, so a crowd is closed before them. Only if all are being served, a new connection gets 503 with Retry-After: nothing of it has started. The ledger also keeps the deadlines for heads and for rest, so that each has its own.

--- a/crates/bramley-dock/src/lib.rs
+++ b/crates/bramley-dock/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod deadline;
 pub mod engine;
 pub mod health;
+pub mod intake;
 pub mod links;
 pub mod logging;
 pub mod metrics;
--- a/crates/bramley-dock/src/metrics.rs
+++ b/crates/bramley-dock/src/metrics.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
+use bramley_intake::{CloseCause, IntakeReport};
 use bramley_pool::decision::Decision;
 use bramley_pool::message::{PoolLoad, RouteAdmission};
 use bramley_pool::pool::{PoolCounts, RoutePair};
+use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::RefusalSource;
 use bramley_pool::worker::{CallAnswer, WorkerCall, WorkerRequest};
 use prometheus_client::encoding::text::encode;
@@ -57,6 +59,11 @@
     refusals: Family<Labels<1>, Counter>,
     refusals_by_state: Counter,
     early_refusals: Counter,
+    refused_bodies: Family<Labels<1>, Counter>,
+    connections: Family<Labels<1>, Gauge>,
+    held_bytes: Family<Labels<1>, Gauge>,
+    closed_connections: Family<Labels<2>, Gauge>,
+    refused_connections: Family<Labels<1>, Gauge>,
     shed_requests: Counter,
     shed_permille: Gauge,
     queueing_delay_ms: Gauge,
@@ -106,6 +113,11 @@
             refusals: Family::default(),
             refusals_by_state: Counter::default(),
             early_refusals: Counter::default(),
+            refused_bodies: Family::default(),
+            connections: Family::default(),
+            held_bytes: Family::default(),
+            closed_connections: Family::default(),
+            refused_connections: Family::default(),
             shed_requests: Counter::default(),
             shed_permille: Gauge::default(),
             queueing_delay_ms: Gauge::default(),
@@ -203,6 +215,31 @@
             "Jobs refused by the relay before their body was read, by the published state",
             self.early_refusals.clone(),
         );
+        registry.register(
+            "refused_bodies",
+            "Requests refused because of their body, by reason",
+            self.refused_bodies.clone(),
+        );
+        registry.register(
+            "connections",
+            "Open inbound connections by interface",
+            self.connections.clone(),
+        );
+        registry.register(
+            "held_bytes",
+            "Bytes that inbound connections hold, by interface",
+            self.held_bytes.clone(),
+        );
+        registry.register(
+            "closed_connections",
+            "Inbound connections closed to keep a limit, by interface and cause",
+            self.closed_connections.clone(),
+        );
+        registry.register(
+            "refused_connections",
+            "Inbound connections refused for lack of room, by interface",
+            self.refused_connections.clone(),
+        );
         registry.register(
             "shed_requests",
             "Requests refused because the host is short of processor time",
@@ -331,6 +368,35 @@
             .inc();
     }
 
+    /// Records a request that was refused because of its body.
+    pub fn record_refused_body(&self, refusal: Refusal) {
+        let labels = [("reason", Cow::from(refusal.answer().reason))];
+        self.refused_bodies.get_or_create(&labels).inc();
+    }
+
+    /// Records the state of the inbound connections of an interface.
+    pub fn record_intake(&self, interface: &'static str, report: &IntakeReport) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let label = [("interface", Cow::from(interface))];
+        self.connections
+            .get_or_create(&label)
+            .set(gauge(report.open));
+        self.held_bytes
+            .get_or_create(&label)
+            .set(gauge(report.held_bytes));
+        self.refused_connections
+            .get_or_create(&label)
+            .set(report.refused.cast_signed());
+        for cause in CloseCause::ALL {
+            let labels = [
+                ("interface", Cow::from(interface)),
+                ("cause", Cow::from(cause.as_str())),
+            ];
+            let closed = report.closed_for(cause).cast_signed();
+            self.closed_connections.get_or_create(&labels).set(closed);
+        }
+    }
+
     /// Records a call to the store.
     pub fn record_store_call(&self, kind: &'static str, result: &'static str) {
         let labels = [("kind", Cow::from(kind)), ("result", Cow::from(result))];
--- a/crates/bramley-dock/src/settings.rs
+++ b/crates/bramley-dock/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bramley_core::names::{DomainName, HostName};
+use bramley_intake::HostCapacity;
 use bramley_pool::mechanism::{DisabledMechanisms, Mechanism};
 use bramley_pool::settings::{ClaimSettings, PoolSettings, RelaySettings};
 use bramley_settings::{ValidatedSettings, ValidationErrors};
@@ -24,6 +25,8 @@
     pub cpu_milli: u32,
     /// Speed of the host's network link in bytes per second.
     pub link_bytes_per_s: u64,
+    /// Memory and descriptors of the process.
+    pub capacity: HostCapacity,
 }
 
 /// All settings of the driver.
--- /dev/null
+++ b/crates/bramley-intake/src/settings.rs
@@ -0,0 +1,138 @@
+//! Settings, and how they are derived from the limits of a host.
+
+use std::time::Duration;
+
+/// Memory in bytes that a connection occupies besides what it sends: the read and write buffers of
+/// the HTTP library and its state.
+pub const CONNECTION_BYTES: usize = 20 * 1024;
+
+/// Descriptors that are reserved for files and the runtime.
+const RESERVED_DESCRIPTORS: usize = 200;
+
+/// Smallest receive buffer of a socket in bytes.
+const MIN_RECEIVE_BUFFER: usize = 8 * 1024;
+
+/// Largest receive buffer of a socket in bytes.
+const MAX_RECEIVE_BUFFER: usize = 256 * 1024;
+
+/// Largest number of connections to each address that serves health checks.
+const HEALTH_CONNECTIONS: usize = 32;
+
+/// Memory and descriptors that a process may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HostCapacity {
+    /// Memory of the process in bytes.
+    pub memory_bytes: usize,
+    /// Open descriptors of the process.
+    pub descriptors: usize,
+}
+
+impl Default for HostCapacity {
+    fn default() -> Self {
+        Self {
+            memory_bytes: 256_000_000,
+            descriptors: 4_096,
+        }
+    }
+}
+
+impl HostCapacity {
+    /// Returns the number of descriptors for sockets.
+    const fn sockets(&self) -> usize {
+        self.descriptors.saturating_sub(RESERVED_DESCRIPTORS)
+    }
+
+    /// Returns the limits of connections from callers: three eighths of the sockets and a quarter
+    /// of the memory. Half of the sockets stay for the store and the workers.
+    #[must_use]
+    pub fn caller_intake(&self) -> IntakeSettings {
+        IntakeSettings {
+            connections: (self.sockets() * 3 / 8).max(1),
+            held_bytes: self.memory_bytes / 4,
+            ..IntakeSettings::default()
+        }
+    }
+
+    /// Returns the limits of connections from relays: an eighth of the sockets less those of the
+    /// addresses that serve health checks.
+    #[must_use]
+    pub fn relay_intake(&self) -> IntakeSettings {
+        let connections = (self.sockets() / 8).saturating_sub(2 * self.health_connections());
+        IntakeSettings {
+            connections: connections.max(1),
+            held_bytes: self.memory_bytes / 16,
+            ..IntakeSettings::default()
+        }
+    }
+
+    /// Returns the limits of connections to one address that serves health checks.
+    #[must_use]
+    pub fn health_intake(&self) -> IntakeSettings {
+        IntakeSettings {
+            connections: self.health_connections(),
+            held_bytes: self.memory_bytes / 32,
+            ..IntakeSettings::default()
+        }
+    }
+
+    /// Returns the bytes that responses of the store and of workers may occupy while they are
+    /// received.
+    #[must_use]
+    pub const fn response_bytes(&self) -> usize {
+        self.memory_bytes / 8
+    }
+
+    fn health_connections(&self) -> usize {
+        (self.sockets() / 32).clamp(2, HEALTH_CONNECTIONS)
+    }
+
+    /// Returns the size in bytes of a socket's receive buffer with which the unread bytes of all
+    /// connections from callers fit into a quarter of the memory.
+    #[must_use]
+    pub fn receive_buffer(&self) -> usize {
+        let connections = self.caller_intake().connections;
+        (self.memory_bytes / 4 / connections).clamp(MIN_RECEIVE_BUFFER, MAX_RECEIVE_BUFFER)
+    }
+}
+
+/// Limits over all connections to one address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct IntakeSettings {
+    /// Largest number of open connections.
+    pub connections: usize,
+    /// Largest number of bytes that all connections hold together.
+    pub held_bytes: usize,
+    /// Times that a connection may spend in a phase.
+    pub times: PhaseTimes,
+}
+
+impl Default for IntakeSettings {
+    fn default() -> Self {
+        Self {
+            connections: 1_024,
+            held_bytes: 64_000_000,
+            times: PhaseTimes::default(),
+        }
+    }
+}
+
+/// Times from which the deadlines of a connection's phases are computed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PhaseTimes {
+    /// Time for a connection at rest, before its first request or between two.
+    pub idle: Duration,
+    /// Time from the first byte of a request's head to its last.
+    pub head: Duration,
+    /// Time for the client to read a response.
+    pub answer: Duration,
+}
+
+impl Default for PhaseTimes {
+    fn default() -> Self {
+        Self {
+            idle: Duration::from_secs(15),
+            head: Duration::from_secs(3),
+            answer: Duration::from_secs(5),
+        }
+    }
+}
--- a/crates/bramley-pool/src/refusal.rs
+++ b/crates/bramley-pool/src/refusal.rs
@@ -32,6 +32,10 @@
     Unknown,
     /// the failure domain is evacuated
     Evacuated,
+    /// the host has no memory or connection left for the request
+    HostFull,
+    /// the request did not arrive in time
+    TooSlow,
 }
 
 /// Response to a refused request.
@@ -47,7 +51,7 @@
 
 impl Refusal {
     /// All refusals, in declaration order.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::Overloaded,
         Self::NeverFits,
         Self::NoPool,
@@ -59,6 +63,8 @@
         Self::Expired,
         Self::Unknown,
         Self::Evacuated,
+        Self::HostFull,
+        Self::TooSlow,
     ];
 
     /// Returns the response for the caller.
@@ -76,6 +82,8 @@
             Self::Expired => (503, true, "expired"),
             Self::Unknown => (502, false, "unknown"),
             Self::Evacuated => (503, true, "evacuated"),
+            Self::HostFull => (503, true, "host_full"),
+            Self::TooSlow => (408, false, "too_slow"),
         };
         RefusalAnswer {
             status,
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -883,7 +883,9 @@
             | Refusal::Malformed
             | Refusal::TooLarge
             | Refusal::Unsupported
-            | Refusal::Unknown => return None,
+            | Refusal::Unknown
+            | Refusal::HostFull
+            | Refusal::TooSlow => return None,
         }
         if !job.submission.accepts_late
             && let Some(domain) = self.next_pool(name, now)
