--- a/crates/bramley-dock/src/engine/callers.rs
+++ b/crates/bramley-dock/src/engine/callers.rs
@@ -133,6 +133,12 @@
         }
     }
 
+    /// Returns whether the process has stood still since a time.
+    #[must_use]
+    pub fn has_paused_since(&self, time: UnixTime) -> bool {
+        self.resumed_at.get() >= time
+    }
+
     /// Cancels a job that a caller waits for and returns whether there was one.
     pub fn cancel(self: &Rc<Self>, job: &JobName) -> bool {
         let had_caller = self.state.borrow_mut().callers.remove(job).is_some();
