Log lines are cut at 2,048 bytes

Cause: lines quote what clients send: the error of an unreadable body has the whole wrong value, and requests without a route their path.

--- a/crates/bramley-dock/src/logging.rs
+++ b/crates/bramley-dock/src/logging.rs
@@ -24,6 +24,12 @@
 /// Above the configured rate, one in this many jobs keeps its routine lines.
 const SAMPLE_DIVISOR: u64 = 16;
 
+/// Largest length of a line in bytes. Lines quote what clients send, which may be much longer.
+const MAX_LINE_BYTES: usize = 2_048;
+
+/// End of a line that was cut.
+const CUT_END: &[u8] = b"... cut=true\n";
+
 /// Time between two writes, so that the writer thread wakes rarely.
 const WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -55,8 +61,10 @@
         }
     }
 
-    /// Adds a line, or drops it if the buffer is too full for its level.
+    /// Adds a line, or drops it if the buffer is too full for its level. The end of a line that is
+    /// too long is cut.
     pub fn push(&self, level: Level, line: Vec<u8>) {
+        let line = cut_line(line);
         let (buffer, lines_added) = &*self.shared;
         let mut buffer = buffer.lock().unwrap_or_else(PoisonError::into_inner);
         let percent = match level {
@@ -140,6 +148,18 @@
     }
 }
 
+/// Cuts a line at the largest length. Only whole characters are kept.
+fn cut_line(line: Vec<u8>) -> Vec<u8> {
+    if line.len() <= MAX_LINE_BYTES {
+        return line;
+    }
+    let mut end = MAX_LINE_BYTES - CUT_END.len();
+    while end > 0 && line[end] & 0b1100_0000 == 0b1000_0000 {
+        end -= 1;
+    }
+    [&line[..end], CUT_END].concat()
+}
+
 /// Passes the logger's output to the buffer; the first byte of each line encodes its level.
 #[derive(Debug)]
 struct LevelTaggedPipe(LogBuffer);
--- a/crates/bramley-dock/tests/logging.rs
+++ b/crates/bramley-dock/tests/logging.rs
@@ -136,3 +136,23 @@
         metrics.encode()
     );
 }
+
+/// Guards against lines that quote whole bodies or paths of clients and fill the memory.
+#[test]
+fn a_long_line_is_cut_at_a_character() {
+    let log = LogBuffer::new(10);
+    let quoted = format!(
+        "event=job_unreadable error=\"{}\"\n",
+        "\u{e4}".repeat(100_000)
+    );
+    log.push(Level::Warn, quoted.into_bytes());
+    log.push(Level::Warn, "short\n".into());
+    log.close();
+    let mut output = Vec::new();
+    log.write_to(&mut output).expect("a vector can be written");
+    let text = String::from_utf8(output).expect("only whole characters are kept");
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[0].len() < 2_048, "{} bytes", lines[0].len());
+    assert!(lines[0].ends_with("... cut=true"), "{}", lines[0]);
+    assert_eq!(lines[1], "short");
+}
