Connections to the health address and the metrics port are bounded

Cause: as for callers, connections were accepted without a bound and with the HTTP library's defaults, so 500 idle connections took 521 of 400 descriptors.

--- a/crates/bramley-dock/src/health.rs
+++ b/crates/bramley-dock/src/health.rs
@@ -2,8 +2,8 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
+use bramley_intake::{ConnectionLedger, IntakeListener, OpenConnection, PhaseTimes, RequestIntake};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -11,40 +11,73 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 
 use crate::engine::Engine;
+use crate::intake::watch_connections;
 use crate::placement_query::{PlacementQuery, QUERY_PATH};
 use crate::platform::Platform;
 
-/// Delay after a failed accept, so that running out of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Largest head of a request in bytes.
+const MAX_HEADER_BYTES: usize = 8 * 1024;
 
-/// Serves `/ready`, `/metrics`, `/state` and `/where` until the process ends.
-pub async fn serve_health<P: Platform>(engine: Rc<Engine<P>>, listener: TcpListener) {
+/// Response to a connection for which there is no room.
+const FULL_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// Serves `/ready`, `/metrics`, `/state` and `/where` until the process ends. `interface` names the
+/// address in logs and metrics.
+pub async fn serve_health<P: Platform>(
+    engine: Rc<Engine<P>>,
+    listener: TcpListener,
+    interface: &'static str,
+) {
+    let settings = engine.settings().host.capacity.health_intake();
+    let ledger = ConnectionLedger::new(interface, settings);
+    spawn_local(watch_connections(Rc::clone(&engine), ledger.clone()));
+    let listener = IntakeListener::new(listener, ledger, FULL_RESPONSE);
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("event=accept_failed interface=health error=\"{error}\"");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
+        let (stream, connection) = listener.accept(PhaseTimes::default).await;
+        spawn_local(serve_connection(
+            Rc::clone(&engine),
+            stream,
+            connection,
+            interface,
+        ));
+    }
+}
+
+async fn serve_connection<P: Platform>(
+    engine: Rc<Engine<P>>,
+    stream: TcpStream,
+    connection: OpenConnection,
+    interface: &'static str,
+) {
+    let handle = connection.handle();
+    let service = service_fn(|request| {
         let engine = Rc::clone(&engine);
-        spawn_local(async move {
-            let service = service_fn(|request| {
-                let response = respond(&engine, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(error) = connection.await {
-                log::trace!("event=connection_ended interface=health error=\"{error}\"");
+        let intake = RequestIntake::new(handle.clone());
+        async move {
+            let response = respond(&engine, &request);
+            drop(intake);
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let http = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The ledger keeps the deadlines.
+        .header_read_timeout(None)
+        .max_header_size(MAX_HEADER_BYTES)
+        .max_buf_size(MAX_HEADER_BYTES)
+        .serve_connection(TokioIo::new(connection.meter(stream)), service);
+    tokio::select! {
+        result = http => {
+            if let Err(error) = result {
+                log::trace!("event=connection_ended interface={interface} error=\"{error}\"");
             }
-        });
+        }
+        () = connection.closed() => {}
     }
 }
 
