Connections to the address for relays are bounded

A connection that has not named its relay is closed to make room; one that has is not, since it carries jobs. The first frame has 4 KB at most. unnamed_relays failed before and passes now.

--- a/crates/bramley-dock/src/links/inbound.rs
+++ b/crates/bramley-dock/src/links/inbound.rs
@@ -1,7 +1,9 @@
 //! Accepts connections from relays of other processes.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use bramley_intake::{ConnectionLedger, IntakeListener, OpenConnection, PhaseTimes};
 use bramley_pool::job::JobName;
 use bramley_pool::message::{RelayId, RelayMessage};
 use bramley_wire::pool::{RelayFrame, RelayHello, relay_frame};
@@ -11,40 +13,45 @@
 
 use super::convert::{decode_submission, decode_waiting};
 use super::{
-    DisconnectReason, FrameReader, configure_stream, read_frame, split_stream, write_frames,
+    DisconnectReason, FrameReader, MAX_FRAME_BYTES, configure_stream, read_frame, split_stream,
+    write_frames,
 };
 use crate::engine::Engine;
+use crate::intake::watch_connections;
 use crate::platform::Platform;
 
-/// Delay after a failed accept, so that running out of file descriptors does not cause a busy loop.
-const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(50);
+/// Largest first frame in bytes, which names a relay and its host.
+const MAX_HELLO_BYTES: usize = 4 * 1024;
 
 /// Accepts connections from relays until the process ends.
 pub async fn serve_relays<P: Platform>(engine: Rc<Engine<P>>, listener: TcpListener) {
+    let settings = engine.settings().host.capacity.relay_intake();
+    let ledger = ConnectionLedger::new("relay", settings);
+    spawn_local(watch_connections(Rc::clone(&engine), ledger.clone()));
+    let listener = IntakeListener::new(listener, ledger, b"");
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn_local(serve_relay(Rc::clone(&engine), stream));
-            }
-            Err(error) => {
-                log::warn!("event=accept_failed interface=relay error=\"{error}\"");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        let (stream, connection) = listener.accept(PhaseTimes::default).await;
+        spawn_local(serve_relay(Rc::clone(&engine), stream, connection));
     }
 }
 
-async fn serve_relay<P: Platform>(engine: Rc<Engine<P>>, stream: TcpStream) {
+async fn serve_relay<P: Platform>(
+    engine: Rc<Engine<P>>,
+    stream: TcpStream,
+    connection: OpenConnection,
+) {
     let idle_timeout = engine.settings().link.idle_timeout;
     configure_stream(&stream, idle_timeout);
     let (mut reader, writer) = split_stream(stream);
-    let hello = match read_frame::<RelayFrame>(&mut reader, idle_timeout).await {
-        Ok(RelayFrame {
-            body: Some(relay_frame::Body::Hello(hello)),
-        }) => hello,
-        Ok(_) => return log::warn!("event=relay_refused reason=no_hello"),
-        Err(reason) => return log::debug!("event=relay_refused reason={}", reason.as_str()),
+    let hello = tokio::select! {
+        hello = read_hello(&mut reader, idle_timeout) => hello,
+        // Only a connection that has not named its relay is closed to make room.
+        () = connection.closed() => None,
+    };
+    let Some(hello) = hello else {
+        return;
     };
+    connection.handle().begin_serving(0);
     let (outgoing, queue) = mpsc::unbounded_channel();
     let relay = engine.relay_connected(&hello, outgoing);
     let write_task = spawn_local(write_frames(writer, queue));
@@ -54,6 +61,26 @@
     write_task.abort();
 }
 
+/// Reads the first frame of a connection, which names the relay.
+async fn read_hello(reader: &mut FrameReader, idle_timeout: Duration) -> Option<RelayHello> {
+    reader.decoder_mut().set_max_frame_length(MAX_HELLO_BYTES);
+    let frame = read_frame::<RelayFrame>(reader, idle_timeout).await;
+    reader.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
+    match frame {
+        Ok(RelayFrame {
+            body: Some(relay_frame::Body::Hello(hello)),
+        }) => Some(hello),
+        Ok(_) => {
+            log::warn!("event=relay_refused reason=no_hello");
+            None
+        }
+        Err(reason) => {
+            log::debug!("event=relay_refused reason={}", reason.as_str());
+            None
+        }
+    }
+}
+
 fn log_relay_disconnected(hello: &RelayHello, reason: DisconnectReason) {
     log::info!(
         "event=relay_lost host={} incarnation={} reason={}",
