bramley-entry: callers' connections, heads and requests are bounded together

Connections were accepted without a bound, a body had a limit of its own but none over all of them, its pieces kept the buffers they came in, and heads were read up to 400 KB. The caller server uses bramley-intake with two new settings, max_connections and max_intake_bytes, whose defaults (4,096 connections, 256 MB) no caller within the other limits meets; a request for which there is no memory gets the new error kind host_full. Connections at rest have 60 s instead of the 10 s of a head. Responses are to be read within 60 s.

--- a/crates/bramley-core/src/errors.rs
+++ b/crates/bramley-core/src/errors.rs
@@ -58,6 +58,8 @@
     StoreUnavailable,
     /// the host keeps as many outcomes as it may
     OutcomesFull,
+    /// the host has no memory or connection left for the request
+    HostFull,
     /// an earlier submission under this ticket was refused before any task started
     RefusedEarlier,
     /// the process met a fault of its own
@@ -144,7 +146,7 @@
 }
 
 /// Responses for all error kinds, in the order of [`ErrorKind`].
-pub const ERROR_RESPONSES: [ErrorResponse; 26] = {
+pub const ERROR_RESPONSES: [ErrorResponse; 27] = {
     use ErrorKind as Kind;
     use ExecutionStatus::{MayHaveRun, NotRun, Undetermined};
     use RetryAdvice::{Never, NewTicket, SameTicket};
@@ -233,6 +235,7 @@
             Undetermined,
         ),
         response(Kind::OutcomesFull, 503, "outcomes_full", NewTicket, NotRun),
+        response(Kind::HostFull, 503, "host_full", SameTicket, Undetermined),
         response(
             Kind::RefusedEarlier,
             409,
--- a/crates/bramley-entry/src/caller/server.rs
+++ b/crates/bramley-entry/src/caller/server.rs
@@ -6,8 +6,13 @@
 use std::time::Duration;
 
 use bramley_core::errors::{DispatchError, ErrorKind};
+use bramley_intake::{
+    BodyError, ConnectionLedger, IntakeListener, IntakeSettings, OpenConnection, PhaseTimes,
+    Receiving, RequestIntake, discard_body,
+};
+use bramley_settings::EntryLimits;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::service::service_fn;
@@ -17,6 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, timeout_at};
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
 
 use crate::caller::replies::{EncodedResponse, ResponseBody};
 use crate::caller::routes::{self, TicketOperation};
@@ -33,8 +39,22 @@
 /// connection is closed.
 const MAX_DISCARDED_BYTES: usize = 64 << 20;
 
-/// Delay after a connection could not be accepted, for example because of too many open files.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Largest head of a request in bytes.
+const MAX_HEADER_BYTES: usize = 16 * 1024;
+
+/// Largest read buffer of a connection in bytes.
+const MAX_READ_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Times that a connection may spend in a phase.
+const PHASE_TIMES: PhaseTimes = PhaseTimes {
+    idle: Duration::from_secs(60),
+    head: HEADER_READ_TIMEOUT,
+    answer: Duration::from_secs(60),
+};
+
+/// Response to a connection for which there is no room.
+const FULL_RESPONSE: &[u8] =
+    b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 
 /// Serves callers until `stop` is cancelled, then lets requests in progress finish.
 ///
@@ -46,25 +66,37 @@
     abort: CancellationToken,
 ) {
     let graceful = GracefulShutdown::new();
+    let ledger = ConnectionLedger::new("caller", intake_settings(&state.settings.limits));
+    let watch = tokio::spawn(watch_connections(Arc::clone(&state), ledger.clone()));
+    let _watch = AbortOnDropHandle::new(watch);
+    let listener = IntakeListener::new(listener, ledger, FULL_RESPONSE);
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        let (stream, connection) = tokio::select! {
+            accepted = listener.accept(|| PHASE_TIMES) => accepted,
             () = stop.cancelled() => break,
         };
-        match accepted {
-            Ok((stream, _)) => serve_connection(stream, &state, &graceful, abort.clone()),
-            Err(error) => {
-                log::warn!("event=accept_failed error=\"{error}\"");
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
+        serve_connection(stream, connection, &state, &graceful, abort.clone());
     }
     drop(listener);
     graceful.shutdown().await;
 }
 
+fn intake_settings(limits: &EntryLimits) -> IntakeSettings {
+    IntakeSettings {
+        connections: limits.max_connections as usize,
+        held_bytes: usize::try_from(limits.max_intake_bytes).unwrap_or(usize::MAX),
+        times: PHASE_TIMES,
+    }
+}
+
+async fn watch_connections(state: Arc<SharedState>, ledger: ConnectionLedger) {
+    let publish = |_, report| state.metrics.record_intake(report);
+    ledger.watch(publish).await;
+}
+
 fn serve_connection(
     stream: TcpStream,
+    connection: OpenConnection,
     state: &Arc<SharedState>,
     graceful: &GracefulShutdown,
     abort: CancellationToken,
@@ -73,22 +105,28 @@
         log::debug!("event=connection_setup_failed error=\"{error}\"");
     }
     let state = Arc::clone(state);
+    let handle = connection.handle();
     let service = service_fn(move |request| {
         let state = Arc::clone(&state);
-        async move { Ok::<_, Infallible>(handle_request(&state, request).await) }
+        let intake = RequestIntake::new(handle.clone());
+        async move { Ok::<_, Infallible>(handle_request(&state, request, intake).await) }
     });
-    let connection = hyper::server::conn::http1::Builder::new()
+    let http = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_READ_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
+        // The ledger keeps the deadlines.
+        .header_read_timeout(None)
+        .max_header_size(MAX_HEADER_BYTES)
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(connection.meter(stream)), service);
+    let http = graceful.watch(http);
     tokio::spawn(async move {
         tokio::select! {
-            result = connection => {
+            result = http => {
                 if let Err(error) = result {
                     log::debug!("event=caller_connection_ended error=\"{error}\"");
                 }
             }
+            () = connection.closed() => {}
             () = abort.cancelled() => {}
         }
     });
@@ -101,6 +139,7 @@
 async fn handle_request(
     state: &Arc<SharedState>,
     request: Request<Incoming>,
+    intake: RequestIntake<Receiving>,
 ) -> Response<ResponseBody> {
     let received_at = Instant::now();
     let method = request.method().clone();
@@ -111,10 +150,11 @@
     if method != Method::POST {
         return not_found();
     }
-    let body = match read_body(state, request).await {
+    let body = match read_body(state, request, &intake).await {
         Ok(body) => body,
         Err(error) => return EncodedResponse::from_error("", error).into_response(),
     };
+    let _serving = intake.serve(body.len());
     let response = match path.as_str() {
         "/v1/tickets" => routes::issue_tickets(state, &body),
         "/v1/jobs" => {
@@ -175,39 +215,37 @@
 async fn read_body(
     state: &SharedState,
     request: Request<Incoming>,
+    intake: &RequestIntake<Receiving>,
 ) -> Result<Bytes, DispatchError> {
     let limit = state.settings.limits.max_body_bytes as usize;
     let deadline = Instant::now() + BODY_READ_TIMEOUT;
-    let mut incoming = request.into_body();
-    let body = Limited::new(&mut incoming, limit);
-    match timeout_at(deadline, body.collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            discard_rest(incoming, deadline).await;
-            let detail = format!("at most {limit} bytes");
-            Err(DispatchError::new(ErrorKind::BodyTooLarge, detail))
+    let mut body = request.into_body();
+    let error = match intake.read_body(&mut body, limit, deadline).await {
+        Ok(body) => return Ok(body),
+        Err(error) => error,
+    };
+    Err(match error {
+        BodyError::TooLarge => {
+            discard_rest(&mut body, deadline).await;
+            DispatchError::new(ErrorKind::BodyTooLarge, format!("at most {limit} bytes"))
         }
-        Ok(Err(error)) => Err(DispatchError::new(
-            ErrorKind::MalformedRequest,
-            error.to_string(),
-        )),
-        Err(_) => Err(DispatchError::new(
-            ErrorKind::MalformedRequest,
-            "the body came too slowly",
-        )),
-    }
+        BodyError::TimedOut => {
+            DispatchError::new(ErrorKind::MalformedRequest, "the body came too slowly")
+        }
+        BodyError::NoMemory => DispatchError::new(ErrorKind::HostFull, error.to_string()),
+        BodyError::Unreadable(error) => {
+            DispatchError::new(ErrorKind::MalformedRequest, error.to_string())
+        }
+    })
 }
 
 /// Reads and discards the rest of an oversized body.
 ///
 /// Closing a connection with unread data resets it, and the caller could lose the response.
-async fn discard_rest(mut body: Incoming, deadline: Instant) {
-    let mut discarded_bytes = 0;
-    while discarded_bytes < MAX_DISCARDED_BYTES {
-        let Ok(Some(Ok(frame))) = timeout_at(deadline, body.frame()).await else {
-            return;
-        };
-        discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
+async fn discard_rest(body: &mut Incoming, deadline: Instant) {
+    let is_read = timeout_at(deadline, discard_body(body, MAX_DISCARDED_BYTES)).await;
+    if !matches!(is_read, Ok(true)) {
+        log::debug!("event=caller_connection_ended error=\"a refused body did not end\"");
     }
 }
 
--- a/crates/bramley-entry/src/metrics.rs
+++ b/crates/bramley-entry/src/metrics.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bramley_core::kernel::snapshot::KernelDump;
+use bramley_intake::IntakeReport;
 use hyper::StatusCode;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -38,6 +39,9 @@
     job_seconds: Histogram,
     answered_ok: Counter,
     answered_error: Counter,
+    connections: Gauge,
+    intake_bytes: Gauge,
+    connections_closed: Gauge,
     /// Held while metrics are encoded, so that requests encode them one at a time.
     encode_lock: Mutex<()>,
 }
@@ -57,6 +61,9 @@
             )),
             answered_ok: Counter::default(),
             answered_error: Counter::default(),
+            connections: Gauge::default(),
+            intake_bytes: Gauge::default(),
+            connections_closed: Gauge::default(),
             encode_lock: Mutex::new(()),
         }
     }
@@ -89,6 +96,14 @@
         }
     }
 
+    /// Records the state of callers' connections.
+    pub fn record_intake(&self, report: IntakeReport) {
+        let gauge = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        self.connections.set(gauge(report.open));
+        self.intake_bytes.set(gauge(report.held_bytes));
+        self.connections_closed.set(report.pressed().cast_signed());
+    }
+
     /// Returns the number of control messages and their bytes.
     #[must_use]
     pub fn control_counts(&self) -> (u64, u64) {
@@ -153,6 +168,21 @@
             "Other answers",
             self.answered_error.clone(),
         );
+        registry.register(
+            "connections",
+            "Open connections from callers",
+            self.connections.clone(),
+        );
+        registry.register(
+            "intake_bytes",
+            "Memory of callers' connections and requests",
+            self.intake_bytes.clone(),
+        );
+        registry.register(
+            "connections_closed",
+            "Callers' connections closed or refused for lack of room",
+            self.connections_closed.clone(),
+        );
     }
 }
 
--- a/crates/bramley-entry/tests/support/mod.rs
+++ b/crates/bramley-entry/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
 
 /// Team that submits the tests' jobs.
 pub const TEAM: &str = "booking";
@@ -80,6 +81,23 @@
         word.parse().expect("a socket address")
     }
 
+    /// Returns the peak of the resident memory in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process is there");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.expect("the kernel reports the peak") * 1_024
+    }
+
+    /// Returns the number of open descriptors.
+    pub fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path)
+            .expect("the process is there")
+            .count()
+    }
+
     /// Sends a signal, given by name, such as `TERM`.
     pub fn signal(&self, name: &str) {
         let status = Command::new("kill")
@@ -160,6 +178,8 @@
     pub workers: Vec<WorkerHost>,
     /// Entry hosts.
     pub entries: Vec<EntryHost>,
+    /// `limits` of the entry hosts' settings.
+    limits: Value,
     folder: PathBuf,
     http: Client<HttpConnector, Full<Bytes>>,
 }
@@ -168,6 +188,17 @@
     /// Starts the platform, the workers and the entry hosts, and waits until the entry hosts know
     /// each other and the workers.
     pub async fn start(name: &str, domains: &[&str], workers: usize, entries: usize) -> Self {
+        Self::start_limited(name, domains, workers, entries, json!({})).await
+    }
+
+    /// Like [`Self::start`], with limits in the settings of the entry hosts.
+    pub async fn start_limited(
+        name: &str,
+        domains: &[&str],
+        workers: usize,
+        entries: usize,
+        limits: Value,
+    ) -> Self {
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("the folder can be created");
         let platform = TestProcess::start("bramley-platform-stand-in", &[]);
@@ -176,6 +207,7 @@
             platform,
             workers: Vec::new(),
             entries: Vec::new(),
+            limits,
             folder,
             http,
         };
@@ -230,11 +262,13 @@
   "control_address": "127.0.0.1:0",
   "platform_address": "{}",
   "siblings": [{}],
+  "limits": {},
   "timing": {{ "heartbeat_ms": 100, "worker_list_poll_ms": 200 }},
   "log": "warn"
 }}"#,
             self.platform.address("address"),
-            siblings.join(", ")
+            siblings.join(", "),
+            self.limits,
         );
         let settings = self.folder.join(format!("{name}.jsonc"));
         let mut file = std::fs::File::create(&settings).expect("the settings can be written");
--- a/crates/bramley-intake/src/body.rs
+++ b/crates/bramley-intake/src/body.rs
@@ -23,8 +23,13 @@
 
 impl std::error::Error for BodyError {}
 
-/// Reads a body of at most `limit` bytes. `reserve` is asked before memory is taken and tells
-/// whether there is some.
+/// Budget from which the memory of a body is taken.
+pub trait BodyMemory {
+    /// Takes bytes before they are allocated. Returns whether there was room for them.
+    fn reserve(&self, bytes: usize) -> impl Future<Output = bool>;
+}
+
+/// Reads a body of at most `limit` bytes.
 ///
 /// # Errors
 ///
@@ -32,7 +37,7 @@
 pub async fn collect_body(
     body: &mut Incoming,
     limit: usize,
-    reserve: impl AsyncFn(usize) -> bool,
+    memory: &impl BodyMemory,
 ) -> Result<Bytes, BodyError> {
     let hint = body.size_hint();
     if hint.lower() > limit as u64 {
@@ -54,7 +59,7 @@
             let announced = hint.exact().and_then(|exact| usize::try_from(exact).ok());
             let doubled = reserved_bytes.saturating_mul(2).max(FIRST_CAPACITY);
             let capacity = doubled.min(announced.unwrap_or(limit)).max(needed);
-            if !reserve(capacity - reserved_bytes).await {
+            if !memory.reserve(capacity - reserved_bytes).await {
                 return Err(BodyError::NoMemory);
             }
             bytes.reserve_exact(capacity - bytes.len());
--- a/crates/bramley-intake/src/ledger.rs
+++ b/crates/bramley-intake/src/ledger.rs
@@ -9,6 +9,7 @@
 use tokio_util::sync::{CancellationToken, WaitForCancellationFuture};
 
 use crate::admission::{Admission, CloseCause, LedgerState};
+use crate::body::BodyMemory;
 use crate::report::IntakeReport;
 use crate::settings::{IntakeSettings, PhaseTimes};
 use crate::stream::MeteredStream;
@@ -203,9 +204,9 @@
     connection: u64,
 }
 
-impl ConnectionHandle {
-    /// Waits for room for more bytes. Returns whether there is some; others are closed for it.
-    pub async fn hold(&self, bytes: usize) -> bool {
+impl BodyMemory for ConnectionHandle {
+    /// Waits for room, for which other connections are closed.
+    async fn reserve(&self, bytes: usize) -> bool {
         for _ in 0..CLOSE_TURNS {
             let step = {
                 let mut shared = self.ledger.lock();
@@ -220,7 +221,9 @@
         }
         false
     }
+}
 
+impl ConnectionHandle {
     /// Records received bytes.
     pub(crate) fn receive(&self, bytes: usize) {
         let mut shared = self.ledger.lock();
--- a/crates/bramley-intake/src/lib.rs
+++ b/crates/bramley-intake/src/lib.rs
@@ -19,7 +19,7 @@
 mod stream;
 
 pub use crate::admission::{Admission, CloseCause, LedgerState, Phase};
-pub use crate::body::{BodyError, collect_body, discard_body};
+pub use crate::body::{BodyError, BodyMemory, collect_body, discard_body};
 pub use crate::ledger::{ConnectionHandle, ConnectionLedger, OpenConnection};
 pub use crate::listener::IntakeListener;
 pub use crate::report::IntakeReport;
--- a/crates/bramley-intake/src/request.rs
+++ b/crates/bramley-intake/src/request.rs
@@ -56,9 +56,7 @@
         limit: usize,
         deadline: Instant,
     ) -> Result<Bytes, BodyError> {
-        let connection = &self.guard.0;
-        let reserve = async |bytes| connection.hold(bytes).await;
-        match timeout_at(deadline, collect_body(body, limit, reserve)).await {
+        match timeout_at(deadline, collect_body(body, limit, &self.guard.0)).await {
             Ok(read) => read,
             Err(_elapsed) => Err(BodyError::TimedOut),
         }
--- a/crates/bramley-settings/src/entry.rs
+++ b/crates/bramley-settings/src/entry.rs
@@ -49,6 +49,10 @@
 pub struct EntryLimits {
     /// Maximum size of a request body in bytes.
     pub max_body_bytes: u32,
+    /// Maximum number of open connections from callers.
+    pub max_connections: u32,
+    /// Maximum memory in bytes used for connections from callers and their requests.
+    pub max_intake_bytes: u64,
     /// Maximum number of tasks in a job. The limit of a team may be lower.
     pub max_job_tasks: u32,
     /// Maximum number of tasks queued at the host.
@@ -112,6 +116,8 @@
     fn default() -> Self {
         Self {
             max_body_bytes: 4 * 1024 * 1024,
+            max_connections: 4_096,
+            max_intake_bytes: 256 * 1024 * 1024,
             max_job_tasks: 500,
             max_queued_tasks: 50_000,
             max_kept_outcomes: 200_000,
@@ -210,6 +216,18 @@
                 1_024,
                 MAX_BODY_BYTES,
             ),
+            (
+                "max_connections",
+                u64::from(self.max_connections),
+                1,
+                1_000_000,
+            ),
+            (
+                "max_intake_bytes",
+                self.max_intake_bytes,
+                1_024,
+                MAX_KEPT_BYTES,
+            ),
             ("max_job_tasks", u64::from(self.max_job_tasks), 1, 10_000),
             (
                 "max_queued_tasks",
@@ -240,6 +258,16 @@
         for (field, value, min, max) in bounds {
             errors.check_range(&format!("limits.{field}"), value, min, max);
         }
+        // The buffer of a body doubles as it grows.
+        let largest_request = 2 * u64::from(self.max_body_bytes);
+        if self.max_intake_bytes < largest_request {
+            let problem = format!("{} is less than the largest request", self.max_intake_bytes);
+            let expected = format!(
+                "at least twice limits.max_body_bytes, which is {}",
+                self.max_body_bytes
+            );
+            errors.report("limits.max_intake_bytes", problem, expected);
+        }
         if self.max_queued_tasks < self.max_job_tasks {
             let problem = format!("{} is less than the largest job", self.max_queued_tasks);
             let expected = format!(
