Soak with clients that do not behave; responses of bramley-entry's store and workers in one buffer

The clients of the store and the workers in bramley-entry read their responses as those of bramley-dock do, so that pieces cost what they hold.

--- a/crates/bramley-entry/src/worker_client.rs
+++ b/crates/bramley-entry/src/worker_client.rs
@@ -11,9 +11,10 @@
 use bramley_core::kernel::event::AttemptResult;
 use bramley_core::task::NotStartedProof;
 use bramley_core::units::{IncarnationId, TaskKey};
+use bramley_intake::collect_body;
 use bramley_wire::worker::{StartReply, StartRequest, StopRequest};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Method, Request, StatusCode};
 use tokio::time::{Instant, timeout_at};
 
@@ -161,9 +162,10 @@
         Ok(Err(_)) | Err(_) => return Err(AttemptResult::Unknown),
     };
     let status = response.status();
-    let body = Limited::new(response.into_body(), MAX_REPLY_BYTES);
-    match timeout_at(reply_deadline, body.collect()).await {
-        Ok(Ok(body)) => Ok((status, body.to_bytes())),
+    let mut body = response.into_body();
+    let read = collect_body(&mut body, MAX_REPLY_BYTES, &());
+    match timeout_at(reply_deadline, read).await {
+        Ok(Ok(body)) => Ok((status, body)),
         Ok(Err(_)) | Err(_) => Err(AttemptResult::Unknown),
     }
 }
--- a/crates/bramley-intake/src/body.rs
+++ b/crates/bramley-intake/src/body.rs
@@ -29,6 +29,13 @@
     fn reserve(&self, bytes: usize) -> impl Future<Output = bool>;
 }
 
+/// No budget: the limit of the body alone bounds its memory.
+impl BodyMemory for () {
+    async fn reserve(&self, _bytes: usize) -> bool {
+        true
+    }
+}
+
 /// Reads a body of at most `limit` bytes.
 ///
 /// # Errors
--- a/crates/bramley-soak/src/deployment.rs
+++ b/crates/bramley-soak/src/deployment.rs
@@ -101,6 +101,25 @@
     pub workers: usize,
     /// Clocks and speeds of the workers.
     pub pace: PaceSettings,
+    /// Limits of a host process, if it has low ones.
+    pub limits: Option<ProcessLimits>,
+}
+
+/// Limits of a host process in its settings.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessLimits {
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Open descriptors.
+    pub max_fds: usize,
+}
+
+impl ProcessLimits {
+    /// Limits that a crowd of some dozen clients reaches.
+    pub const LOW: Self = Self {
+        memory_mb: 64,
+        max_fds: 320,
+    };
 }
 
 /// A host process and what is needed to restart it.
@@ -155,6 +174,8 @@
     program: PathBuf,
     /// Ports given to hosts so far.
     host_ports: BTreeSet<u16>,
+    /// Limits of each host process.
+    limits: Option<ProcessLimits>,
 }
 
 impl Deployment {
@@ -180,6 +201,7 @@
             loopback: LoopbackAddress::reserve()?,
             program: program.into(),
             host_ports: BTreeSet::new(),
+            limits: size.limits,
         };
         let mut pace_rng = ChaCha8Rng::seed_from_u64(size.pace.seed);
         for domain in 0..size.domains {
@@ -273,6 +295,11 @@
         );
         let name = format!("host-{domain}-{index}");
         let settings = folder.join(format!("{name}.yaml"));
+        let mut limits = json!({"cpu_share": 0.25});
+        if let Some(ProcessLimits { memory_mb, max_fds }) = self.limits {
+            limits["memory_mb"] = memory_mb.into();
+            limits["max_fds"] = max_fds.into();
+        }
         // The settings file is YAML, of which JSON is a subset.
         let text = json!({
             "node_name": name,
@@ -283,7 +310,7 @@
                 "readiness": health_address.to_string(),
             },
             "internal_port_range": [peer_address.port(), peer_address.port()],
-            "limits": {"cpu_share": 0.25},
+            "limits": limits,
             "platform": {"address": proxy_address.to_string()},
             "bounds": {"grace_s": 6, "max_hold_ms": 1_000, "remote_factor": 2, "evacuate_ms": EVACUATION_BOUND.as_millis() as u64},
         });
@@ -383,6 +410,33 @@
         stopped
     }
 
+    /// Returns a message for every running host process that has gone over its limits.
+    #[must_use]
+    pub fn find_oversized_hosts(&self) -> Vec<String> {
+        let Some(limits) = self.limits else {
+            return Vec::new();
+        };
+        let mut oversized = Vec::new();
+        for (index, host) in self.hosts.iter().enumerate() {
+            let Some((peak_kilobytes, descriptors)) = host.usage() else {
+                continue;
+            };
+            if peak_kilobytes * 1_024 > limits.memory_mb * 1_000_000 {
+                oversized.push(format!(
+                    "host {index} has had {peak_kilobytes} kB resident of {} MB",
+                    limits.memory_mb
+                ));
+            }
+            if descriptors > limits.max_fds {
+                oversized.push(format!(
+                    "host {index} has {descriptors} descriptors of {}",
+                    limits.max_fds
+                ));
+            }
+        }
+        oversized
+    }
+
     /// Starts a host's process again after it was killed or has exited, unless it is running.
     ///
     /// # Errors
@@ -415,6 +469,19 @@
         Ok(())
     }
 
+    /// Returns the peak of the resident memory in kilobytes and the number of open descriptors, if
+    /// the process is running and the system tells.
+    fn usage(&self) -> Option<(u64, usize)> {
+        let folder = Path::new("/proc").join(self.child.as_ref()?.id().to_string());
+        let status = std::fs::read_to_string(folder.join("status")).ok()?;
+        let peak = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let peak_kilobytes = peak.split_whitespace().next()?.parse().ok()?;
+        let descriptors = std::fs::read_dir(folder.join("fd")).ok()?.count();
+        Some((peak_kilobytes, descriptors))
+    }
+
     /// Sends a signal to the process if it has been started and not yet reaped.
     pub fn signal(&self, signal: Signal) {
         let pid = self
--- a/crates/bramley-soak/src/lib.rs
+++ b/crates/bramley-soak/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`callers`] submits jobs over persistent connections and retries them as the platform's clients
 //!   do.
 //! - [`checks`] compares responses with the runs that workers recorded.
+//! - [`crowd`] runs clients that do not behave.
 //! - [`deployment`] starts the host processes and terminates only the ones it started.
 //! - [`evacuations`] evacuates failure domains and checks that no task starts there after the bound.
 //! - [`faults`] injects a random sequence of faults that is determined by a seed.
@@ -19,6 +20,7 @@
 
 pub mod callers;
 pub mod checks;
+pub mod crowd;
 pub mod deployment;
 pub mod evacuations;
 pub mod faults;
--- a/crates/bramley-soak/src/main.rs
+++ b/crates/bramley-soak/src/main.rs
@@ -11,7 +11,8 @@
 use bramley_soak::checks::{
     count_outcomes, find_cut_offs, find_misjudged_crashes, find_violations,
 };
-use bramley_soak::deployment::{Deployment, DeploymentSize, PaceSettings};
+use bramley_soak::crowd::{find_crowd_runs, run_crowd_client};
+use bramley_soak::deployment::{Deployment, DeploymentSize, PaceSettings, ProcessLimits};
 use bramley_soak::faults::{FaultInjector, FaultProfile};
 use bramley_soak::traces::find_lines;
 use tokio::task::JoinSet;
@@ -62,6 +63,11 @@
     #[argh(option, default = "12")]
     callers: u64,
 
+    /// number of concurrent clients that do not behave; hosts then have low limits of memory and
+    /// descriptors, which are checked
+    #[argh(option, default = "0")]
+    crowd: u64,
+
     /// inject only planned operations and store faults, during which no request may be cut off
     #[argh(switch)]
     planned: bool,
@@ -132,6 +138,7 @@
                 ..PaceSettings::default()
             }
         },
+        limits: (arguments.crowd > 0).then_some(ProcessLimits::LOW),
     };
     let caller_settings = if is_classic {
         CallerSettings::classic()
@@ -160,6 +167,14 @@
         );
         callers.spawn(caller);
     }
+    for client in 0..arguments.crowd {
+        let client_seed = seed.wrapping_mul(1_000_000).wrapping_add(client);
+        callers.spawn(run_crowd_client(
+            client_seed,
+            hosts.clone(),
+            Arc::clone(&stop_callers),
+        ));
+    }
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
     let began_ms = since_epoch.map_or(0, |span| span.as_millis());
     let mut faults = FaultInjector::new(seed, arguments.planned, profile, arguments.domains);
@@ -178,6 +193,8 @@
     let all = outcomes.all();
     let mut violations = find_violations(&deployment.recorder, &all);
     violations.extend(find_misjudged_crashes(&deployment.recorder, &all));
+    violations.extend(find_crowd_runs(&deployment.recorder));
+    violations.extend(deployment.find_oversized_hosts());
     let (barred, excused) = faults.evacuations.find_barred_starts(&deployment.recorder);
     violations.extend(barred);
     violations.append(&mut faults.stop_timeouts);
--- a/crates/bramley-store/src/client.rs
+++ b/crates/bramley-store/src/client.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bramley_intake::collect_body;
 use bramley_wire::platform::{KeyValue, PutReply, PutRequest, WorkerList};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, IF_NONE_MATCH, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use hyper_util::client::legacy::{Client, connect::HttpConnector};
@@ -217,12 +218,10 @@
     }
 
     async fn read_body(&self, response: Response<Incoming>) -> Result<Bytes, StoreError> {
-        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
-        let body = body
-            .collect()
+        let mut body = response.into_body();
+        let body = collect_body(&mut body, MAX_RESPONSE_BYTES, &())
             .await
-            .map_err(|error| StoreError::ResponseLost(error.to_string()))?
-            .to_bytes();
+            .map_err(|error| StoreError::ResponseLost(error.to_string()))?;
         self.counters.record_received(body.len());
         Ok(body)
     }
