--- a/crates/bramley-intake/src/settings.rs
+++ b/crates/bramley-intake/src/settings.rs
@@ -42,25 +42,27 @@
         self.descriptors.saturating_sub(RESERVED_DESCRIPTORS)
     }
 
-    /// Returns the limits of connections from callers: three eighths of the sockets and a quarter
-    /// of the memory. Half of the sockets stay for the store and the workers.
+    /// Returns the limits of connections from callers: a quarter of the sockets and of the memory.
+    /// The leader of a large failure domain needs more than half of the sockets for its workers.
     #[must_use]
     pub fn caller_intake(&self) -> IntakeSettings {
         IntakeSettings {
-            connections: (self.sockets() * 3 / 8).max(1),
+            connections: (self.sockets() / 4).max(1),
             held_bytes: self.memory_bytes / 4,
             ..IntakeSettings::default()
         }
     }
 
-    /// Returns the limits of connections from relays: an eighth of the sockets less those of the
-    /// addresses that serve health checks.
+    /// Returns the limits of connections from relays, of which each host has one: three eighths of
+    /// the sockets less those of the addresses that serve health checks. Their number alone is
+    /// limited, as a refused relay could not submit its jobs.
     #[must_use]
     pub fn relay_intake(&self) -> IntakeSettings {
-        let connections = (self.sockets() / 8).saturating_sub(2 * self.health_connections());
+        let share = self.sockets() * 3 / 8;
+        let connections = share.saturating_sub(2 * self.health_connections()).max(1);
         IntakeSettings {
-            connections: connections.max(1),
-            held_bytes: self.memory_bytes / 16,
+            connections,
+            held_bytes: connections * CONNECTION_BYTES,
             ..IntakeSettings::default()
         }
     }
