--- a/crates/bramley-entry/src/caller/server.rs
+++ b/crates/bramley-entry/src/caller/server.rs
@@ -85,7 +85,6 @@
     IntakeSettings {
         connections: limits.max_connections as usize,
         held_bytes: usize::try_from(limits.max_intake_bytes).unwrap_or(usize::MAX),
-        times: PHASE_TIMES,
     }
 }
 
--- a/crates/bramley-intake/src/settings.rs
+++ b/crates/bramley-intake/src/settings.rs
@@ -49,7 +49,6 @@
         IntakeSettings {
             connections: (self.sockets() / 4).max(1),
             held_bytes: self.memory_bytes / 4,
-            ..IntakeSettings::default()
         }
     }
 
@@ -63,7 +62,6 @@
         IntakeSettings {
             connections,
             held_bytes: connections * CONNECTION_BYTES,
-            ..IntakeSettings::default()
         }
     }
 
@@ -73,7 +71,6 @@
         IntakeSettings {
             connections: self.health_connections(),
             held_bytes: self.memory_bytes / 32,
-            ..IntakeSettings::default()
         }
     }
 
@@ -104,8 +101,6 @@
     pub connections: usize,
     /// Largest number of bytes that all connections hold together.
     pub held_bytes: usize,
-    /// Times that a connection may spend in a phase.
-    pub times: PhaseTimes,
 }
 
 impl Default for IntakeSettings {
@@ -113,7 +108,6 @@
         Self {
             connections: 1_024,
             held_bytes: 64_000_000,
-            times: PhaseTimes::default(),
         }
     }
 }
--- a/crates/bramley-intake/tests/admission.rs
+++ b/crates/bramley-intake/tests/admission.rs
@@ -11,7 +11,6 @@
     LedgerState::new(IntakeSettings {
         connections,
         held_bytes,
-        ..IntakeSettings::default()
     })
 }
 
