--- a/crates/bramley-intake/src/ledger.rs
+++ b/crates/bramley-intake/src/ledger.rs
@@ -104,7 +104,7 @@
             let step = {
                 let mut shared = self.lock();
                 let admission = shared.state.admit(connection, times, Instant::now());
-                let step = follow(&mut shared, admission, CloseCause::Connections);
+                let step = apply_admission(&mut shared, admission, CloseCause::Connections);
                 if matches!(step, NextStep::Proceed) {
                     shared.report.accepted += 1;
                     let signal = CancellationToken::new();
@@ -184,8 +184,8 @@
     }
 }
 
-/// Closes the connection that an admission names.
-fn follow(shared: &mut SharedLedger, admission: Admission, cause: CloseCause) -> NextStep {
+/// Carries out an admission, which may name a connection to close.
+fn apply_admission(shared: &mut SharedLedger, admission: Admission, cause: CloseCause) -> NextStep {
     match admission {
         Admission::Granted => NextStep::Proceed,
         Admission::Close(victim) => {
@@ -211,7 +211,7 @@
             let step = {
                 let mut shared = self.ledger.lock();
                 let admission = shared.state.hold(self.connection, bytes, Instant::now());
-                follow(&mut shared, admission, CloseCause::HeldBytes)
+                apply_admission(&mut shared, admission, CloseCause::HeldBytes)
             };
             match step {
                 NextStep::Proceed => return true,
