--- a/crates/bramley-intake/src/admission.rs
+++ b/crates/bramley-intake/src/admission.rs
@@ -123,6 +123,8 @@
     held_bytes: usize,
     closing: usize,
     closing_bytes: usize,
+    /// Time at rest after which a connection is closed whatever its deadline.
+    rest_limit: Option<Duration>,
 }
 
 impl LedgerState {
@@ -135,9 +137,16 @@
             held_bytes: 0,
             closing: 0,
             closing_bytes: 0,
+            rest_limit: None,
         }
     }
 
+    /// Closes connections from now on that have been at rest for this long, as before the end of the
+    /// process.
+    pub const fn limit_rest(&mut self, limit: Duration) {
+        self.rest_limit = Some(limit);
+    }
+
     /// Returns the number of open connections.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -320,7 +329,10 @@
     /// Chooses the connections whose deadline has passed.
     pub fn expire(&mut self, now: Instant) -> Vec<(u64, CloseCause)> {
         let overdue = self.entries.iter().filter_map(|(connection, entry)| {
-            if entry.is_closing || entry.deadline? > now {
+            let rested = now.saturating_duration_since(entry.occupied_since);
+            let has_rested =
+                entry.phase == Phase::Idle && self.rest_limit.is_some_and(|limit| rested >= limit);
+            if entry.is_closing || (entry.deadline? > now && !has_rested) {
                 return None;
             }
             let cause = match entry.phase {
--- a/crates/bramley-intake/src/ledger.rs
+++ b/crates/bramley-intake/src/ledger.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Closes connections from now on that have been at rest for this long.
+    pub fn limit_rest(&self, limit: Duration) {
+        self.lock().state.limit_rest(limit);
+    }
+
     /// Registers a new connection. Others are closed if there is no room; `None` means that none
     /// of them may be closed.
     pub async fn admit(&self, times: PhaseTimes) -> Option<OpenConnection> {
--- a/crates/bramley-intake/tests/admission.rs
+++ b/crates/bramley-intake/tests/admission.rs
@@ -135,3 +135,25 @@
     // The reader of a body and the job keep their own deadlines.
     assert_eq!(expired(&mut ledger, 60_000), []);
 }
+
+/// Guards against connections at rest on which a stopping process has to refuse requests.
+#[test]
+fn connections_at_rest_are_closed_before_the_process_ends() {
+    let start = Instant::now();
+    let mut ledger = ledger(10, usize::MAX / 2);
+    for connection in 1..=3 {
+        assert_eq!(admit(&mut ledger, connection, start), Admission::Granted);
+    }
+    ledger.begin_body(2);
+    ledger.begin_serving(2, 0);
+    ledger.receive(3, 10, start);
+    assert_eq!(ledger.expire(start + millis(400)), []);
+    ledger.limit_rest(millis(300));
+    assert_eq!(ledger.expire(start + millis(299)), []);
+    let closed = ledger.expire(start + millis(300));
+    assert_eq!(
+        closed,
+        [(1, CloseCause::IdleTime)],
+        "a request is served, another arrives"
+    );
+}
