--- a/crates/bramley-dock/src/engine/callers.rs
+++ b/crates/bramley-dock/src/engine/callers.rs
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Returns whether the process has stood still since a time.
+    /// Returns whether the process has been suspended at or after a time.
     #[must_use]
     pub fn has_paused_since(&self, time: UnixTime) -> bool {
         self.resumed_at.get() >= time
--- a/crates/bramley-intake/src/ledger.rs
+++ b/crates/bramley-intake/src/ledger.rs
@@ -56,7 +56,7 @@
 }
 
 impl ConnectionLedger {
-    /// Creates a ledger; `interface` names the address in logs and metrics.
+    /// Creates an empty ledger. `interface` is the name of the address in logs and metrics.
     #[must_use]
     pub fn new(interface: &'static str, settings: IntakeSettings) -> Self {
         let shared = SharedLedger {
--- a/crates/bramley-intake/src/listener.rs
+++ b/crates/bramley-intake/src/listener.rs
@@ -42,7 +42,8 @@
         &self.ledger
     }
 
-    /// Waits for the next connection; `times` is asked for each of them.
+    /// Waits for the next connection for which there is room. `times` is called for each connection,
+    /// because the configuration may have changed since the one before.
     pub async fn accept(&self, times: impl Fn() -> PhaseTimes) -> (TcpStream, OpenConnection) {
         loop {
             let stream = match self.listener.accept().await {
