Review: two cases dropped that earlier ones show

The task that starts on a worker that has come back as another kind is case 9, the cancel at another host is case 2.

--- a/review/stand-ins-3/src/main.rs
+++ b/review/stand-ins-3/src/main.rs
@@ -4,15 +4,15 @@
 
 #![recursion_limit = "256"]
 
-mod cancel_case;
+mod again_case;
 mod client;
 mod deployment;
 mod http;
-mod kind_case;
 mod overlap;
 mod pipeline_case;
 mod record;
 mod silent_case;
+mod stale_case;
 mod worker;
 
 use std::path::PathBuf;
@@ -70,10 +70,10 @@
     };
     let run = async {
         match case.as_str() {
-            "cancel" => cancel_case::run(&settings).await,
+            "again" => again_case::run(&settings).await,
             "silent" => silent_case::run(&settings).await,
             "pipeline" => pipeline_case::run(&settings).await,
-            "kind" => kind_case::run(&settings).await,
+            "stale" => stale_case::run(&settings).await,
             _ => Err(format!("no case {case}")),
         }
     };
--- a/review/stand-ins-3/src/worker.rs
+++ b/review/stand-ins-3/src/worker.rs
@@ -1,4 +1,4 @@
-//! Stand-in of a worker that can crash and start again under its id as a worker of another kind.
+//! Stand-in of a worker.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -9,8 +9,6 @@
 use serde_json::{Value, json};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
-use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 use crate::http::{HttpMessage, empty_body, encode_response, read_message};
@@ -58,14 +56,10 @@
     pub worker: String,
     /// Name of the task.
     pub task: String,
-    /// Labels of the worker when the run began.
-    pub labels: Vec<String>,
     /// Time of the start.
     pub began: Instant,
     /// Time of the end.
     pub ended: Option<Instant>,
-    /// How it ended.
-    pub how: &'static str,
 }
 
 /// Runs on all workers. Clones share them.
@@ -159,7 +153,6 @@
     runs: RunList,
     record: CaseRecord,
     store: StoreStandIn,
-    is_up: watch::Sender<bool>,
 }
 
 impl Worker {
@@ -187,10 +180,9 @@
             runs: runs.clone(),
             record: record.clone(),
             store: store.clone(),
-            is_up: watch::channel(true).0,
         };
         worker.write_entry();
-        tokio::spawn(worker.clone().accept(Some(listener)));
+        tokio::spawn(worker.clone().accept(listener));
         tokio::spawn(worker.clone().advance());
         let offset = phase_of(id);
         tokio::spawn(worker.clone().write_heartbeats(offset));
@@ -227,75 +219,13 @@
         sleep(offset).await;
         loop {
             sleep(HEARTBEAT).await;
-            if *self.is_up.borrow() {
-                self.write_entry();
-            }
-        }
-    }
-
-    /// Crashes the worker: all that it runs ends, its connections break and its address refuses new
-    /// ones.
-    pub fn crash(&self) {
-        self.is_up.send_replace(false);
-        let ended: Vec<usize> = {
-            let mut state = self.state();
-            state.active.drain(..).map(|run| run.record).collect()
-        };
-        let mut runs = self.runs.lock();
-        for index in ended {
-            runs[index].ended = Some(Instant::now());
-            runs[index].how = "crashed";
+            self.write_entry();
         }
-        self.record.line(format!("worker {} crashes", self.id));
-    }
-
-    /// Starts the worker again under its id and at its address.
-    pub fn start_again(&self, kind: WorkerKind) {
-        let labels = kind.labels.join(",");
-        let cpu = kind.cpu;
-        *self.state() = WorkerState::new(kind);
-        self.is_up.send_replace(true);
-        self.write_entry();
-        self.record.line(format!(
-            "worker {} is up again, labels {labels}, cpu {cpu}; its entry is written",
-            self.id
-        ));
     }
 
-    async fn accept(self, first: Option<TcpListener>) {
-        let mut listener = first;
-        let mut up = self.is_up.subscribe();
-        loop {
-            let Some(open) = listener.take() else {
-                while !*up.borrow_and_update() {
-                    if up.changed().await.is_err() {
-                        return;
-                    }
-                }
-                match TcpListener::bind(self.address).await {
-                    Ok(bound) => listener = Some(bound),
-                    Err(_) => sleep(ADVANCE).await,
-                }
-                continue;
-            };
-            let mut connections = JoinSet::new();
-            loop {
-                tokio::select! {
-                    accepted = open.accept() => {
-                        if let Ok((stream, _)) = accepted {
-                            connections.spawn(self.clone().serve(stream));
-                        }
-                    }
-                    changed = up.changed() => {
-                        if changed.is_err() {
-                            return;
-                        }
-                        if !*up.borrow_and_update() {
-                            break;
-                        }
-                    }
-                }
-            }
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(self.clone().serve(stream));
         }
     }
 
@@ -305,9 +235,6 @@
             return;
         }
         while let Ok(Some(request)) = read_message(&mut stream, &mut buffer).await {
-            if !*self.is_up.borrow() {
-                return;
-            }
             let (status, body) = self.respond(&request).await;
             if stream
                 .write_all(&encode_response(status, &body))
@@ -371,10 +298,8 @@
             runs.push(RunRecord {
                 worker: self.id.clone(),
                 task: task.clone(),
-                labels: state.kind.labels.clone(),
                 began: Instant::now(),
                 ended: None,
-                how: "running",
             });
             runs.len() - 1
         };
@@ -489,7 +414,6 @@
             {
                 let mut runs = self.runs.lock();
                 runs[run.record].ended = Some(run.ends_at.min(lease_end));
-                runs[run.record].how = how;
             }
             self.record.line(format!(
                 "worker {} ends {} run {}: {how}",
