--- a/review/stand-ins-3/src/deployment.rs
+++ b/review/stand-ins-3/src/deployment.rs
@@ -303,7 +303,9 @@
     fn signal(&self, name: &str) {
         if let Some(child) = &self.child {
             let id = child.id().to_string();
-            let sent = Command::new("kill").args(["-s", name, &id]).status();
+            let sent = Command::new("sh")
+                .args(["-c", "kill -s \"$0\" \"$1\"", name, &id])
+                .status();
             if !sent.is_ok_and(|status| status.success()) {
                 self.record.line(format!("signal {name} was not sent"));
             }
