--- a/crates/bramley-intake/src/ledger.rs
+++ b/crates/bramley-intake/src/ledger.rs
@@ -117,6 +117,7 @@
                     let handle = ConnectionHandle {
                         ledger: self.clone(),
                         connection,
+                        accepted_at: Instant::now(),
                     };
                     return Some(OpenConnection { handle, signal });
                 }
@@ -207,6 +208,7 @@
 pub struct ConnectionHandle {
     ledger: ConnectionLedger,
     connection: u64,
+    accepted_at: Instant,
 }
 
 impl BodyMemory for ConnectionHandle {
@@ -229,6 +231,12 @@
 }
 
 impl ConnectionHandle {
+    /// Returns the time for which the connection has been open.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        self.accepted_at.elapsed()
+    }
+
     /// Records received bytes.
     pub(crate) fn receive(&self, bytes: usize) {
         let mut shared = self.ledger.lock();
--- a/crates/bramley-intake/src/request.rs
+++ b/crates/bramley-intake/src/request.rs
@@ -33,6 +33,14 @@
     }
 }
 
+impl<S> RequestIntake<S> {
+    /// Returns the connection of the request.
+    #[must_use]
+    pub const fn connection(&self) -> &ConnectionHandle {
+        &self.guard.0
+    }
+}
+
 impl RequestIntake<Receiving> {
     /// Registers a request whose head has been read.
     #[must_use]
