Retire the connections of callers after a long pause

The client had sent its request during the suspension over a connection at rest, left after its deadline and sent the job to another zone after resend_ms. The first request arrived 0.4 s after the host had woken up, and the end of its connection one round trip behind it.

Cause: the host took the moment at which a request arrives for the one at which it was sent. A suspended host acknowledges nothing, and TCP repeats with doubling delays, so what is read over a connection that was open during the pause can have been sent at any moment since its start. Callers whose job was open before the pause were doubted; a request that was read after it counted as new.

Evidence: request_received connection_ms=4251, 249 ms after process_resumed. In a variant in which the second submission goes to the suspended host itself, the late request took the job from it (job_sent_again outcome=answer_moves_to_new_caller), the caller that waited got 502, and the end of the late connection cancelled the job (caller_left).

Change: after a pause so long that such a request may come when its client can have sent the job elsewhere, the relay has the connections of callers retired. One at rest is closed, others after their response, and a request that is read from one is refused with 503 out_of_date and starts nothing. A closed connection brings no request however late it arrives, and whether or not its end is lost again, so no span of time has to be guessed. Clients that wait open a new one, over which they are served at once. What is there already as the process wakes is answered rather than reset: its client learns that the job has not run and when to come back. A DELETE over such a connection is still carried out.

Ruled out: a hold of fixed length for requests after a pause, as in resume_wait: the end of the connection can be lost once more.

--- a/crates/bramley-dock/src/engine/callers.rs
+++ b/crates/bramley-dock/src/engine/callers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bramley_core::units::UnixTime;
+use bramley_intake::ConnectionHandle;
 use bramley_pool::job::{JobName, JobPolicy, JobSubmission};
 use bramley_pool::refusal::Refusal;
 use bramley_pool::relay::{JobAnswer, RefusalSource, RouteOffer, RouteRefusal};
@@ -100,12 +101,21 @@
 
     /// Submits a caller's job to the relay, with the offer that was decided before its body was
     /// read.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a job that was read from a retired connection: its caller may have left
+    /// during a pause of the process and have sent it to another host since.
     pub fn submit(
         self: &Rc<Self>,
         submission: JobSubmission,
         early_offer: Option<RouteOffer>,
-    ) -> PendingJob<P> {
+        connection: &ConnectionHandle,
+    ) -> Result<PendingJob<P>, Refusal> {
         self.detect_pause();
+        if connection.is_retired() {
+            return Err(Refusal::OutOfDate);
+        }
         let job = submission.work.job.clone();
         let (answer, receiver) = oneshot::channel();
         let caller_number = {
@@ -124,13 +134,13 @@
             caller_number
         };
         self.process_actions();
-        PendingJob {
+        Ok(PendingJob {
             engine: Rc::clone(self),
             job,
             caller_number,
             answer: receiver,
             answered: false,
-        }
+        })
     }
 
     /// Returns whether the process has been suspended at or after a time.
--- a/crates/bramley-dock/src/engine/mod.rs
+++ b/crates/bramley-dock/src/engine/mod.rs
@@ -18,7 +18,7 @@
 mod placement;
 mod timers;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,6 +27,7 @@
 
 use bramley_core::names::DomainName;
 use bramley_core::units::UnixTime;
+use bramley_intake::ConnectionLedger;
 use bramley_pool::claim::{Claim, ClaimView};
 use bramley_pool::job::JobName;
 use bramley_pool::message::{PoolMessage, RelayId, RelayMessage};
@@ -185,6 +186,8 @@
     /// Time at which the process ran again after its last pause.
     resumed_at: Cell<UnixTime>,
     explanation_limit: Cell<ExplanationLimit>,
+    /// Connections from callers, once they are accepted.
+    caller_connections: OnceCell<ConnectionLedger>,
     leadership_changed: Notify,
     /// Tells that the pool waits for the entry of a worker.
     entries_wanted: Notify,
@@ -239,11 +242,20 @@
             last_active_clock: Cell::new(clock.now()),
             resumed_at: Cell::default(),
             explanation_limit: Cell::default(),
+            caller_connections: OnceCell::new(),
             leadership_changed: Notify::new(),
             entries_wanted: Notify::new(),
         })
     }
 
+    /// Sets the connections from callers, which are retired after a long pause of the process. Only the
+    /// first call has an effect.
+    pub fn set_caller_connections(&self, connections: ConnectionLedger) {
+        if self.caller_connections.set(connections).is_err() {
+            log::error!("event=caller_connections_ignored reason=set_before");
+        }
+    }
+
     /// Updates the state. Actions that result from it are executed by [`Engine::process_actions`].
     fn update_state(&self, update: impl FnOnce(&mut EngineState)) {
         update(&mut self.state.borrow_mut());
--- a/crates/bramley-dock/src/engine/timers.rs
+++ b/crates/bramley-dock/src/engine/timers.rs
@@ -58,7 +58,7 @@
 
     /// Detects that the process was paused, for example suspended. Must be called before handling
     /// anything that may have arrived during the pause.
-    pub(super) fn detect_pause(&self) {
+    pub fn detect_pause(&self) {
         let since_boot = time_since_boot();
         let pause = since_boot.saturating_sub(self.last_active_at.replace(since_boot));
         let now = self.now();
@@ -70,7 +70,7 @@
 
     /// Handles a pause of the process, of which its clock has not counted `skipped`. After a long
     /// one, connected relays are dropped and have to reconnect, because the process may have missed
-    /// that their connections ended.
+    /// that their connections ended, and so do callers, because what they sent may arrive late.
     pub(super) fn process_resumed(&self, pause: Duration, skipped: Duration) {
         log::warn!(
             "event=process_resumed pause_ms={} skipped_ms={}",
@@ -84,7 +84,12 @@
         state.pool.clock_skipped(skipped);
         state.relay.clock_skipped(skipped);
         state.pool.process_resumed(now);
-        state.relay.process_resumed(pause, now);
+        if state.relay.process_resumed(pause, now)
+            && let Some(connections) = self.caller_connections.get()
+        {
+            let count = connections.retire_connections();
+            log::info!("event=connections_retired interface=caller count={count}");
+        }
         for link in state.relays.values_mut() {
             link.last_heard_at = link.last_heard_at.before(skipped);
         }
--- a/crates/bramley-intake/src/admission.rs
+++ b/crates/bramley-intake/src/admission.rs
@@ -39,16 +39,19 @@
     HeadTime,
     /// the client did not read a response
     AnswerTime,
+    /// its requests may be long out of date
+    Retired,
 }
 
 impl CloseCause {
     /// All causes, in declaration order.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::Connections,
         Self::HeldBytes,
         Self::IdleTime,
         Self::HeadTime,
         Self::AnswerTime,
+        Self::Retired,
     ];
 
     /// Returns the name used in logs and metrics.
@@ -60,6 +63,7 @@
             Self::IdleTime => "idle_time",
             Self::HeadTime => "head_time",
             Self::AnswerTime => "answer_time",
+            Self::Retired => "retired",
         }
     }
 }
--- a/crates/bramley-intake/src/ledger.rs
+++ b/crates/bramley-intake/src/ledger.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use rustc_hash::FxHashMap;
+use tokio::sync::watch;
 use tokio::task::yield_now;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 use tokio_util::sync::{CancellationToken, WaitForCancellationFuture};
@@ -32,6 +33,10 @@
     report: IntakeReport,
 }
 
+/// Number of times that the connections of a ledger have been retired.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct RetirementCount(u64);
+
 impl SharedLedger {
     fn close(&mut self, connection: u64, cause: CloseCause) {
         self.report.closed[cause as usize] += 1;
@@ -45,6 +50,7 @@
 #[derive(Clone, Debug)]
 pub struct ConnectionLedger {
     shared: Arc<Mutex<SharedLedger>>,
+    retirements: watch::Sender<RetirementCount>,
     interface: &'static str,
 }
 
@@ -67,6 +73,7 @@
         };
         Self {
             shared: Arc::new(Mutex::new(shared)),
+            retirements: watch::Sender::default(),
             interface,
         }
     }
@@ -97,9 +104,38 @@
         self.lock().state.limit_rest(limit);
     }
 
-    /// Registers a new connection. Others are closed if there is no room; `None` means that none
-    /// of them may be closed.
-    pub async fn admit(&self, times: PhaseTimes) -> Option<OpenConnection> {
+    /// Retires all connections that clients have set up before this call, and returns the number of those
+    /// that are open. They carry no further request: a connection at rest is closed, others after their
+    /// response. Requests that are read from one before must not be served, which
+    /// [`ConnectionHandle::is_retired`] tells.
+    pub fn retire_connections(&self) -> usize {
+        self.retirements.send_modify(|count| count.0 += 1);
+        let mut shared = self.lock();
+        let open = shared.state.open();
+        shared.report.closed[CloseCause::Retired as usize] += open as u64;
+        open
+    }
+
+    /// Returns how many times connections have been retired.
+    pub(crate) fn retirements(&self) -> RetirementCount {
+        *self.retirements.borrow()
+    }
+
+    /// Waits until connections have been retired more than `count` times.
+    pub(crate) async fn wait_for_retirement(&self, count: RetirementCount) {
+        let mut retirements = self.retirements.subscribe();
+        // The sender lives as long as this ledger.
+        let passed = retirements.wait_for(|current| *current > count).await;
+        drop(passed);
+    }
+
+    /// Registers a new connection, which was set up after `retirements`. Others are closed if there is no
+    /// room; `None` means that none of them may be closed.
+    pub(crate) async fn admit(
+        &self,
+        times: PhaseTimes,
+        retirements: RetirementCount,
+    ) -> Option<OpenConnection> {
         let connection = {
             let mut shared = self.lock();
             shared.next_connection += 1;
@@ -118,6 +154,7 @@
                         ledger: self.clone(),
                         connection,
                         accepted_at: Instant::now(),
+                        retirements,
                     };
                     return Some(OpenConnection { handle, signal });
                 }
@@ -171,7 +208,8 @@
         log::log!(
             level,
             "event=connections_closed interface={} for_connections={} for_held_bytes={} \
-             for_idle_time={} for_head_time={} for_answer_time={} refused={} open={} held_bytes={} \
+             for_idle_time={} for_head_time={} for_answer_time={} retired={} refused={} open={} \
+             held_bytes={} \
              longest_ms={}",
             self.interface,
             since(CloseCause::Connections),
@@ -179,6 +217,7 @@
             since(CloseCause::IdleTime),
             since(CloseCause::HeadTime),
             since(CloseCause::AnswerTime),
+            since(CloseCause::Retired),
             now.refused - before.refused,
             now.open,
             now.held_bytes,
@@ -209,6 +248,8 @@
     ledger: ConnectionLedger,
     connection: u64,
     accepted_at: Instant,
+    /// Retirements that the connection has outlived.
+    retirements: RetirementCount,
 }
 
 impl BodyMemory for ConnectionHandle {
@@ -231,6 +272,13 @@
 }
 
 impl ConnectionHandle {
+    /// Returns whether the connection was retired. A request that is read from it may have been sent long
+    /// ago, by a client that has left since.
+    #[must_use]
+    pub fn is_retired(&self) -> bool {
+        self.retirements < self.ledger.retirements()
+    }
+
     /// Returns the time for which the connection has been open.
     #[must_use]
     pub fn age(&self) -> Duration {
@@ -289,6 +337,12 @@
         self.signal.cancelled()
     }
 
+    /// Completes when the connection is retired and is to be closed after its present response.
+    pub async fn retired(&self) {
+        let handle = &self.handle;
+        handle.ledger.wait_for_retirement(handle.retirements).await;
+    }
+
     /// Wraps the stream of the connection, so that received and sent bytes are reported.
     #[must_use]
     pub fn meter<S>(&self, stream: S) -> MeteredStream<S> {
--- a/crates/bramley-intake/src/lib.rs
+++ b/crates/bramley-intake/src/lib.rs
@@ -8,6 +8,9 @@
 //! When a limit is reached, the connection that has occupied the most memory for the longest time
 //! is closed to make room. Ordinary clients send a small request at once, so clients that
 //! hold connections or send without end are closed before them.
+//!
+//! A server that has stood still cannot tell when a request was sent that it reads over an earlier
+//! connection. [`ConnectionLedger::retire_connections`] ends all of these.
 
 mod admission;
 mod body;
--- a/crates/bramley-intake/src/listener.rs
+++ b/crates/bramley-intake/src/listener.rs
@@ -55,7 +55,7 @@
                     continue;
                 }
             };
-            match self.ledger.admit(times()).await {
+            match self.ledger.admit(times(), self.ledger.retirements()).await {
                 Some(connection) => return (stream, connection),
                 None => self.refuse(&stream),
             }
--- a/crates/bramley-pool/src/refusal.rs
+++ b/crates/bramley-pool/src/refusal.rs
@@ -36,6 +36,8 @@
     HostFull,
     /// the request did not arrive in time
     TooSlow,
+    /// the host has paused since the connection was set up, and the request may be long out of date
+    OutOfDate,
 }
 
 /// Response to a refused request.
@@ -51,7 +53,7 @@
 
 impl Refusal {
     /// All refusals, in declaration order.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::Overloaded,
         Self::NeverFits,
         Self::NoPool,
@@ -65,6 +67,7 @@
         Self::Evacuated,
         Self::HostFull,
         Self::TooSlow,
+        Self::OutOfDate,
     ];
 
     /// Returns the response for the caller.
@@ -84,6 +87,7 @@
             Self::Evacuated => (503, true, "evacuated"),
             Self::HostFull => (503, true, "host_full"),
             Self::TooSlow => (408, false, "too_slow"),
+            Self::OutOfDate => (503, true, "out_of_date"),
         };
         RefusalAnswer {
             status,
--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -160,6 +160,8 @@
     giving_up_from: UnixTime,
     /// Last pauses of the process, while ends of connections that were sent during them may arrive.
     pauses: Option<PauseSeries>,
+    /// Time since which the connections of callers have been set up that can still carry a request.
+    callers_connected_since: UnixTime,
     /// Pools that connected before that time.
     connected_while_paused: Vec<DomainName>,
     /// Messages that arrived before that time and may lead to a submission, with all that arrived
@@ -186,6 +188,7 @@
             sending_paused_until: UnixTime::default(),
             giving_up_from: UnixTime::default(),
             pauses: None,
+            callers_connected_since: UnixTime::default(),
             connected_while_paused: Vec::new(),
             held_messages: Vec::new(),
             actions: Vec::new(),
@@ -885,7 +888,8 @@
             | Refusal::Unsupported
             | Refusal::Unknown
             | Refusal::HostFull
-            | Refusal::TooSlow => return None,
+            | Refusal::TooSlow
+            | Refusal::OutOfDate => return None,
         }
         if !job.submission.accepts_late
             && let Some(domain) = self.next_pool(name, now)
--- a/crates/bramley-pool/src/relay/doubted.rs
+++ b/crates/bramley-pool/src/relay/doubted.rs
@@ -64,7 +64,11 @@
     /// Handles that the process has run again since `now` after a pause. Submissions are delayed, so
     /// that what arrived during the pause is read first, and callers that may have left unheard are
     /// marked.
-    pub fn process_resumed(&mut self, pause: Duration, now: UnixTime) {
+    ///
+    /// Returns whether requests that were sent during the pause may arrive so late that their callers
+    /// can have sent them to another host. The connections of callers are to be retired then, before the
+    /// next job is accepted.
+    pub fn process_resumed(&mut self, pause: Duration, now: UnixTime) -> bool {
         self.sending_paused_until = now.after(self.settings.resume_wait);
         self.giving_up_from = now.after(self.settings.answer_read_wait);
         let began_at = now.before(pause);
@@ -81,6 +85,13 @@
                 job.doubted_from.get_or_insert(left_at);
             }
         }
+        let sent_at = began_at.max(self.callers_connected_since);
+        let retires_connections =
+            self.settings.heard_by(sent_at, now) > self.settings.stop_by(sent_at);
+        if retires_connections {
+            self.callers_connected_since = now;
+        }
+        retires_connections
     }
 
     /// Returns whether a caller of the job may have left unheard and sent it to another host.
