Open a new socket for callers when their connections are retired

The system sets up connections without the process: they wait in the queue of the socket, or their handshake is completed only by the first packet that arrives, which can be a request that was sent during the pause. When such a connection is accepted does not tell when its request was sent.

Change: the listener closes its socket after a retirement and opens another at the same address. What waits at the former one counts as retired with it: it is accepted first, up to the length of the queue, so that its clients are answered, and the system resets the rest. Half-open connections end with the socket. A connection to the new socket was set up after the pause, and so was all that is sent over it. The settings of sockets move from the program to bramley-intake.

A handshake that a late packet completes is covered by the same mechanism, but no test shows it, as it needs packets to be held back.

--- a/crates/bramley-dock/src/health.rs
+++ b/crates/bramley-dock/src/health.rs
@@ -3,7 +3,9 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
-use bramley_intake::{ConnectionLedger, IntakeListener, OpenConnection, PhaseTimes, RequestIntake};
+use bramley_intake::{
+    ConnectionLedger, IntakeListener, ListenSettings, OpenConnection, PhaseTimes, RequestIntake,
+};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -36,7 +38,8 @@
     let settings = engine.settings().host.capacity.health_intake();
     let ledger = ConnectionLedger::new(interface, settings);
     spawn_local(watch_connections(Rc::clone(&engine), ledger.clone()));
-    let listener = IntakeListener::new(listener, ledger, FULL_RESPONSE);
+    let sockets = ListenSettings::default();
+    let mut listener = IntakeListener::new(listener, ledger, FULL_RESPONSE, sockets);
     loop {
         let (stream, connection) = listener.accept(PhaseTimes::default).await;
         spawn_local(serve_connection(
--- a/crates/bramley-dock/src/links/inbound.rs
+++ b/crates/bramley-dock/src/links/inbound.rs
@@ -3,7 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bramley_intake::{ConnectionLedger, IntakeListener, OpenConnection, PhaseTimes};
+use bramley_intake::{
+    ConnectionLedger, IntakeListener, ListenSettings, OpenConnection, PhaseTimes,
+};
 use bramley_pool::job::JobName;
 use bramley_pool::message::{RelayId, RelayMessage};
 use bramley_wire::pool::{RelayFrame, RelayHello, relay_frame};
@@ -28,7 +30,7 @@
     let settings = engine.settings().host.capacity.relay_intake();
     let ledger = ConnectionLedger::new("relay", settings);
     spawn_local(watch_connections(Rc::clone(&engine), ledger.clone()));
-    let listener = IntakeListener::new(listener, ledger, b"");
+    let mut listener = IntakeListener::new(listener, ledger, b"", ListenSettings::default());
     loop {
         let (stream, connection) = listener.accept(PhaseTimes::default).await;
         spawn_local(serve_relay(Rc::clone(&engine), stream, connection));
--- a/crates/bramley-entry/src/caller/server.rs
+++ b/crates/bramley-entry/src/caller/server.rs
@@ -7,8 +7,8 @@
 
 use bramley_core::errors::{DispatchError, ErrorKind};
 use bramley_intake::{
-    BodyError, ConnectionLedger, IntakeListener, IntakeSettings, OpenConnection, PhaseTimes,
-    Receiving, RequestIntake, discard_body,
+    BodyError, ConnectionLedger, IntakeListener, IntakeSettings, ListenSettings, OpenConnection,
+    PhaseTimes, Receiving, RequestIntake, discard_body,
 };
 use bramley_settings::EntryLimits;
 use bytes::Bytes;
@@ -69,7 +69,8 @@
     let ledger = ConnectionLedger::new("caller", intake_settings(&state.settings.limits));
     let watch = tokio::spawn(watch_connections(Arc::clone(&state), ledger.clone()));
     let _watch = AbortOnDropHandle::new(watch);
-    let listener = IntakeListener::new(listener, ledger, FULL_RESPONSE);
+    let sockets = ListenSettings::default();
+    let mut listener = IntakeListener::new(listener, ledger, FULL_RESPONSE, sockets);
     loop {
         let (stream, connection) = tokio::select! {
             accepted = listener.accept(|| PHASE_TIMES) => accepted,
--- a/crates/bramley-intake/src/ledger.rs
+++ b/crates/bramley-intake/src/ledger.rs
@@ -107,7 +107,8 @@
     /// Retires all connections that clients have set up before this call, and returns the number of those
     /// that are open. They carry no further request: a connection at rest is closed, others after their
     /// response. Requests that are read from one before must not be served, which
-    /// [`ConnectionHandle::is_retired`] tells.
+    /// [`ConnectionHandle::is_retired`] tells. [`IntakeListener`](crate::IntakeListener) retires those that
+    /// wait to be accepted as well.
     pub fn retire_connections(&self) -> usize {
         self.retirements.send_modify(|count| count.0 += 1);
         let mut shared = self.lock();
--- a/crates/bramley-intake/src/lib.rs
+++ b/crates/bramley-intake/src/lib.rs
@@ -27,5 +27,5 @@
 pub use crate::listener::IntakeListener;
 pub use crate::report::IntakeReport;
 pub use crate::request::{Receiving, RequestIntake, Serving};
-pub use crate::settings::{HostCapacity, IntakeSettings, PhaseTimes};
+pub use crate::settings::{HostCapacity, IntakeSettings, ListenSettings, PhaseTimes};
 pub use crate::stream::MeteredStream;
--- a/crates/bramley-intake/src/settings.rs
+++ b/crates/bramley-intake/src/settings.rs
@@ -113,6 +113,26 @@
     }
 }
 
+/// How an address is listened on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ListenSettings {
+    /// Size of each connection's receive buffer in bytes; `None` for the system's default. Bytes that
+    /// were received and not read yet count towards the memory of the process.
+    pub receive_buffer: Option<usize>,
+    /// Length of the queue of connections that wait to be accepted; the system drops connections beyond
+    /// it.
+    pub backlog: u32,
+}
+
+impl Default for ListenSettings {
+    fn default() -> Self {
+        Self {
+            receive_buffer: None,
+            backlog: 1_024,
+        }
+    }
+}
+
 /// Times from which the deadlines of a connection's phases are computed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PhaseTimes {
