Relay: a request that is read soon after a pause may have been sent at its start

After a pause of up to 550 ms no connection is retired, as the end of each is read before its client can send the job elsewhere. A job accepted then counted as sent when its request arrived. If the process paused again soon after, its caller was taken for present at that moment, though it may have left since the first pause: the job ran on after the caller could have sent it to another host.

Change: until all that was sent during a series of pauses has arrived, a job counts as sent at the start of the series, or since the connections of callers were last retired.

Test: a_request_between_two_pauses_may_have_been_sent_during_the_first, seen failing (the job was neither cancelled nor its caller answered).

--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -103,7 +103,7 @@
     late_offers: usize,
     /// Whether a pool has reported that a task was placed.
     started: bool,
-    /// Time at which the caller last sent the job.
+    /// Earliest time at which the caller can have sent the job last.
     caller_seen_at: UnixTime,
     /// Earliest time at which the caller may have left unheard; `None` if it still waits as far as is
     /// known.
@@ -257,9 +257,10 @@
         now: UnixTime,
     ) {
         let name = submission.work.job.clone();
+        let caller_seen_at = self.earliest_sending(now);
         if let Some(job) = self.jobs.get_mut(&name) {
             job.submission.deadline = submission.deadline;
-            job.caller_seen_at = now;
+            job.caller_seen_at = caller_seen_at;
             job.doubted_from = None;
             return;
         }
@@ -272,7 +273,7 @@
             declined: Vec::new(),
             late_offers: 0,
             started: false,
-            caller_seen_at: now,
+            caller_seen_at,
             doubted_from: None,
         };
         self.jobs.insert(name.clone(), job);
--- a/crates/bramley-pool/src/relay/doubted.rs
+++ b/crates/bramley-pool/src/relay/doubted.rs
@@ -94,6 +94,17 @@
         retires_connections
     }
 
+    /// Returns the earliest time at which a request can have been sent that is read now. What was sent
+    /// during a pause is retransmitted as late as the end of a connection.
+    pub(super) fn earliest_sending(&self, now: UnixTime) -> UnixTime {
+        match &self.pauses {
+            Some(series) if now < series.heard_by => {
+                series.began_at.max(self.callers_connected_since)
+            }
+            _ => now,
+        }
+    }
+
     /// Returns whether a caller of the job may have left unheard and sent it to another host.
     pub(super) fn is_caller_doubted(&self, name: &JobName) -> bool {
         let job = self.jobs.get(name);
--- a/crates/bramley-pool/tests/doubted_callers.rs
+++ b/crates/bramley-pool/tests/doubted_callers.rs
@@ -164,6 +164,27 @@
     assert!(steps.iter().all(|(at, _)| *at <= may_resend_at));
 }
 
+/// Guards against a request that counts as sent when it arrives, between two pauses: its client may have
+/// sent it during the first and have left unheard during the second.
+#[test]
+fn a_request_between_two_pauses_may_have_been_sent_during_the_first() {
+    let mut paused = PausedRelay::new();
+    paused.receive(ended(JobOutcome::Completed));
+    let expected = [RelayStep::Answered(JobAnswer::Completed)];
+    assert_eq!(paused.take_steps(), expected);
+    let may_resend_at = paused.now.after(RESEND);
+    paused.pause(400);
+    assert_eq!(paused.run_for(TICK * 6), []);
+    let job = World::new(1, 0).submission(&TestJob::default());
+    paused.relay.accept(job, paused.now);
+    assert_eq!(paused.take_steps(), [RelayStep::Submitted]);
+    paused.pause(400);
+    let steps = paused.run_for(Duration::from_secs(5));
+    let expected = [RelayStep::Cancelled, refused(Refusal::Unknown)];
+    assert_eq!(without_times(&steps), expected);
+    assert!(steps.iter().all(|(at, _)| *at <= may_resend_at));
+}
+
 /// Guards against work that is thrown away where the end of each connection is read in time.
 #[test]
 fn a_short_pause_costs_no_job() {
