Relay: the start of a series of pauses moves with time that the clock does not count

A suspension can pass without the process's clock counting it. Deadlines and the times at which callers were seen move with it, but the start of a series of pauses did not: after two suspensions in a row the first one seemed to have begun later, by the length of the second, and jobs of callers that may have left were cancelled as much later.

Test: suspensions_in_a_row_count_as_one, seen failing (two of 400 ms: the job was not cancelled at all).

--- a/crates/bramley-pool/src/relay.rs
+++ b/crates/bramley-pool/src/relay.rs
@@ -483,6 +483,10 @@
         for job in self.jobs.values_mut() {
             job.clock_skipped(span);
         }
+        if let Some(series) = &mut self.pauses {
+            series.clock_skipped(span);
+        }
+        self.callers_connected_since = self.callers_connected_since.before(span);
     }
 
     /// Records the admission state of routes as published by a pool, which replaces its earlier
--- a/crates/bramley-pool/src/relay/doubted.rs
+++ b/crates/bramley-pool/src/relay/doubted.rs
@@ -28,6 +28,14 @@
     heard_by: UnixTime,
 }
 
+impl PauseSeries {
+    /// Moves the times after time that the process's clock did not count.
+    pub(super) fn clock_skipped(&mut self, span: Duration) {
+        self.began_at = self.began_at.before(span);
+        self.heard_by = self.heard_by.before(span);
+    }
+}
+
 impl RelaySettings {
     /// Returns the time by which the end of a connection has arrived that was sent at `sent_at` or
     /// later to a host that has run again since `ended_at`.
--- a/crates/bramley-pool/tests/doubted_callers.rs
+++ b/crates/bramley-pool/tests/doubted_callers.rs
@@ -53,6 +53,12 @@
         self.relay.process_resumed(span, self.now);
     }
 
+    /// Pauses for a time that the process's clock does not count.
+    fn suspend(&mut self, span: Duration) {
+        self.relay.clock_skipped(span);
+        self.relay.process_resumed(span, self.now);
+    }
+
     /// Loses the connection to the pool and opens it again, as after a long pause.
     fn reconnect(&mut self, heard_at: UnixTime) {
         let loss = PoolLoss {
@@ -164,6 +170,22 @@
     assert!(steps.iter().all(|(at, _)| *at <= may_resend_at));
 }
 
+/// Guards against a run that outlasts two suspensions by the length of the second: the clock counts
+/// neither, and the start of the first was taken for later than it was.
+#[test]
+fn suspensions_in_a_row_count_as_one() {
+    let mut paused = PausedRelay::new();
+    let span = Duration::from_millis(400);
+    let may_resend_at = paused.now.after(RESEND).before(span * 2);
+    paused.suspend(span);
+    assert_eq!(paused.run_for(TICK * 4), []);
+    paused.suspend(span);
+    let steps = paused.run_for(Duration::from_secs(5));
+    let expected = [RelayStep::Cancelled, refused(Refusal::Unknown)];
+    assert_eq!(without_times(&steps), expected);
+    assert!(steps.iter().all(|(at, _)| *at <= may_resend_at));
+}
+
 /// Guards against a request that counts as sent when it arrives, between two pauses: its client may have
 /// sent it during the first and have left unheard during the second.
 #[test]
@@ -241,8 +263,7 @@
     let mut paused = PausedRelay::new();
     let heard_at = paused.now;
     let span = Duration::from_secs(4);
-    paused.relay.clock_skipped(span);
-    paused.relay.process_resumed(span, paused.now);
+    paused.suspend(span);
     paused.reconnect(heard_at);
     let steps = paused.run_for(Duration::from_secs(5));
     let expected = [RelayStep::Cancelled, refused(Refusal::Unknown)];
