Search over frozen hosts: callers send jobs to hosts that stand still

What is sent to such a host now arrives with a retransmission after it runs again, and the end of its connection a round trip behind it at the earliest; hosts retire connections as the driver does.

--- a/crates/bramley-fleet/src/links.rs
+++ b/crates/bramley-fleet/src/links.rs
@@ -166,6 +166,13 @@
     answered_callers: BTreeSet<u64>,
     /// All jobs by name.
     jobs: BTreeMap<String, TestJob>,
+    /// Requests that hosts which stand still have not acknowledged yet, by caller, with the time at which
+    /// they were sent.
+    unacknowledged: BTreeMap<u64, UnixTime>,
+    /// Last caller of each host whose connection it has retired.
+    retired_callers: BTreeMap<usize, u64>,
+    /// Fault: hosts that stood still read requests over the connections that they had before.
+    pub keeps_callers: bool,
     /// Jobs that were refused as not run.
     pub refused: BTreeSet<String>,
     /// Hosts whose calls to workers are being reset, with the time until which they are.
@@ -241,6 +248,9 @@
             ends_of_callers: BTreeMap::new(),
             answered_callers: BTreeSet::new(),
             jobs: BTreeMap::new(),
+            unacknowledged: BTreeMap::new(),
+            retired_callers: BTreeMap::new(),
+            keeps_callers: false,
             refused: BTreeSet::new(),
             calls_reset_until: BTreeMap::new(),
             resends_unknown: false,
@@ -358,8 +368,8 @@
         }
     }
 
-    /// Lets a host stand still for a while. Connections that are silent for too long are lost, and the
-    /// ends of callers' connections are retransmitted after it. No caller may call the host meanwhile.
+    /// Lets a host stand still for a while. Connections that are silent for too long are lost, and what
+    /// callers send meanwhile, as well as the ends of their connections, is retransmitted after it.
     pub fn freeze_host(&mut self, host: usize, span: Duration) {
         let now = self.now;
         let links = self.links_mut();
@@ -455,7 +465,11 @@
             return;
         }
         self.hosts[host].pool.process_resumed(now);
-        self.hosts[host].relay.process_resumed(span, now);
+        let retires_callers = self.hosts[host].relay.process_resumed(span, now);
+        let links = self.links_mut();
+        if retires_callers && !links.keeps_callers {
+            links.retired_callers.insert(host, links.next_caller);
+        }
         if span <= IDLE_TIMEOUT {
             return;
         }
@@ -493,8 +507,9 @@
         (self.now < held_until).then_some(held_until)
     }
 
-    /// Sends a job at a host on a new connection and returns its number. It ends after `leaves_after`,
-    /// which the host notices later.
+    /// Sends a job at a host and returns the number of the connection, which ends after `leaves_after`. The
+    /// host notices that later. The connection is a new one, or, if the host stands still, has been open
+    /// before that.
     pub fn call_host(&mut self, host: usize, job: &TestJob, leaves_after: Option<Duration>) -> u64 {
         let now = self.now;
         let links = self.links_mut();
@@ -505,6 +520,9 @@
             let end = now.after(DELAY + leaves_after);
             links.ends_of_callers.insert(caller, end);
         }
+        if self.is_frozen(host) {
+            self.links_mut().unacknowledged.insert(caller, now);
+        }
         let arrives = Event::Link(LinkEvent::CallerArrives(host, caller, job.clone()));
         self.schedule(DELAY, arrives);
         if let Some(leaves_after) = leaves_after {
@@ -891,10 +909,15 @@
                 let links = self.links_mut();
                 let is_frozen = links.busy.get(&host).is_some_and(|busy| busy.is_frozen);
                 let end = links.ends_of_callers.get(&caller);
-                if is_frozen && end.is_some_and(|end| *end <= now) {
+                let has_left = end.is_some_and(|end| *end <= now);
+                let is_connected = links.unacknowledged.remove(&caller).is_some();
+                if is_frozen && has_left && !is_connected {
                     // Has stopped connecting while the host stood still.
                     return;
                 }
+                if links.retired_callers.get(&host) >= Some(&caller) {
+                    return;
+                }
                 let key = (host, job.name.clone());
                 let links = self.links_mut();
                 links.callers.insert(key, caller);
@@ -940,10 +963,17 @@
 impl Links {
     /// Returns the time at which an event is processed whose host stands still.
     fn frozen_until(&self, event: &Event, now: UnixTime) -> Option<UnixTime> {
+        if let Event::Link(LinkEvent::CallerLeaves(_, caller, _)) = event
+            && self.unacknowledged.contains_key(caller)
+        {
+            // Follows the request by a round trip.
+            return Some(now.after(DELAY * 2));
+        }
         let host = match event {
             Event::List(host)
             | Event::Link(
-                LinkEvent::CallerLeaves(host, ..)
+                LinkEvent::CallerArrives(host, ..)
+                | LinkEvent::CallerLeaves(host, ..)
                 | LinkEvent::ClaimRead(host, _)
                 | LinkEvent::Reconnect(host, _)
                 | LinkEvent::StepsDown(host),
@@ -954,10 +984,17 @@
         if !busy.is_frozen || now >= busy.until {
             return None;
         }
-        let Event::Link(LinkEvent::CallerLeaves(_, caller, _)) = event else {
-            return Some(busy.until);
+        let (caller, sent_at) = match event {
+            Event::Link(LinkEvent::CallerArrives(_, caller, _)) => {
+                (caller, self.unacknowledged.get(caller).copied()?)
+            }
+            Event::Link(LinkEvent::CallerLeaves(_, caller, _)) => {
+                let end = self.ends_of_callers.get(caller).copied();
+                (caller, end.unwrap_or(now))
+            }
+            _ => return Some(busy.until),
         };
-        let mut arrives_at = self.ends_of_callers.get(caller).copied().unwrap_or(now);
+        let mut arrives_at = sent_at;
         let first_ms = FIRST_RETRANSMISSION_MS + caller * 37 % RETRANSMISSION_RANGE_MS;
         let mut delay = Duration::from_millis(first_ms);
         while arrives_at < busy.until {
--- a/crates/bramley-pool/tests/frozen_hosts.rs
+++ b/crates/bramley-pool/tests/frozen_hosts.rs
@@ -34,12 +34,19 @@
 /// Time after which another host leads the domain of a leader that stands still.
 const TAKEOVER_MS: std::ops::Range<u64> = 1_500..1_900;
 
+/// Search in which callers also send jobs to hosts that stand still.
+const LATE_REQUESTS: SearchSettings = SearchSettings {
+    calls_frozen_hosts: true,
+    keeps_callers: false,
+};
+
 /// Result of the runs of some seeds.
 #[derive(Debug, Default)]
 struct FreezeTotals {
     jobs: usize,
     freezes: usize,
     left: usize,
+    sent_late: usize,
     completed: usize,
     taken: u64,
     doubled: Vec<String>,
@@ -47,16 +54,28 @@
     broken: Vec<String>,
 }
 
+/// Variation of the search.
+#[derive(Clone, Copy, Debug, Default)]
+struct SearchSettings {
+    /// Whether callers also send jobs to hosts that stand still.
+    calls_frozen_hosts: bool,
+    /// Whether hosts read late requests as if they had been sent when they arrive.
+    keeps_callers: bool,
+}
+
 struct FreezeRun {
     rng: ChaCha8Rng,
     world: World,
     jobs: Vec<TestJob>,
     freezes: usize,
     left: usize,
+    /// Jobs that were sent to a host that stood still.
+    sent_late: usize,
+    search: SearchSettings,
 }
 
 impl FreezeRun {
-    fn new(seed: u64, settings: &RelaySettings) -> Self {
+    fn new(seed: u64, settings: &RelaySettings, search: SearchSettings) -> Self {
         let mut world = World::with_domains(&DOMAINS, HOSTS, WORKERS, &PoolSettings::default());
         for host in &mut world.hosts {
             host.relay = Relay::new(settings.clone(), host.domain.clone());
@@ -68,6 +87,7 @@
         world.use_links(!seed);
         if let Some(links) = &mut world.links {
             links.resends_unknown = true;
+            links.keeps_callers = search.keeps_callers;
         }
         world.run_for(Duration::from_millis(2_000));
         Self {
@@ -76,6 +96,8 @@
             jobs: Vec::new(),
             freezes: 0,
             left: 0,
+            sent_late: 0,
+            search,
         }
     }
 
@@ -121,7 +143,9 @@
 
     fn submit(&mut self) {
         let hosts = 0..DOMAINS.len() * HOSTS;
-        let hosts: Vec<usize> = hosts.filter(|host| !self.world.is_frozen(*host)).collect();
+        let calls_frozen_hosts = self.search.calls_frozen_hosts;
+        let hosts = hosts.filter(|host| calls_frozen_hosts || !self.world.is_frozen(*host));
+        let hosts: Vec<usize> = hosts.collect();
         // Most callers use one domain, so that tasks wait there and other pools take them over.
         let near: Vec<usize> = hosts.iter().copied().filter(|host| *host < HOSTS).collect();
         let some = match near.is_empty() || self.rng.random_bool(0.3) {
@@ -144,6 +168,7 @@
             ..TestJob::default()
         };
         self.jobs.push(job.clone());
+        self.sent_late += usize::from(self.world.is_frozen(host));
         let patience_ms = self.rng.random_range(50..4_000);
         let leaves_after = self
             .rng
@@ -164,6 +189,7 @@
         totals.jobs += self.jobs.len();
         totals.freezes += self.freezes;
         totals.left += self.left;
+        totals.sent_late += self.sent_late;
         let mut longest: BTreeMap<String, Duration> = BTreeMap::new();
         for worker in &self.world.workers {
             for (task, from, to) in worker.history(self.world.now) {
@@ -220,20 +246,25 @@
     }
 }
 
-fn run_seeds(seeds: std::ops::Range<u64>, settings: &RelaySettings) -> FreezeTotals {
+fn run_seeds(
+    seeds: std::ops::Range<u64>,
+    settings: &RelaySettings,
+    search: SearchSettings,
+) -> FreezeTotals {
     let mut totals = FreezeTotals::default();
     for seed in seeds {
-        let mut run = FreezeRun::new(seed, settings);
+        let mut run = FreezeRun::new(seed, settings, search);
         for _ in 0..STEPS {
             run.step();
         }
         run.add_to(&mut totals, seed);
     }
     println!(
-        "jobs={} freezes={} left={} completed={} taken={} doubled={} broken={}",
+        "jobs={} freezes={} left={} sent_late={} completed={} taken={} doubled={} broken={}",
         totals.jobs,
         totals.freezes,
         totals.left,
+        totals.sent_late,
         totals.completed,
         totals.taken,
         totals.doubled.len(),
@@ -247,7 +278,7 @@
 /// order.
 #[test]
 fn hosts_that_stood_still_double_no_task_and_answer_no_part() {
-    let totals = run_seeds(SEEDS, &RelaySettings::default());
+    let totals = run_seeds(SEEDS, &RelaySettings::default(), SearchSettings::default());
     assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
     assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
     assert!(totals.left > 0 && totals.taken > 100, "{totals:?}");
@@ -260,7 +291,7 @@
         caller_resend_delay: Duration::from_secs(3_600),
         ..RelaySettings::default()
     };
-    let totals = run_seeds(SEEDS, &settings);
+    let totals = run_seeds(SEEDS, &settings, SearchSettings::default());
     assert!(!totals.doubled.is_empty());
 }
 
@@ -268,9 +299,32 @@
 #[test]
 #[ignore = "takes minutes"]
 fn hosts_that_stood_still_double_no_task_and_answer_no_part_in_many_seeds() {
-    let totals = run_seeds(SEEDS.end..600, &RelaySettings::default());
+    for search in [SearchSettings::default(), LATE_REQUESTS] {
+        let totals = run_seeds(SEEDS.end..600, &RelaySettings::default(), search);
+        assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
+        assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
+    }
+}
+
+/// Guards against a job that is started beside the run of its second submission: its request was sent to
+/// a host that stood still, and arrives when its caller has left.
+#[test]
+fn requests_that_were_sent_to_hosts_that_stood_still_double_no_task() {
+    let totals = run_seeds(SEEDS, &RelaySettings::default(), LATE_REQUESTS);
     assert!(totals.doubled.is_empty(), "{:#?}", totals.doubled);
     assert!(totals.broken.is_empty(), "{:#?}", totals.broken);
+    assert!(totals.sent_late > 100, "{totals:?}");
+}
+
+/// Shows that the search finds doubled runs if hosts read late requests like new ones.
+#[test]
+fn the_search_finds_requests_that_arrive_late() {
+    let search = SearchSettings {
+        keeps_callers: true,
+        ..LATE_REQUESTS
+    };
+    let totals = run_seeds(SEEDS, &RelaySettings::default(), search);
+    assert!(!totals.doubled.is_empty());
 }
 
 /// Guards against runs that outlast the pause of their callers because the lease was renewed for a relay
