Do not refuse a job that has begun as not run over a retired connection

A request that was read from a retired connection was answered 503, which promises that the job has not run, also if the job was open on this host or had begun here for an earlier submission: its client had left during the pause and sent it again over another connection.

Change: 502 in that case, as for every other refusal.

Test: a_late_request_for_a_job_that_has_begun_is_not_refused_as_not_run, seen failing (503 for 502).

--- a/crates/bramley-dock/src/engine/callers.rs
+++ b/crates/bramley-dock/src/engine/callers.rs
@@ -113,10 +113,15 @@
         connection: &ConnectionHandle,
     ) -> Result<PendingJob<P>, Refusal> {
         self.detect_pause();
+        let job = submission.work.job.clone();
         if connection.is_retired() {
-            return Err(Refusal::OutOfDate);
+            let state = self.state.borrow();
+            let may_have_run = state.relay.may_run(job.as_str());
+            return Err(match may_have_run {
+                true => Refusal::Unknown,
+                false => Refusal::OutOfDate,
+            });
         }
-        let job = submission.work.job.clone();
         let (answer, receiver) = oneshot::channel();
         let caller_number = {
             let mut state = self.state.borrow_mut();
